--- /dev/null
+++ b/errkind/errkind_test.go
@@ -0,0 +1,34 @@
+package errkind_test
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryshift/savoryshift/errkind"
+)
+
+// A kind that promises "not run" must never have an answer that says otherwise.
+func TestRefusalKindsSayNotRun(t *testing.T) {
+	for _, k := range []errkind.Kind{errkind.NoCapacity, errkind.LimitExceeded, errkind.ClaimUnavailable, errkind.Isolated, errkind.ShuttingDown} {
+		assert.Equal(t, errkind.AnswerFor(k).Ran, errkind.RanNo, string(k))
+	}
+	assert.Equal(t, errkind.AnswerFor(errkind.OutcomeUnknown).Ran, errkind.RanUnknown)
+}
+
+// Every kind needs a complete table entry, or the caller receives status 0.
+func TestEveryKindHasAnAnswer(t *testing.T) {
+	for _, k := range errkind.Kinds() {
+		a := errkind.AnswerFor(k)
+		assert.Assert(t, a.Status >= 400 && a.Type != "" && a.Ran != "", string(k))
+	}
+}
+
+func TestKindSurvivesWrapping(t *testing.T) {
+	err := errkind.Wrap(errkind.UpstreamFailed, errors.New("connection reset"))
+	err = errkind.WithRan(err, errkind.RanNo)
+	assert.Equal(t, errkind.Of(err), errkind.UpstreamFailed)
+	assert.Equal(t, errkind.RanOf(err), errkind.RanNo)
+	assert.Equal(t, errkind.Of(errors.New("plain")), errkind.Internal)
+}
