--- /dev/null
+++ b/proxy/model.go
@@ -0,0 +1,324 @@
+package proxy
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/savoryshift/savoryshift/errkind"
+	"github.com/savoryshift/savoryshift/tree"
+)
+
+// pinnedSession is the session of a request. A request without a session has
+// an id of its own, so that roll-outs can place it in a cohort.
+type pinnedSession struct {
+	id      string
+	name    string
+	version string
+	// wanted says that the answer carries a session token.
+	wanted bool
+}
+
+// chatCompletions answers POST /v1/chat/completions.
+func (s *Server) chatCompletions(w http.ResponseWriter, r *request) error {
+	m, err := s.prepare(w, r)
+	if err != nil {
+		return err
+	}
+	done, err := s.o.Limiter.Admit(m.route.Organisation, m.route.Service, m.route.Effective, expectedTokens(m))
+	if err != nil {
+		return err
+	}
+	tokens := 0
+	defer func() { done(tokens) }()
+	if err := s.o.Biller.Reserve(); err != nil {
+		return err
+	}
+	plan, err := s.o.Router.Plan(m.route)
+	if err != nil {
+		return err
+	}
+	s.counters.plans.Add(plan.Kind, 1)
+	ctx, cancel := context.WithDeadline(r.Context(), m.route.Deadline)
+	defer cancel()
+	var a answer
+	if len(plan.Steps) == 1 && m.chat.stream {
+		a, err = s.answerLive(ctx, w, m, plan.Steps[0].Target)
+	} else {
+		a, err = s.answerWhole(ctx, w, m, plan)
+	}
+	tokens = a.result.CompletionTokens
+	if r.Context().Err() != nil {
+		s.counters.callersLeft.Add(1)
+	}
+	return err
+}
+
+// expectedTokens is what the request counts against a token limit before its
+// length is known.
+func expectedTokens(m *modelRequest) int {
+	if m.chat.maxTokens > 0 {
+		return m.chat.maxTokens
+	}
+	const typicalAnswerTokens = 256
+	return typicalAnswerTokens
+}
+
+// prepare checks a model request against the settings snapshot.
+func (s *Server) prepare(w http.ResponseWriter, r *request) (*modelRequest, error) {
+	data, err := readBody(w, r.Request, s.o.Bounds.BodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	chat, err := parseChat(data)
+	if err != nil {
+		return nil, err
+	}
+	key, err := idempotencyKey(r.Request)
+	if err != nil {
+		return nil, err
+	}
+	service, model, err := s.modelService(r, chat.model)
+	if err != nil {
+		return nil, err
+	}
+	session, err := s.sessionOf(r, service)
+	if err != nil {
+		return nil, err
+	}
+	e, err := r.snapshot.Effective(r.organisation, service, session.name)
+	if err != nil {
+		return nil, err
+	}
+	deadline, err := deadlineFrom(r.Request, r.arrival, e.Deadline())
+	if err != nil {
+		return nil, err
+	}
+	versions, err := s.routableVersions(r, service, model, &session)
+	if err != nil {
+		return nil, err
+	}
+	m := &modelRequest{chat: chat, class: service, session: session, priority: e.Priority, usageKey: r.id}
+	if key != "" {
+		m.usageKey = repeatKey(key, data)
+	}
+	m.budget = s.budgets.of(r.organisation)
+	m.budget.earn(e.RetryBudget)
+	m.route = RouteRequest{
+		RequestID:    r.id,
+		Organisation: r.organisation,
+		Service:      service,
+		Effective:    e,
+		Allowed:      versions,
+		Pinned:       session.version,
+		PromptTokens: chat.promptTokens,
+		MaxTokens:    chat.maxTokens,
+		PrefixHash:   chat.prefixHash,
+		Arrival:      r.arrival,
+		Deadline:     deadline,
+		Stream:       chat.stream,
+	}
+	return m, nil
+}
+
+// repeatKey is the ledger key of a request with an idempotency key. It covers
+// the body, so that a key that is used for other content is billed again.
+func repeatKey(key string, body []byte) string {
+	return fmt.Sprintf("%s %x", key, sha256.Sum256(body))
+}
+
+// modelService finds the service that the "model" member names: the service
+// itself, or the first service of the organisation that allows the model. In
+// the second case it returns the model too.
+func (s *Server) modelService(r *request, name string) (service, model string, err error) {
+	services := r.snapshot.ModelServices(r.organisation)
+	if slices.Contains(services, name) {
+		return name, "", nil
+	}
+	for _, candidate := range services {
+		e, err := r.snapshot.Effective(r.organisation, candidate, "")
+		if err == nil && allowsModel(e, name) {
+			return candidate, name, nil
+		}
+	}
+	return "", "", errkind.New(errkind.NotFound, "the organisation has no service or model %q", name)
+}
+
+func allowsModel(e *tree.Effective, model string) bool {
+	return slices.ContainsFunc(e.Versions, func(v tree.AllowedVersion) bool { return v.Model == model })
+}
+
+// sessionOf reads the session header. A token of another organisation or
+// service is refused.
+func (s *Server) sessionOf(r *request, service string) (pinnedSession, error) {
+	text := r.Header.Get(HeaderSession)
+	name, isNew := strings.CutPrefix(text, newSession)
+	switch {
+	case text == "":
+		return pinnedSession{id: r.id}, nil
+	case isNew && name == "":
+		return pinnedSession{id: uuid.NewString(), wanted: true}, nil
+	case isNew && strings.HasPrefix(name, ":"):
+		return pinnedSession{id: uuid.NewString(), name: name[1:], wanted: true}, nil
+	}
+	pin, err := s.o.Sessions.Verify(text)
+	if err != nil {
+		return pinnedSession{}, err
+	}
+	if pin.Organisation != r.organisation || pin.Service != service {
+		return pinnedSession{}, errkind.New(errkind.Forbidden, "the session belongs to another organisation or service")
+	}
+	return pinnedSession{id: pin.ID, name: pin.Name, version: pin.Version, wanted: true}, nil
+}
+
+// usable tells whether new work may be sent to a version at this moment, apart
+// from whether an organisation allows it.
+func (s *Server) usable(snapshot *tree.Snapshot, version string) bool {
+	rollout, _ := snapshot.RolloutTo(version)
+	if s.o.Halts.Halted(version, rollout) {
+		return false
+	}
+	return s.o.Evidence.Valid() || snapshot.UsableInIsolation(version)
+}
+
+// allowedVersions returns the versions that may run a request of the node, by
+// the newest configuration and evidence.
+func (s *Server) allowedVersions(organisation, service, session string) ([]string, error) {
+	snapshot := s.o.Snapshot()
+	e, err := snapshot.Effective(organisation, service, session)
+	if err != nil {
+		return nil, err
+	}
+	var versions []string
+	for _, v := range e.Versions {
+		if s.usable(snapshot, v.ID) {
+			versions = append(versions, v.ID)
+		}
+	}
+	if len(versions) == 0 {
+		return nil, s.noVersion(e)
+	}
+	return versions, nil
+}
+
+// noVersion tells a caller why no version can be used: the settings allow
+// none, or isolation rules out all.
+func (s *Server) noVersion(e *tree.Effective) error {
+	if len(e.Versions) > 0 && !s.o.Evidence.Valid() {
+		return errkind.New(errkind.Isolated, "this daemon is cut off and may use none of the allowed versions")
+	}
+	return errkind.New(errkind.NoAllowedVersion, "the organisation allows no version that is in use")
+}
+
+// routableVersions returns the versions to choose from for a request: the
+// pinned one or its successor, else those that the roll-outs give to the
+// session. A non-empty model restricts them.
+func (s *Server) routableVersions(r *request, service, model string, session *pinnedSession) ([]string, error) {
+	allowed, err := s.allowedVersions(r.organisation, service, session.name)
+	if err != nil {
+		return nil, err
+	}
+	if session.version != "" {
+		pinned, err := s.pinnedVersion(r.snapshot, allowed, session.version)
+		session.version = pinned
+		return []string{pinned}, err
+	}
+	e, err := r.snapshot.Effective(r.organisation, service, session.name)
+	if err != nil {
+		return nil, err
+	}
+	var versions []string
+	for _, v := range e.Versions {
+		if v.OnlyByRollout || (model != "" && v.Model != model) {
+			continue
+		}
+		placed := r.snapshot.CohortVersion(session.id, v.ID)
+		if !slices.Contains(allowed, placed) {
+			// The candidate is halted, not allowed or not usable in isolation.
+			placed = v.ID
+		}
+		if slices.Contains(allowed, placed) && !slices.Contains(versions, placed) {
+			versions = append(versions, placed)
+		}
+	}
+	if len(versions) == 0 {
+		return nil, errkind.New(errkind.NoAllowedVersion, "no version of model %q may be used", model)
+	}
+	return versions, nil
+}
+
+// pinnedVersion returns the version of a session, or the successor when it may
+// not be used any more. Successors are the same for all daemons.
+func (s *Server) pinnedVersion(snapshot *tree.Snapshot, allowed []string, version string) (string, error) {
+	if slices.Contains(allowed, version) {
+		return version, nil
+	}
+	if successor, ok := snapshot.SuccessorOf(version); ok && slices.Contains(allowed, successor) {
+		return successor, nil
+	}
+	if rollout, ok := snapshot.RolloutTo(version); ok {
+		// The candidate is halted or not usable in isolation.
+		base := snapshot.Tree().Rollouts[rollout].From
+		if slices.Contains(allowed, base) {
+			return base, nil
+		}
+	}
+	return "", errkind.New(errkind.NoAllowedVersion, "the session's version %q may not be used and has no usable successor", version)
+}
+
+// setAnswerHeaders names the model and version of an answer and returns the
+// session token.
+func (s *Server) setAnswerHeaders(h http.Header, m *modelRequest, t Target) error {
+	h.Set(HeaderModel, t.Model)
+	h.Set(HeaderVersion, t.Version)
+	h.Set(HeaderRepeated, "false")
+	if !m.session.wanted {
+		return nil
+	}
+	token, err := s.o.Sessions.Sign(SessionPin{
+		Organisation: m.route.Organisation,
+		Service:      m.route.Service,
+		ID:           m.session.id,
+		Name:         m.session.name,
+		Version:      t.Version,
+	})
+	if err != nil {
+		return errkind.Wrap(errkind.Internal, err)
+	}
+	h.Set(HeaderSession, token)
+	return nil
+}
+
+func (m *modelRequest) usage(a answer, cost float64) Usage {
+	return Usage{
+		Organisation:     m.route.Organisation,
+		RequestKey:       m.usageKey,
+		Service:          m.route.Service,
+		Model:            a.target.Model,
+		Version:          a.target.Version,
+		PromptTokens:     a.result.PromptTokens,
+		CompletionTokens: a.result.CompletionTokens,
+		Cost:             cost,
+		Time:             time.Now(),
+	}
+}
+
+// promptTokenPrice is the price of a prompt token in units of a generated one.
+const promptTokenPrice = 0.2
+
+// price returns what an answer costs its organisation.
+func price(e *tree.Effective, a answer) float64 {
+	v, _ := e.Allowed(a.target.Version)
+	tokens := float64(a.result.CompletionTokens) + promptTokenPrice*float64(a.result.PromptTokens)
+	return v.CostPer1kOutputTokens * tokens / 1000
+}
+
+// errCallerLeft ends a stream whose caller cannot be written to.
+var errCallerLeft = errors.New("caller closed the connection")
--- /dev/null
+++ b/proxy/models.go
@@ -0,0 +1,45 @@
+package proxy
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+)
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// listModels answers GET /v1/models with the model services and models of the
+// organisation.
+func (s *Server) listModels(w http.ResponseWriter, r *request) error {
+	var names []string
+	for _, service := range r.snapshot.ModelServices(r.organisation) {
+		names = append(names, service)
+		e, err := r.snapshot.Effective(r.organisation, service, "")
+		if err != nil {
+			continue
+		}
+		for _, v := range e.Versions {
+			names = append(names, v.Model)
+		}
+	}
+	slices.Sort(names)
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, name := range slices.Compact(names) {
+		list.Data = append(list.Data, modelItem{ID: name, Object: "model", OwnedBy: "savoryshift"})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// A write error means that the caller is gone.
+	_ = json.NewEncoder(w).Encode(list)
+	s.counters.answered.Add(1)
+	return nil
+}
--- /dev/null
+++ b/proxy/server.go
@@ -0,0 +1,143 @@
+package proxy
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/savoryshift/savoryshift/errkind"
+	"github.com/savoryshift/savoryshift/tree"
+)
+
+// Server answers callers. It is safe for concurrent use.
+type Server struct {
+	o        Options
+	mux      *http.ServeMux
+	budgets  retryBudgets
+	inFlight atomic.Int64
+	counters counters
+}
+
+// counters are published by Vars.
+type counters struct {
+	requests         expvar.Int
+	answered         expvar.Int
+	retries          expvar.Int
+	retryBudgetSpent expvar.Int
+	callersLeft      expvar.Int
+	repeated         expvar.Int
+	plans            expvar.Map
+	errors           expvar.Map
+}
+
+// New returns a Server. It starts no goroutine.
+func New(o Options) *Server {
+	o.Bounds.setDefaults()
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	s := &Server{o: o, mux: http.NewServeMux()}
+	s.budgets.budgets = make(map[string]*retryBudget)
+	s.counters.plans.Init()
+	s.counters.errors.Init()
+	s.mux.HandleFunc("POST /v1/chat/completions", s.admit(s.chatCompletions))
+	s.mux.HandleFunc("GET /v1/models", s.admit(s.listModels))
+	s.mux.HandleFunc("/", s.admit(s.plainService))
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// InFlight returns the number of requests being answered.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// Vars returns the counters for publication through expvar.
+func (s *Server) Vars() *expvar.Map {
+	m := new(expvar.Map).Init()
+	m.Set("requests", &s.counters.requests)
+	m.Set("answered", &s.counters.answered)
+	m.Set("retries", &s.counters.retries)
+	m.Set("retry_budget_spent", &s.counters.retryBudgetSpent)
+	m.Set("callers_left", &s.counters.callersLeft)
+	m.Set("repeated", &s.counters.repeated)
+	m.Set("plans", &s.counters.plans)
+	m.Set("errors", &s.counters.errors)
+	m.Set("in_flight", expvar.Func(func() any { return s.inFlight.Load() }))
+	return m
+}
+
+// request is an authenticated request.
+type request struct {
+	*http.Request
+	id           string
+	arrival      time.Time
+	organisation string
+	snapshot     *tree.Snapshot
+}
+
+// handler answers one authenticated request. A returned error is written as
+// the answer; a handler that has begun its answer returns nil.
+type handler func(w http.ResponseWriter, r *request) error
+
+// admit counts, bounds and authenticates a request before it calls h.
+func (s *Server) admit(h handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, hr *http.Request) {
+		s.counters.requests.Add(1)
+		inFlight := s.inFlight.Add(1)
+		defer s.inFlight.Add(-1)
+		r := &request{Request: hr, id: newRequestID(), arrival: time.Now()}
+		w.Header().Set(HeaderRequestID, r.id)
+		err := s.authenticate(r, inFlight)
+		if err == nil {
+			err = h(w, r)
+		}
+		if err != nil {
+			s.counters.errors.Add(string(errkind.Of(err)), 1)
+			writeError(w, err, r.id)
+			return
+		}
+	}
+}
+
+// newRequestID returns a UUID that sorts by time, which keeps ledger keys of
+// one period together.
+func newRequestID() string {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return uuid.NewString()
+	}
+	return id.String()
+}
+
+func (s *Server) authenticate(r *request, inFlight int64) error {
+	if inFlight > s.o.Bounds.ConcurrentRequests {
+		return errkind.New(errkind.NoCapacity, "this daemon is answering %d requests, its bound", s.o.Bounds.ConcurrentRequests)
+	}
+	r.snapshot = s.o.Snapshot()
+	if r.snapshot == nil {
+		return errkind.New(errkind.NoConfiguration, "this daemon has not received a configuration yet")
+	}
+	key, err := bearerKey(r.Request)
+	if err != nil {
+		return err
+	}
+	organisation, ok := r.snapshot.Authenticate(key)
+	if !ok {
+		return errkind.New(errkind.Unauthenticated, "the key belongs to no organisation")
+	}
+	r.organisation = organisation
+	return nil
+}
+
+// bill enters usage in the ledger, also when the caller has gone meanwhile.
+func (s *Server) bill(ctx context.Context, u Usage) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), usageGrace)
+	defer cancel()
+	return s.o.Biller.Add(ctx, u)
+}
--- /dev/null
+++ b/proxy/stream.go
@@ -0,0 +1,207 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/savoryshift/savoryshift/errkind"
+	"github.com/savoryshift/savoryshift/upstream"
+)
+
+// writeGrace is how long after the deadline a slow reader is waited for.
+const writeGrace = 5 * time.Second
+
+// eventWriter writes server-sent events to a caller.
+type eventWriter struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	buf     bytes.Buffer
+	started bool
+}
+
+func newEventWriter(w http.ResponseWriter, deadline time.Time) *eventWriter {
+	e := &eventWriter{w: w, control: http.NewResponseController(w)}
+	// A server without support for deadlines falls back to its own timeout.
+	_ = e.control.SetWriteDeadline(deadline.Add(writeGrace))
+	return e
+}
+
+// event writes one data event and flushes it.
+func (e *eventWriter) event(data []byte) error {
+	if !e.started {
+		header := e.w.Header()
+		header.Set("Content-Type", "text/event-stream")
+		header.Set("Cache-Control", "no-cache")
+		e.w.WriteHeader(http.StatusOK)
+		e.started = true
+	}
+	e.buf.Reset()
+	e.buf.WriteString("data: ")
+	e.buf.Write(data)
+	e.buf.WriteString("\n\n")
+	if _, err := e.w.Write(e.buf.Bytes()); err != nil {
+		return errCallerLeft
+	}
+	if err := e.control.Flush(); err != nil {
+		return errCallerLeft
+	}
+	return nil
+}
+
+var doneEvent = []byte("[DONE]")
+
+// answerLive passes the parts of a streamed answer on as they arrive. The end
+// marker is held back until the usage is entered in the ledger, so a caller
+// that sees the whole answer is billed and one that does not can tell.
+func (s *Server) answerLive(ctx context.Context, w http.ResponseWriter, m *modelRequest, target Target) (answer, error) {
+	events := newEventWriter(w, m.route.Deadline)
+	a, err := s.streamLive(ctx, m, target, func(t Target, p upstream.Part) error {
+		if !events.started {
+			if err := s.setAnswerHeaders(w.Header(), m, t); err != nil {
+				return err
+			}
+		}
+		return events.event(p.Data)
+	})
+	if err != nil {
+		return a, s.endBrokenStream(ctx, events, m, a, err)
+	}
+	if err := s.bill(ctx, m.usage(a, price(m.route.Effective, a))); err != nil {
+		return a, s.streamError(events, m, errkind.WithRan(err, errkind.RanYes))
+	}
+	if err := events.event(doneEvent); err == nil {
+		s.counters.answered.Add(1)
+	}
+	return a, nil
+}
+
+// endBrokenStream bills the parts that a caller received before it left or the
+// answer failed, and reports the error to the caller.
+func (s *Server) endBrokenStream(ctx context.Context, events *eventWriter, m *modelRequest, a answer, err error) error {
+	if ctx.Err() != nil && events.started {
+		a.result.PromptTokens = m.chat.promptTokens
+		a.result.CompletionTokens = a.result.Parts
+		if billErr := s.bill(ctx, m.usage(a, price(m.route.Effective, a))); billErr != nil {
+			err = billErr
+		}
+	}
+	return s.streamError(events, m, err)
+}
+
+// streamError answers with err, as an event when the stream has begun. The
+// missing end marker tells the caller that the answer is not whole.
+func (s *Server) streamError(events *eventWriter, m *modelRequest, err error) error {
+	if !events.started {
+		return err
+	}
+	s.counters.errors.Add(string(errkind.Of(err)), 1)
+	if errkind.RanOf(err) == errkind.RanNo {
+		err = errkind.WithRan(err, errkind.RanYes)
+	}
+	data, marshalErr := json.Marshal(errorBody(err, m.route.RequestID))
+	if marshalErr == nil {
+		// The caller may be gone; nothing is left to do for it.
+		_ = events.event(data)
+	}
+	return nil
+}
+
+// answerWhole runs a plan and delivers the accepted answer: as a body, or as
+// events when the caller asked for a stream.
+func (s *Server) answerWhole(ctx context.Context, w http.ResponseWriter, m *modelRequest, plan Plan) (answer, error) {
+	a, err := s.runPlan(ctx, m, plan)
+	if err != nil {
+		return a, err
+	}
+	if err := s.setAnswerHeaders(w.Header(), m, a.target); err != nil {
+		return a, errkind.WithRan(err, errkind.RanYes)
+	}
+	if err := s.bill(ctx, m.usage(a, price(m.route.Effective, a))); err != nil {
+		return a, errkind.WithRan(err, errkind.RanYes)
+	}
+	if m.chat.stream {
+		err = s.writeAsEvents(w, m, a)
+	} else {
+		w.Header().Set("Content-Type", "application/json")
+		_, err = w.Write(a.result.Body)
+	}
+	if err == nil {
+		s.counters.answered.Add(1)
+	}
+	return a, nil
+}
+
+// writeAsEvents delivers a whole answer as a stream of one content chunk.
+func (s *Server) writeAsEvents(w http.ResponseWriter, m *modelRequest, a answer) error {
+	chunks, err := chunksOf(a.result.Body, m.chat.includeUsage)
+	if err != nil {
+		return err
+	}
+	events := newEventWriter(w, m.route.Deadline)
+	for _, chunk := range chunks {
+		if err := events.event(chunk); err != nil {
+			return err
+		}
+	}
+	return events.event(doneEvent)
+}
+
+// completion is the part of a whole answer that chunks are made from.
+type completion struct {
+	ID      string `json:"id"`
+	Created int64  `json:"created"`
+	Model   string `json:"model"`
+	Choices []struct {
+		Index        int             `json:"index"`
+		Message      json.RawMessage `json:"message"`
+		FinishReason string          `json:"finish_reason"`
+	} `json:"choices"`
+	Usage json.RawMessage `json:"usage"`
+}
+
+type chunk struct {
+	ID      string          `json:"id"`
+	Object  string          `json:"object"`
+	Created int64           `json:"created"`
+	Model   string          `json:"model"`
+	Choices []chunkChoice   `json:"choices"`
+	Usage   json.RawMessage `json:"usage,omitempty"`
+}
+
+type chunkChoice struct {
+	Index        int             `json:"index"`
+	Delta        json.RawMessage `json:"delta"`
+	FinishReason *string         `json:"finish_reason"`
+}
+
+// chunksOf converts a whole answer to chat completion chunks.
+func chunksOf(body []byte, includeUsage bool) ([][]byte, error) {
+	var c completion
+	if err := json.Unmarshal(body, &c); err != nil {
+		return nil, errkind.Wrap(errkind.UpstreamInvalidAnswer, err)
+	}
+	base := chunk{ID: c.ID, Object: "chat.completion.chunk", Created: c.Created, Model: c.Model, Choices: []chunkChoice{}}
+	content, finish := base, base
+	for _, choice := range c.Choices {
+		content.Choices = append(content.Choices, chunkChoice{Index: choice.Index, Delta: choice.Message})
+		finish.Choices = append(finish.Choices, chunkChoice{Index: choice.Index, Delta: json.RawMessage("{}"), FinishReason: &choice.FinishReason})
+	}
+	all := []chunk{content, finish}
+	if includeUsage {
+		usage := base
+		usage.Usage = c.Usage
+		all = append(all, usage)
+	}
+	var chunks [][]byte
+	for _, one := range all {
+		data, err := json.Marshal(one)
+		if err != nil {
+			return nil, errkind.Wrap(errkind.Internal, err)
+		}
+		chunks = append(chunks, data)
+	}
+	return chunks, nil
+}
