--- /dev/null
+++ b/tree/rollout.go
@@ -0,0 +1,78 @@
+package tree
+
+import (
+	"github.com/cespare/xxhash/v2"
+)
+
+// Steps of a roll-out that states none.
+const (
+	DefaultStepPercent = 10
+	DefaultStepSeconds = 60
+)
+
+// active says whether the roll-out is under way: its target is on trial.
+func (r Rollout) active() bool { return r.State == RolloutRunning || r.State == RolloutPaused }
+
+// moves says whether new sessions go to the target. A finished roll-out moves
+// all of them, a paused one keeps its share.
+func (r Rollout) moves() bool { return r.active() || r.State == RolloutDone }
+
+// cohortBuckets is the resolution of a share: 0.01 percent.
+const cohortBuckets = 10_000
+
+// CohortVersion returns the version that a new session gets when it asked for
+// version. It depends only on the ids and the tree, so that all daemons agree;
+// a session that is in the cohort at some percentage stays in it at a higher
+// one. Roll-outs to a withdrawn version are skipped.
+func (s *Snapshot) CohortVersion(sessionID, version string) string {
+	return s.CohortVersionUnless(sessionID, version, func(string, string) bool { return false })
+}
+
+// CohortVersionUnless is CohortVersion without the roll-outs for which halted
+// reports a halt mark.
+func (s *Snapshot) CohortVersionUnless(sessionID, version string, halted func(to, rollout string) bool) string {
+	for range s.rolloutsByFrom {
+		r, ok := s.rolloutsByFrom[version]
+		if !ok || !r.includes(sessionID) || halted(r.to, r.id) {
+			return version
+		}
+		version = r.to
+	}
+	return version
+}
+
+// RolloutTo returns the id of the running or paused roll-out to a version.
+func (s *Snapshot) RolloutTo(version string) (id string, ok bool) {
+	id, ok = s.onTrial[version]
+	return id, ok
+}
+
+type compiledRollout struct {
+	id      string
+	to      string
+	buckets uint64 // out of cohortBuckets
+}
+
+func (r compiledRollout) includes(sessionID string) bool {
+	var h xxhash.Digest
+	h.Reset()
+	_, _ = h.WriteString(r.id)
+	_, _ = h.Write([]byte{0})
+	_, _ = h.WriteString(sessionID)
+	return h.Sum64()%cohortBuckets < r.buckets
+}
+
+func compileRollouts(t Tree) map[string]compiledRollout {
+	byFrom := make(map[string]compiledRollout, len(t.Rollouts))
+	for id, r := range t.Rollouts {
+		if !r.moves() || t.Versions[r.To].State == VersionWithdrawn {
+			continue
+		}
+		percent := r.Percent
+		if r.State == RolloutDone {
+			percent = 100
+		}
+		byFrom[r.From] = compiledRollout{id: id, to: r.To, buckets: uint64(percent*cohortBuckets/100 + 0.5)}
+	}
+	return byFrom
+}
