--- /dev/null
+++ b/coord/changelog/log.go
@@ -0,0 +1,158 @@
+package changelog
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/savoryshift/savoryshift/coord/store"
+)
+
+// Rows and objects of the log.
+const (
+	headKey        = "config/head"
+	changePrefix   = "config/change/"
+	idPrefix       = "config/id/"
+	snapshotPrefix = "config/snapshot/"
+)
+
+const (
+	// DefaultSnapshotEvery is the number of revisions between snapshots.
+	DefaultSnapshotEvery = 256
+	// MaxPatchBytes bounds the patch of one change.
+	MaxPatchBytes = 1 << 20
+	// MaxTextBytes bounds the id, the author and the reason of a change.
+	MaxTextBytes = 4096
+	// pageSize is the number of rows read by one scan.
+	pageSize = 256
+	// maxOthers bounds the changes reported in a ConflictError.
+	maxOthers = 256
+)
+
+// Options configures a Log.
+type Options struct {
+	// Table holds the log. Required.
+	Table store.Table
+	// Objects holds the snapshots. Without it Load reads the whole log.
+	Objects store.Objects
+	// Apply returns the state after patch. It must be deterministic and must
+	// not keep or modify its arguments. Default: the patch replaces the state.
+	Apply func(state, patch []byte) ([]byte, error)
+	// SnapshotEvery is the number of revisions between snapshots; default
+	// DefaultSnapshotEvery.
+	SnapshotEvery int64
+	// Now stamps changes that carry no time; default time.Now.
+	Now func() time.Time
+}
+
+// Log reads and appends changes. It holds no state of its own and is safe for
+// concurrent use.
+type Log struct {
+	table    store.Table
+	objects  store.Objects
+	follower FollowerOptions
+	now      func() time.Time
+}
+
+// New returns the log stored in o.Table.
+func New(o Options) *Log {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return &Log{
+		table:    o.Table,
+		objects:  o.Objects,
+		follower: FollowerOptions{Apply: o.Apply, SnapshotEvery: o.SnapshotEvery},
+		now:      o.Now,
+	}
+}
+
+// Head returns the newest entry; the zero Head when the log is empty.
+func (l *Log) Head(ctx context.Context) (Head, error) {
+	rows, err := l.table.Get(ctx, headKey)
+	if err != nil {
+		return Head{}, err
+	}
+	return decodeHead(rows[0])
+}
+
+func decodeHead(row store.Row) (Head, error) {
+	var head Head
+	if row.Version == 0 {
+		return head, nil
+	}
+	if err := json.Unmarshal(row.Value, &head); err != nil {
+		return Head{}, fmt.Errorf("row %q: %w", row.Key, err)
+	}
+	return head, nil
+}
+
+// Changes returns up to limit changes with a revision above after. They are
+// contiguous and each has the hash that it states; the link to the change
+// before is left to the caller, who knows its hash.
+func (l *Log) Changes(ctx context.Context, after int64, limit int) ([]Change, error) {
+	var changes []Change
+	for len(changes) < limit {
+		next := after + int64(len(changes))
+		rows, err := l.table.Scan(ctx, changePrefix, changeKey(next), min(limit-len(changes), pageSize))
+		if err != nil {
+			return nil, err
+		}
+		if len(rows) == 0 {
+			break
+		}
+		for _, row := range rows {
+			c, err := decodeChange(row)
+			if err != nil {
+				return nil, err
+			}
+			changes = append(changes, c)
+		}
+	}
+	if len(changes) == 0 {
+		return nil, nil
+	}
+	return changes, Verify(Head{Revision: after, Hash: changes[0].Prev}, changes)
+}
+
+// changeAt returns the change with the given revision.
+func (l *Log) changeAt(ctx context.Context, revision int64) (Change, error) {
+	rows, err := l.table.Get(ctx, changeKey(revision))
+	if err != nil {
+		return Change{}, err
+	}
+	if rows[0].Version == 0 {
+		return Change{}, &ChainError{Revision: revision, Err: ErrGap}
+	}
+	return decodeChange(rows[0])
+}
+
+func decodeChange(row store.Row) (Change, error) {
+	var c Change
+	if err := json.Unmarshal(row.Value, &c); err != nil {
+		return Change{}, fmt.Errorf("row %q: %w", row.Key, err)
+	}
+	if row.Key != changeKey(c.Revision) {
+		return Change{}, &ChainError{Revision: c.Revision, Err: ErrGap}
+	}
+	return c, nil
+}
+
+// numbered returns prefix followed by n with 20 digits, so that names sort by
+// number.
+func numbered(prefix string, n int64) string { return fmt.Sprintf("%s%020d", prefix, n) }
+
+func changeKey(revision int64) string { return numbered(changePrefix, revision) }
+
+// idKey is the row that maps the id of a change to its revision. The digest
+// bounds the length of the key and allows any id.
+func idKey(id string) string {
+	sum := sha256.Sum256([]byte(id))
+	return idPrefix + hex.EncodeToString(sum[:])
+}
+
+func encodeRevision(revision int64) []byte { return strconv.AppendInt(nil, revision, 10) }
--- /dev/null
+++ b/coord/changelog/snapshot.go
@@ -0,0 +1,151 @@
+package changelog
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// ErrSnapshotDamaged reports a snapshot whose checksum, name or chain hash does
+// not match.
+var ErrSnapshotDamaged = errors.New("snapshot is damaged")
+
+// Snapshot is the state at one revision of the log.
+type Snapshot struct {
+	Head  Head
+	State []byte
+}
+
+// snapshotObject is the JSON content of a snapshot object.
+type snapshotObject struct {
+	Head  Head   `json:"head"`
+	State []byte `json:"state"`
+	// Checksum is the hex SHA-256 of revision, hash and state.
+	Checksum string `json:"checksum"`
+}
+
+func checksum(s Snapshot) string {
+	h := sha256.New()
+	writeInt(h, s.Head.Revision)
+	writeString(h, s.Head.Hash)
+	writeString(h, string(s.State))
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// WriteSnapshot stores s. Several nodes may write the same snapshot, because
+// Apply is deterministic.
+func (l *Log) WriteSnapshot(ctx context.Context, s Snapshot) error {
+	data, err := json.Marshal(snapshotObject{Head: s.Head, State: s.State, Checksum: checksum(s)})
+	if err != nil {
+		return err
+	}
+	return l.objects.Put(ctx, numbered(snapshotPrefix, s.Head.Revision), data)
+}
+
+// Load returns a follower at the newest usable snapshot and the changes after
+// it. A damaged snapshot is skipped in favour of an older one, down to the
+// empty log.
+func (l *Log) Load(ctx context.Context) (*Follower, error) {
+	start, err := l.Newest(ctx)
+	if err != nil {
+		return nil, err
+	}
+	o := l.follower
+	o.Start = start
+	f := NewFollower(o)
+	return f, l.CatchUp(ctx, f)
+}
+
+// CatchUp offers f all changes of the log after its head.
+func (l *Log) CatchUp(ctx context.Context, f *Follower) error {
+	for {
+		changes, err := l.Changes(ctx, f.Head().Revision, pageSize)
+		if err != nil {
+			return err
+		}
+		if len(changes) == 0 {
+			return nil
+		}
+		if _, err := f.Offer(changes); err != nil {
+			return err
+		}
+	}
+}
+
+// Newest returns the newest usable snapshot, or the zero Snapshot when there is
+// none or the object store is unavailable. A snapshot is usable when its
+// checksum holds and the log has its hash at its revision.
+func (l *Log) Newest(ctx context.Context) (Snapshot, error) {
+	if l.objects == nil {
+		return Snapshot{}, nil
+	}
+	names, err := l.snapshotNames(ctx)
+	if err != nil {
+		// The whole log serves instead; Load fails if the table is down, too.
+		return Snapshot{}, nil
+	}
+	for _, name := range slices.Backward(names) {
+		s, err := l.readSnapshot(ctx, name)
+		if err == nil {
+			return s, nil
+		}
+		if ctx.Err() != nil {
+			return Snapshot{}, ctx.Err()
+		}
+	}
+	return Snapshot{}, nil
+}
+
+func (l *Log) snapshotNames(ctx context.Context) ([]string, error) {
+	var names []string
+	after := ""
+	for {
+		page, err := l.objects.List(ctx, snapshotPrefix, after, pageSize)
+		if err != nil {
+			return nil, err
+		}
+		if len(page) == 0 {
+			return names, nil
+		}
+		names = append(names, page...)
+		after = page[len(page)-1]
+	}
+}
+
+func (l *Log) readSnapshot(ctx context.Context, name string) (Snapshot, error) {
+	data, err := l.objects.Get(ctx, name)
+	if err != nil {
+		return Snapshot{}, err
+	}
+	s, err := decodeSnapshot(name, data)
+	if err != nil {
+		return Snapshot{}, err
+	}
+	change, err := l.changeAt(ctx, s.Head.Revision)
+	if err != nil {
+		return Snapshot{}, err
+	}
+	if change.Hash != s.Head.Hash || HashOf(change) != change.Hash {
+		return Snapshot{}, fmt.Errorf("object %q: %w: hash is not in the log", name, ErrSnapshotDamaged)
+	}
+	return s, nil
+}
+
+func decodeSnapshot(name string, data []byte) (Snapshot, error) {
+	var o snapshotObject
+	if err := json.Unmarshal(data, &o); err != nil {
+		return Snapshot{}, errors.Join(fmt.Errorf("object %q: %w", name, ErrSnapshotDamaged), err)
+	}
+	s := Snapshot{Head: o.Head, State: o.State}
+	revision, err := strconv.ParseInt(strings.TrimPrefix(name, snapshotPrefix), 10, 64)
+	if err != nil || revision != s.Head.Revision || checksum(s) != o.Checksum {
+		return Snapshot{}, fmt.Errorf("object %q: %w", name, ErrSnapshotDamaged)
+	}
+	return s, nil
+}
