--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"time"
 
@@ -14,188 +13,226 @@
 
 // modelRequest is a checked model request on its way through the router.
 type modelRequest struct {
-	route    RouteRequest
-	chat     chatRequest
-	class    string
-	session  pinnedSession
-	priority int
-	budget   *retryBudget
+	route   RouteRequest
+	chat    chatRequest
+	session pinnedSession
 	// usageKey is the request key of its ledger entry.
 	usageKey string
 }
 
-// answer is an accepted answer of one step.
+// answer is what a call returned.
 type answer struct {
 	target Target
 	result upstream.Result
-	// parts holds the parts of a streamed answer that is not yet delivered.
-	parts []upstream.Part
-	// cost is the price of the calls that were made for the request.
-	cost float64
+	// text is the answer as far as it is kept for a rating.
+	text string
 }
 
-// stepResult is what one step of a plan ended with.
-type stepResult struct {
-	index  int
-	answer answer
-	err    error
+// execution is the state of one request while its calls are made. It belongs to
+// one goroutine.
+type execution struct {
+	s        *Server
+	m        *modelRequest
+	events   *eventWriter
+	progress Progress
+	// held is an answer that was rated as not good.
+	held *answer
+	// live is set when parts were delivered as they arrived.
+	live bool
+	// delivered is the number of the last part that was delivered.
+	delivered int
+}
+
+// run makes the calls of a plan and of those that follow it until an answer is
+// accepted. When the time is up, an answer that was rated as not good is
+// returned rather than nothing.
+func (x *execution) run(ctx context.Context, plan Plan) (answer, error) {
+	for {
+		if len(plan.Steps) == 0 && x.held != nil {
+			return *x.held, nil
+		}
+		a, failed, err := x.runSteps(ctx, plan)
+		if err == nil && !failed {
+			return a, nil
+		}
+		if ctx.Err() != nil {
+			return x.orHeld(a, errkind.Wrap(errkind.UpstreamTimeout, ctx.Err()))
+		}
+		if err != nil && !errkind.AnswerFor(errkind.Of(err)).Retry {
+			return x.orHeld(a, err)
+		}
+		next, planErr := x.s.o.Router.Next(x.m.route, x.progress)
+		if planErr != nil {
+			x.s.counters.retriesRefused.Add(1)
+			return x.orHeld(a, errOr(err, planErr))
+		}
+		if err != nil {
+			x.s.counters.retries.Add(1)
+		}
+		plan = next
+	}
 }
 
-// runPlan carries out a plan whose answer is delivered whole, or only after it
-// was accepted. It returns the first accepted answer and cancels the other
-// calls. An answer that was rated as not good is kept as a fallback: when no
-// better one arrives before the deadline, it is returned rather than nothing.
-func (s *Server) runPlan(ctx context.Context, m *modelRequest, plan Plan) (answer, error) {
+func errOr(err, other error) error {
+	if err != nil {
+		return err
+	}
+	return other
+}
+
+func (x *execution) orHeld(a answer, err error) (answer, error) {
+	if x.held != nil {
+		return *x.held, nil
+	}
+	return a, err
+}
+
+// runSteps makes the calls of one plan. rejected says that the answer was rated
+// as not good; it is then held.
+func (x *execution) runSteps(ctx context.Context, plan Plan) (a answer, rejected bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan stepResult, len(plan.Steps))
-	begin := make([]chan struct{}, len(plan.Steps)+1)
-	for i := range begin {
-		begin[i] = make(chan struct{})
+	first := plan.Steps[0]
+	live := x.m.chat.stream && (x.delivered > 0 || !first.Rated && x.held == nil)
+	switch {
+	case live:
+		a, err = x.streamSteps(ctx, plan)
+	case len(plan.Steps) == 1:
+		a, err = x.s.callWhole(ctx, x.m, first.Target, plan.Priority)
+	default:
+		return x.raceSteps(ctx, plan)
 	}
-	for i, step := range plan.Steps {
-		go s.runStep(ctx, m, i, step, begin[i], results)
+	x.progress.Calls++
+	if err != nil {
+		x.fail(a.target)
+		return a, false, err
 	}
-	close(begin[0])
-	var fallback *answer
-	var lastErr error
-	for range plan.Steps {
-		select {
-		case <-ctx.Done():
-			return orFallback(fallback, errkind.Wrap(errkind.UpstreamTimeout, ctx.Err()))
-		case r := <-results:
-			if r.err == nil {
-				return r.answer, nil
-			}
-			if errors.Is(r.err, errRejected) {
-				fallback = &r.answer
-			}
-			lastErr = r.err
-			close(begin[r.index+1])
-		}
+	return x.judge(ctx, first, a)
+}
+
+// fail notes a failed call for the next decision.
+func (x *execution) fail(t Target) {
+	x.progress.Failed = &t
+	if x.delivered > 0 {
+		x.progress.KeepVersion = t.Version
 	}
-	return orFallback(fallback, lastErr)
 }
 
-func orFallback(fallback *answer, err error) (answer, error) {
-	if fallback != nil {
-		return *fallback, nil
+// judge asks for a rating when the step needs one, and holds a rejected answer.
+func (x *execution) judge(ctx context.Context, step Step, a answer) (answer, bool, error) {
+	x.progress.Failed = nil
+	if !step.Rated || x.s.rate(ctx, x.m, a) {
+		return a, false, nil
 	}
-	return answer{}, err
+	x.hold(a)
+	return a, true, nil
 }
 
-// errRejected marks an answer that the rating service did not find good.
-var errRejected = errors.New("answer was rated as not good")
+func (x *execution) hold(a answer) {
+	x.held = &a
+	x.progress.Held = &HeldAnswer{Target: a.target, CompletionTokens: a.result.CompletionTokens}
+	x.progress.Tried = append(x.progress.Tried, a.target)
+}
 
-// runStep waits for its start, makes the call and reports the result.
-func (s *Server) runStep(ctx context.Context, m *modelRequest, index int, step Step, begin <-chan struct{}, results chan<- stepResult) {
-	if !waitForStart(ctx, step.StartAfter, begin) {
-		results <- stepResult{index: index, err: errkind.Wrap(errkind.UpstreamTimeout, ctx.Err())}
-		return
+// stepResult is what one step of a plan with two steps ended with.
+type stepResult struct {
+	index  int
+	answer answer
+	good   bool
+	err    error
+}
+
+// raceSteps makes two calls of which the second one starts after a delay, or
+// when the first one failed or was rejected. The first accepted answer wins and
+// the other call is cancelled.
+func (x *execution) raceSteps(ctx context.Context, plan Plan) (answer, bool, error) {
+	results := make(chan stepResult, len(plan.Steps))
+	begin := make(chan struct{})
+	for i, step := range plan.Steps {
+		go func() {
+			if i > 0 && !waitForStart(ctx, step.StartAfter, begin) {
+				results <- stepResult{index: i, answer: answer{target: step.Target}, err: ctx.Err()}
+				return
+			}
+			a, err := x.s.callWhole(ctx, x.m, step.Target, plan.Priority)
+			good := err == nil && (!step.Rated || x.s.rate(ctx, x.m, a))
+			results <- stepResult{index: i, answer: a, good: good, err: err}
+		}()
 	}
-	a, err := s.callWhole(ctx, m, step.Target)
-	if err == nil && step.Rated && !s.accepted(ctx, m, a) {
-		err = errkind.Wrap(errkind.UpstreamInvalidAnswer, errRejected)
+	var last stepResult
+	for i := range plan.Steps {
+		last = <-results
+		x.progress.Calls++
+		if last.good {
+			x.progress.Failed = nil
+			return last.answer, false, nil
+		}
+		if last.err == nil {
+			x.hold(last.answer)
+		}
+		if i == 0 {
+			close(begin)
+		}
+	}
+	if last.err != nil {
+		x.fail(last.answer.target)
+		return last.answer, false, last.err
 	}
-	results <- stepResult{index: index, answer: a, err: err}
+	x.progress.Failed = nil
+	return last.answer, true, nil
 }
 
 // waitForStart returns true when the step may begin: its delay has passed or
-// the steps before it have failed.
+// the step before it has ended without an accepted answer.
 func waitForStart(ctx context.Context, after time.Duration, begin <-chan struct{}) bool {
-	var delay <-chan time.Time
-	if after > 0 {
-		timer := time.NewTimer(after)
-		defer timer.Stop()
-		delay = timer.C
-	}
+	timer := time.NewTimer(after)
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return false
 	case <-begin:
-	case <-delay:
+	case <-timer.C:
 	}
 	return ctx.Err() == nil
 }
 
-// accepted asks the rating service about an answer. Without a judgement the
-// answer is not accepted, so that the next step of a cascade runs.
-func (s *Server) accepted(ctx context.Context, m *modelRequest, a answer) bool {
+// rate asks the rating service about an answer. Without a judgement the answer
+// is not accepted, so that a better version is asked.
+func (s *Server) rate(ctx context.Context, m *modelRequest, a answer) bool {
+	start := time.Now()
 	good, err := s.o.Rater.Rate(ctx, Judgement{
 		RequestID: m.route.RequestID,
 		Model:     a.target.Model,
 		Version:   a.target.Version,
-		Class:     m.class,
+		Class:     m.route.Service,
 		Prompt:    m.chat.prompt,
-		Answer:    string(a.result.Body),
+		Answer:    a.text,
 	})
 	if err != nil {
+		s.counters.ratingErrors.Add(1)
 		return false
 	}
-	s.o.Router.Rated(m.route, a.target, good)
+	s.o.Router.Rated(m.route, a.target, good, time.Since(start))
 	return good
 }
 
-// callWhole gets a whole answer from the target, or from another one when it
-// fails and the retry budget allows it.
-func (s *Server) callWhole(ctx context.Context, m *modelRequest, target Target) (answer, error) {
-	var tried []string
-	for {
-		call, err := s.newCall(m, target, false)
-		if err != nil {
-			return answer{}, err
-		}
-		s.o.Router.Started(m.route, target)
-		result, err := s.o.Upstream.Complete(ctx, call)
-		s.finished(ctx, m, target, result, err)
-		if err == nil {
-			return answer{target: target, result: result}, nil
-		}
-		tried = append(tried, target.Upstream)
-		next, ok := s.alternative(ctx, m, target, tried, err, false)
-		if !ok {
-			return answer{}, err
-		}
-		target = next
-	}
-}
-
-// streamLive delivers a streamed answer part by part while it arrives, and
-// resumes it on another upstream of the same version when a call fails.
-func (s *Server) streamLive(ctx context.Context, m *modelRequest, target Target, deliver func(Target, upstream.Part) error) (answer, error) {
-	var tried []string
-	delivered := 0
-	for {
-		call, err := s.newCall(m, target, true)
-		if err != nil {
-			return answer{target: target}, err
-		}
-		s.o.Router.Started(m.route, target)
-		result, err := s.o.Upstream.Stream(ctx, call, delivered, func(p upstream.Part) error {
-			if err := deliver(target, p); err != nil {
-				return err
-			}
-			delivered = p.Number
-			return nil
-		})
-		s.finished(ctx, m, target, result, err)
-		a := answer{target: target, result: result}
-		a.result.Parts = delivered
-		if err == nil {
-			return a, nil
-		}
-		tried = append(tried, target.Upstream)
-		next, ok := s.alternative(ctx, m, target, tried, err, delivered > 0)
-		if !ok {
-			return a, err
-		}
-		target = next
+// callWhole gets a whole answer from the target.
+func (s *Server) callWhole(ctx context.Context, m *modelRequest, target Target, priority int) (answer, error) {
+	a := answer{target: target}
+	call, err := s.newCall(m, target, priority, false)
+	if err != nil {
+		return a, err
 	}
+	s.o.Router.Started(m.route, target)
+	a.result, err = s.o.Upstream.Complete(ctx, call)
+	a.text = string(a.result.Body)
+	s.finished(ctx, m, target, a.result, err)
+	return a, err
 }
 
 // newCall prepares a call to an engine. The check right before the write makes
 // a daemon that was paused between the plan and the write refuse to send.
-func (s *Server) newCall(m *modelRequest, target Target, stream bool) (upstream.Call, error) {
+func (s *Server) newCall(m *modelRequest, target Target, priority int, stream bool) (upstream.Call, error) {
 	body, err := m.chat.bodyFor(target.Model, stream)
 	if err != nil {
 		return upstream.Call{}, err
@@ -207,7 +244,7 @@
 		Model:       target.Model,
 		Version:     target.Version,
 		Deadline:    m.route.Deadline,
-		Priority:    m.priority,
+		Priority:    priority,
 		Body:        body,
 		BeforeWrite: func() error { return s.checkDispatch(m, target) },
 	}, nil
@@ -241,24 +278,6 @@
 		PromptTokens:     result.PromptTokens,
 		CompletionTokens: result.CompletionTokens,
 		Err:              err,
-		Cancelled:        err != nil && context.Cause(ctx) != nil,
+		Cancelled:        err != nil && ctx.Err() != nil,
 	})
 }
-
-// alternative returns where to try again after a failed call. It reports false
-// when the failure is final, the time is up or the retry budget is spent.
-func (s *Server) alternative(ctx context.Context, m *modelRequest, failed Target, tried []string, err error, keepVersion bool) (Target, bool) {
-	if ctx.Err() != nil || !errkind.AnswerFor(errkind.Of(err)).Retry || !time.Now().Before(m.route.Deadline) {
-		return Target{}, false
-	}
-	if !m.budget.take() {
-		s.counters.retryBudgetSpent.Add(1)
-		return Target{}, false
-	}
-	next, err := s.o.Router.Alternative(m.route, failed, tried, keepVersion || m.route.Pinned != "")
-	if err != nil {
-		return Target{}, false
-	}
-	s.counters.retries.Add(1)
-	return next, true
-}
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -19,9 +19,11 @@
 // pinnedSession is the session of a request. A request without a session has
 // an id of its own, so that roll-outs can place it in a cohort.
 type pinnedSession struct {
-	id      string
-	name    string
-	version string
+	id   string
+	name string
+	// versions has one version of each model that the session uses; it is
+	// empty until the session has begun.
+	versions []string
 	// wanted says that the answer carries a session token.
 	wanted bool
 }
@@ -32,7 +34,7 @@
 	if err != nil {
 		return err
 	}
-	done, err := s.o.Limiter.Admit(m.route.Organisation, m.route.Service, m.route.Effective, expectedTokens(m))
+	done, err := s.o.Limiter.Admit(m.route.Effective, expectedTokens(m))
 	if err != nil {
 		return err
 	}
@@ -48,12 +50,7 @@
 	s.counters.plans.Add(plan.Kind, 1)
 	ctx, cancel := context.WithDeadline(r.Context(), m.route.Deadline)
 	defer cancel()
-	var a answer
-	if len(plan.Steps) == 1 && m.chat.stream {
-		a, err = s.answerLive(ctx, w, m, plan.Steps[0].Target)
-	} else {
-		a, err = s.answerWhole(ctx, w, m, plan)
-	}
+	a, err := s.answer(ctx, w, m, plan)
 	tokens = a.result.CompletionTokens
 	if r.Context().Err() != nil {
 		s.counters.callersLeft.Add(1)
@@ -101,27 +98,26 @@
 	if err != nil {
 		return nil, err
 	}
-	versions, err := s.routableVersions(r, service, model, &session)
+	versions, err := s.routableVersions(r, service, &session)
 	if err != nil {
 		return nil, err
 	}
-	m := &modelRequest{chat: chat, class: service, session: session, priority: e.Priority, usageKey: r.id}
+	if versions, err = ofModel(r.snapshot, versions, model); err != nil {
+		return nil, err
+	}
+	m := &modelRequest{chat: chat, session: session, usageKey: r.id}
 	if key != "" {
 		m.usageKey = repeatKey(key, data)
 	}
-	m.budget = s.budgets.of(r.organisation)
-	m.budget.earn(e.RetryBudget)
 	m.route = RouteRequest{
 		RequestID:    r.id,
 		Organisation: r.organisation,
 		Service:      service,
 		Effective:    e,
-		Allowed:      versions,
-		Pinned:       session.version,
+		Versions:     versions,
 		PromptTokens: chat.promptTokens,
 		MaxTokens:    chat.maxTokens,
 		PrefixHash:   chat.prefixHash,
-		Arrival:      r.arrival,
 		Deadline:     deadline,
 		Stream:       chat.stream,
 	}
@@ -175,7 +171,7 @@
 	if pin.Organisation != r.organisation || pin.Service != service {
 		return pinnedSession{}, errkind.New(errkind.Forbidden, "the session belongs to another organisation or service")
 	}
-	return pinnedSession{id: pin.ID, name: pin.Name, version: pin.Version, wanted: true}, nil
+	return pinnedSession{id: pin.ID, name: pin.Name, versions: pin.Versions, wanted: true}, nil
 }
 
 // usable tells whether new work may be sent to a version at this moment, apart
@@ -217,26 +213,40 @@
 	return errkind.New(errkind.NoAllowedVersion, "the organisation allows no version that is in use")
 }
 
-// routableVersions returns the versions to choose from for a request: the
-// pinned one or its successor, else those that the roll-outs give to the
-// session. A non-empty model restricts them.
-func (s *Server) routableVersions(r *request, service, model string, session *pinnedSession) ([]string, error) {
+// routableVersions returns the versions to choose from for a request, at most
+// one of each model. A session that has begun keeps its versions or gets their
+// successors; a new one gets those that the roll-outs give to it.
+func (s *Server) routableVersions(r *request, service string, session *pinnedSession) ([]string, error) {
 	allowed, err := s.allowedVersions(r.organisation, service, session.name)
 	if err != nil {
 		return nil, err
 	}
-	if session.version != "" {
-		pinned, err := s.pinnedVersion(r.snapshot, allowed, session.version)
-		session.version = pinned
-		return []string{pinned}, err
+	if len(session.versions) == 0 {
+		session.versions, err = s.newSessionVersions(r, service, session, allowed)
+		return session.versions, err
 	}
+	var versions []string
+	for _, pinned := range session.versions {
+		if v, ok := s.pinnedVersion(r.snapshot, allowed, pinned); ok && !slices.Contains(versions, v) {
+			versions = append(versions, v)
+		}
+	}
+	if len(versions) == 0 {
+		return nil, errkind.New(errkind.NoAllowedVersion, "none of the session's versions %q may be used, and none has a usable successor", session.versions)
+	}
+	session.versions = versions
+	return versions, nil
+}
+
+// newSessionVersions places a session in the cohorts of the roll-outs.
+func (s *Server) newSessionVersions(r *request, service string, session *pinnedSession, allowed []string) ([]string, error) {
 	e, err := r.snapshot.Effective(r.organisation, service, session.name)
 	if err != nil {
 		return nil, err
 	}
-	var versions []string
+	var versions, models []string
 	for _, v := range e.Versions {
-		if v.OnlyByRollout || (model != "" && v.Model != model) {
+		if v.OnlyByRollout || slices.Contains(models, v.Model) {
 			continue
 		}
 		placed := r.snapshot.CohortVersion(session.id, v.ID)
@@ -244,33 +254,44 @@
 			// The candidate is halted, not allowed or not usable in isolation.
 			placed = v.ID
 		}
-		if slices.Contains(allowed, placed) && !slices.Contains(versions, placed) {
-			versions = append(versions, placed)
+		if slices.Contains(allowed, placed) {
+			versions, models = append(versions, placed), append(models, v.Model)
 		}
 	}
 	if len(versions) == 0 {
-		return nil, errkind.New(errkind.NoAllowedVersion, "no version of model %q may be used", model)
+		return nil, s.noVersion(e)
 	}
 	return versions, nil
 }
 
-// pinnedVersion returns the version of a session, or the successor when it may
-// not be used any more. Successors are the same for all daemons.
-func (s *Server) pinnedVersion(snapshot *tree.Snapshot, allowed []string, version string) (string, error) {
+// ofModel keeps the versions of a model; an empty model keeps all.
+func ofModel(snapshot *tree.Snapshot, versions []string, model string) ([]string, error) {
+	if model == "" {
+		return versions, nil
+	}
+	for _, id := range versions {
+		if v, ok := snapshot.Version(id); ok && v.Model == model {
+			return []string{id}, nil
+		}
+	}
+	return nil, errkind.New(errkind.NoAllowedVersion, "no version of model %q may be used", model)
+}
+
+// pinnedVersion returns the version of a session, or the one that takes its
+// place when it may not be used any more. All daemons choose the same one.
+func (s *Server) pinnedVersion(snapshot *tree.Snapshot, allowed []string, version string) (string, bool) {
 	if slices.Contains(allowed, version) {
-		return version, nil
+		return version, true
 	}
 	if successor, ok := snapshot.SuccessorOf(version); ok && slices.Contains(allowed, successor) {
-		return successor, nil
+		return successor, true
 	}
 	if rollout, ok := snapshot.RolloutTo(version); ok {
 		// The candidate is halted or not usable in isolation.
 		base := snapshot.Tree().Rollouts[rollout].From
-		if slices.Contains(allowed, base) {
-			return base, nil
-		}
+		return base, slices.Contains(allowed, base)
 	}
-	return "", errkind.New(errkind.NoAllowedVersion, "the session's version %q may not be used and has no usable successor", version)
+	return "", false
 }
 
 // setAnswerHeaders names the model and version of an answer and returns the
@@ -287,7 +308,7 @@
 		Service:      m.route.Service,
 		ID:           m.session.id,
 		Name:         m.session.name,
-		Version:      t.Version,
+		Versions:     m.session.versions,
 	})
 	if err != nil {
 		return errkind.Wrap(errkind.Internal, err)
@@ -296,7 +317,7 @@
 	return nil
 }
 
-func (m *modelRequest) usage(a answer, cost float64) Usage {
+func (m *modelRequest) usage(a answer) Usage {
 	return Usage{
 		Organisation:     m.route.Organisation,
 		RequestKey:       m.usageKey,
@@ -305,7 +326,7 @@
 		Version:          a.target.Version,
 		PromptTokens:     a.result.PromptTokens,
 		CompletionTokens: a.result.CompletionTokens,
-		Cost:             cost,
+		Cost:             price(m.route.Effective, a),
 		Time:             time.Now(),
 	}
 }
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -49,9 +49,10 @@
 	Organisation string
 	Service      string
 	// ID is unique per session; Name selects a session node of the tree.
-	ID      string
-	Name    string
-	Version string
+	ID   string
+	Name string
+	// Versions has one version of each model that the session uses.
+	Versions []string
 }
 
 // Sessions signs and verifies session tokens.
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -14,17 +14,14 @@
 	Service      string
 	// Effective holds the values in force for the request.
 	Effective *tree.Effective
-	// Allowed lists the versions that may run the request now.
-	Allowed []string
-	// Pinned is the version of the session, or "".
-	Pinned       string
+	// Versions lists the versions that may run the request, at most one of
+	// each model.
+	Versions     []string
 	PromptTokens int
 	// MaxTokens is the caller's bound on the answer; 0 when absent.
 	MaxTokens  int
 	PrefixHash uint64
-	// Arrival and Deadline bound the time that is left.
-	Arrival  time.Time
-	Deadline time.Time
+	Deadline   time.Time
 	// Stream says that the caller reads the answer part by part.
 	Stream bool
 }
@@ -40,20 +37,42 @@
 // Step is one call of a plan.
 type Step struct {
 	Target
-	// StartAfter starts the step this long after the first one, unless an
-	// answer was accepted by then. A step whose predecessors have all failed
-	// or were rejected starts at once.
+	// StartAfter is the delay from the start of the plan.
 	StartAfter time.Duration
 	// Rated says that the answer is accepted only when the rating service
 	// finds it good.
 	Rated bool
 }
 
-// Plan is a sequence of steps; the first accepted answer wins.
+// Plan is one call, or two of which the first accepted answer wins. A plan
+// without steps says that the answer at hand is to be delivered.
 type Plan struct {
-	// Kind names the plan in counters: single, cascade, early_cascade, hedge.
+	// Kind names the plan in counters.
 	Kind  string
 	Steps []Step
+	// Priority is sent to the engines.
+	Priority int
+}
+
+// Progress describes a request that goes on after a call.
+type Progress struct {
+	// Held is the best answer at hand, which was rated as not good.
+	Held *HeldAnswer
+	// Tried lists the targets that have answered.
+	Tried []Target
+	// Failed is the target of the last call, when that call failed.
+	Failed *Target
+	// KeepVersion is set when parts of an answer of that version were already
+	// delivered.
+	KeepVersion string
+	// Calls counts the calls so far.
+	Calls int
+}
+
+// HeldAnswer is an answer that is kept back.
+type HeldAnswer struct {
+	Target           Target
+	CompletionTokens int
 }
 
 // Outcome reports one finished call to the Router.
@@ -74,12 +93,11 @@
 // Router chooses versions and upstreams. Implementations are safe for
 // concurrent use.
 type Router interface {
-	// Plan returns the calls to make, or an error whose kind promises that the
-	// request was not run.
+	// Plan returns the calls to begin with, or an error whose kind promises
+	// that the request was not run.
 	Plan(RouteRequest) (Plan, error)
-	// Alternative returns another target after failed ones. keepVersion is set
-	// when a part of the answer was already delivered.
-	Alternative(r RouteRequest, failed Target, tried []string, keepVersion bool) (Target, error)
+	// Next returns the calls that follow a failure or a bad rating.
+	Next(RouteRequest, Progress) (Plan, error)
 	// Usable tells whether a target takes new work at this moment; it is asked
 	// again right before a request is written.
 	Usable(t Target) bool
@@ -87,7 +105,10 @@
 	Started(RouteRequest, Target)
 	Finished(Outcome)
 	// Rated reports a judgement on an answer of the target.
-	Rated(r RouteRequest, t Target, good bool)
+	Rated(r RouteRequest, t Target, good bool, delay time.Duration)
+	// SampleRating tells whether an answer is to be rated for learning, after
+	// it was delivered.
+	SampleRating(r RouteRequest, t Target) bool
 	// ServiceTarget returns an instance of a plain service that was not tried.
 	ServiceTarget(service string, tried []string) (Target, error)
 	// ServiceFinished reports the end of a call to a plain service.
@@ -137,7 +158,7 @@
 type Limiter interface {
 	// Admit returns an error of kind LimitExceeded, or a function to call with
 	// the number of generated tokens when the request ends.
-	Admit(organisation, service string, e *tree.Effective, expectedTokens int) (done func(tokens int), err error)
+	Admit(e *tree.Effective, expectedTokens int) (done func(tokens int), err error)
 }
 
 // Evidence tells whether the daemon's configuration is known to be fresh.
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -21,18 +21,22 @@
 	budgets  retryBudgets
 	inFlight atomic.Int64
 	counters counters
+	// ratings bounds the ratings that run after an answer was delivered.
+	ratings chan struct{}
 }
 
 // counters are published by Vars.
 type counters struct {
-	requests         expvar.Int
-	answered         expvar.Int
-	retries          expvar.Int
-	retryBudgetSpent expvar.Int
-	callersLeft      expvar.Int
-	repeated         expvar.Int
-	plans            expvar.Map
-	errors           expvar.Map
+	requests       expvar.Int
+	answered       expvar.Int
+	retries        expvar.Int
+	retriesRefused expvar.Int
+	callersLeft    expvar.Int
+	repeated       expvar.Int
+	ratingErrors   expvar.Int
+	ratingsDropped expvar.Int
+	plans          expvar.Map
+	errors         expvar.Map
 }
 
 // New returns a Server. It starts no goroutine.
@@ -41,7 +45,7 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	s := &Server{o: o, mux: http.NewServeMux()}
+	s := &Server{o: o, mux: http.NewServeMux(), ratings: make(chan struct{}, maxSampledRatings)}
 	s.budgets.budgets = make(map[string]*retryBudget)
 	s.counters.plans.Init()
 	s.counters.errors.Init()
@@ -63,7 +67,9 @@
 	m.Set("requests", &s.counters.requests)
 	m.Set("answered", &s.counters.answered)
 	m.Set("retries", &s.counters.retries)
-	m.Set("retry_budget_spent", &s.counters.retryBudgetSpent)
+	m.Set("retries_refused", &s.counters.retriesRefused)
+	m.Set("rating_errors", &s.counters.ratingErrors)
+	m.Set("ratings_dropped", &s.counters.ratingsDropped)
 	m.Set("callers_left", &s.counters.callersLeft)
 	m.Set("repeated", &s.counters.repeated)
 	m.Set("plans", &s.counters.plans)
@@ -141,3 +147,30 @@
 	defer cancel()
 	return s.o.Biller.Add(ctx, u)
 }
+
+const (
+	// maxSampledRatings bounds the ratings in flight that only serve learning.
+	maxSampledRatings = 64
+	// sampledRatingTimeout bounds one of them.
+	sampledRatingTimeout = 10 * time.Second
+)
+
+// sampleRating rates a delivered answer for learning when the Router wants it.
+// It is dropped and counted when too many ratings are in flight.
+func (s *Server) sampleRating(m *modelRequest, a answer) {
+	if a.text == "" || !s.o.Router.SampleRating(m.route, a.target) {
+		return
+	}
+	select {
+	case s.ratings <- struct{}{}:
+	default:
+		s.counters.ratingsDropped.Add(1)
+		return
+	}
+	go func() {
+		defer func() { <-s.ratings }()
+		ctx, cancel := context.WithTimeout(context.Background(), sampledRatingTimeout)
+		defer cancel()
+		s.rate(ctx, m, a)
+	}()
+}
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -11,8 +11,6 @@
 	"strconv"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/savoryshift/savoryshift/errkind"
 	"github.com/savoryshift/savoryshift/tree"
 	"github.com/savoryshift/savoryshift/upstream"
@@ -34,7 +32,7 @@
 	if err != nil {
 		return err
 	}
-	done, err := s.o.Limiter.Admit(r.organisation, q.service, q.effective, 0)
+	done, err := s.o.Limiter.Admit(q.effective, 0)
 	if err != nil {
 		return err
 	}
@@ -212,12 +210,10 @@
 		URL:         t.URL,
 		Method:      q.Method,
 		Path:        q.URL.EscapedPath(),
-		RawQuery:    q.URL.RawQuery,
+		Query:       q.URL.RawQuery,
 		Header:      forwardedHeader(q),
 		Body:        q.body,
 		Deadline:    q.deadline,
-		RequestID:   q.id,
-		AttemptID:   uuid.NewString(),
 		Repeatable:  repeatable,
 		BeforeWrite: beforeWrite,
 	}
@@ -226,7 +222,7 @@
 // forwardedHeader returns the caller's headers without those meant for the
 // router.
 func forwardedHeader(q *serviceRequest) http.Header {
-	h := maps.Clone(q.Header)
+	h := q.Header.Clone()
 	for _, name := range []string{"Authorization", HeaderDeadline, HeaderSession} {
 		h.Del(name)
 	}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/savoryshift/savoryshift/errkind"
-	"github.com/savoryshift/savoryshift/upstream"
 )
 
 // writeGrace is how long after the deadline a slow reader is waited for.
@@ -53,94 +52,78 @@
 
 var doneEvent = []byte("[DONE]")
 
-// answerLive passes the parts of a streamed answer on as they arrive. The end
-// marker is held back until the usage is entered in the ledger, so a caller
-// that sees the whole answer is billed and one that does not can tell.
-func (s *Server) answerLive(ctx context.Context, w http.ResponseWriter, m *modelRequest, target Target) (answer, error) {
-	events := newEventWriter(w, m.route.Deadline)
-	a, err := s.streamLive(ctx, m, target, func(t Target, p upstream.Part) error {
-		if !events.started {
-			if err := s.setAnswerHeaders(w.Header(), m, t); err != nil {
-				return err
-			}
-		}
-		return events.event(p.Data)
-	})
+// answer makes the calls of a plan and delivers the accepted answer. The end
+// of it is held back until the usage is entered in the ledger, so a caller that
+// has the whole answer is billed, and one that has not can tell.
+func (s *Server) answer(ctx context.Context, w http.ResponseWriter, m *modelRequest, plan Plan) (answer, error) {
+	x := &execution{s: s, m: m, events: newEventWriter(w, m.route.Deadline)}
+	a, err := x.run(ctx, plan)
 	if err != nil {
-		return a, s.endBrokenStream(ctx, events, m, a, err)
+		return a, x.endBroken(ctx, a, err)
+	}
+	if !x.live {
+		if err := s.setAnswerHeaders(w.Header(), m, a.target); err != nil {
+			return a, errkind.WithRan(err, errkind.RanYes)
+		}
 	}
-	if err := s.bill(ctx, m.usage(a, price(m.route.Effective, a))); err != nil {
-		return a, s.streamError(events, m, errkind.WithRan(err, errkind.RanYes))
+	if err := s.bill(ctx, m.usage(a)); err != nil {
+		return a, x.streamError(errkind.WithRan(err, errkind.RanYes))
 	}
-	if err := events.event(doneEvent); err == nil {
-		s.counters.answered.Add(1)
+	switch {
+	case x.live:
+		err = x.events.event(doneEvent)
+	case m.chat.stream:
+		err = s.writeAsEvents(x.events, m, a)
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		_, err = w.Write(a.result.Body)
 	}
+	if err != nil {
+		s.counters.callersLeft.Add(1)
+		return a, nil
+	}
+	s.counters.answered.Add(1)
+	s.sampleRating(m, a)
 	return a, nil
 }
 
-// endBrokenStream bills the parts that a caller received before it left or the
-// answer failed, and reports the error to the caller.
-func (s *Server) endBrokenStream(ctx context.Context, events *eventWriter, m *modelRequest, a answer, err error) error {
-	if ctx.Err() != nil && events.started {
-		a.result.PromptTokens = m.chat.promptTokens
-		a.result.CompletionTokens = a.result.Parts
-		if billErr := s.bill(ctx, m.usage(a, price(m.route.Effective, a))); billErr != nil {
+// endBroken bills the parts that a caller received before it left or the answer
+// failed, and reports the error to the caller.
+func (x *execution) endBroken(ctx context.Context, a answer, err error) error {
+	if ctx.Err() != nil && x.events.started {
+		a.result.PromptTokens = x.m.chat.promptTokens
+		a.result.CompletionTokens = x.delivered
+		if billErr := x.s.bill(ctx, x.m.usage(a)); billErr != nil {
 			err = billErr
 		}
 	}
-	return s.streamError(events, m, err)
+	return x.streamError(err)
 }
 
 // streamError answers with err, as an event when the stream has begun. The
 // missing end marker tells the caller that the answer is not whole.
-func (s *Server) streamError(events *eventWriter, m *modelRequest, err error) error {
-	if !events.started {
+func (x *execution) streamError(err error) error {
+	if !x.events.started {
 		return err
 	}
-	s.counters.errors.Add(string(errkind.Of(err)), 1)
+	x.s.counters.errors.Add(string(errkind.Of(err)), 1)
 	if errkind.RanOf(err) == errkind.RanNo {
 		err = errkind.WithRan(err, errkind.RanYes)
 	}
-	data, marshalErr := json.Marshal(errorBody(err, m.route.RequestID))
+	data, marshalErr := json.Marshal(errorBody(err, x.m.route.RequestID))
 	if marshalErr == nil {
 		// The caller may be gone; nothing is left to do for it.
-		_ = events.event(data)
+		_ = x.events.event(data)
 	}
 	return nil
 }
 
-// answerWhole runs a plan and delivers the accepted answer: as a body, or as
-// events when the caller asked for a stream.
-func (s *Server) answerWhole(ctx context.Context, w http.ResponseWriter, m *modelRequest, plan Plan) (answer, error) {
-	a, err := s.runPlan(ctx, m, plan)
-	if err != nil {
-		return a, err
-	}
-	if err := s.setAnswerHeaders(w.Header(), m, a.target); err != nil {
-		return a, errkind.WithRan(err, errkind.RanYes)
-	}
-	if err := s.bill(ctx, m.usage(a, price(m.route.Effective, a))); err != nil {
-		return a, errkind.WithRan(err, errkind.RanYes)
-	}
-	if m.chat.stream {
-		err = s.writeAsEvents(w, m, a)
-	} else {
-		w.Header().Set("Content-Type", "application/json")
-		_, err = w.Write(a.result.Body)
-	}
-	if err == nil {
-		s.counters.answered.Add(1)
-	}
-	return a, nil
-}
-
 // writeAsEvents delivers a whole answer as a stream of one content chunk.
-func (s *Server) writeAsEvents(w http.ResponseWriter, m *modelRequest, a answer) error {
+func (s *Server) writeAsEvents(events *eventWriter, m *modelRequest, a answer) error {
 	chunks, err := chunksOf(a.result.Body, m.chat.includeUsage)
 	if err != nil {
 		return err
 	}
-	events := newEventWriter(w, m.route.Deadline)
 	for _, chunk := range chunks {
 		if err := events.event(chunk); err != nil {
 			return err
