upstream, standin: engine and service clients with their emulators

Writes pass a gate in the connection, which runs the caller's check before the first byte and refuses a second transmission; httptrace hooks were ruled out because they cannot stop the transport's write goroutine.

--- /dev/null
+++ b/standin/engine/answer.go
@@ -0,0 +1,152 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/savoryshift/savoryshift/errkind"
+)
+
+// completion is a whole chat completion or, with object "chat.completion.chunk",
+// one streamed part.
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Message      *message `json:"message,omitempty"`
+	Delta        *message `json:"delta,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type message struct {
+	Role    string  `json:"role,omitempty"`
+	Content *string `json:"content,omitempty"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+func (j *job) usage() *usage {
+	return &usage{j.run.PromptTokens, j.tokens, j.run.PromptTokens + j.tokens}
+}
+
+func (j *job) completion(object string) completion {
+	return completion{
+		ID: "chatcmpl-" + j.run.RequestID, Object: object, Created: j.started.Unix(), Model: j.run.Model, Choices: []choice{},
+	}
+}
+
+// whole produces the answer in the time of all its tokens and writes it.
+func (e *Engine) whole(ctx context.Context, w http.ResponseWriter, j *job) (state RunState, complete bool) {
+	ready := j.started.Add(j.firstDelay() + time.Duration(j.tokens)*j.interval())
+	if j.fails {
+		ready = j.started.Add(j.firstDelay())
+	}
+	if !e.pause(ctx, ready) {
+		return RunCancelled, false
+	}
+	if j.fails {
+		fail(w, http.StatusInternalServerError, errkind.UpstreamFailed, "engine failed")
+		return RunFailed, true
+	}
+	text, stop := e.text(j), "stop"
+	answer := j.completion("chat.completion")
+	answer.Choices = append(answer.Choices, choice{Message: &message{Role: "assistant", Content: &text}, FinishReason: &stop})
+	answer.Usage = j.usage()
+	data, err := json.Marshal(answer)
+	if err != nil {
+		return RunFailed, false
+	}
+	faults := e.Faults()
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	if faults.CutAfterPart > 0 {
+		_, _ = w.Write(data[:len(data)/2])
+		return RunFailed, false
+	}
+	if faults.Malformed {
+		data[0] = '!'
+	}
+	_, _ = w.Write(data)
+	e.runs.parts(j.run, j.tokens)
+	return RunFinished, true
+}
+
+// stream writes the answer as numbered parts, one per token, and a last one
+// with the reason for the end. complete is as in whole.
+func (e *Engine) stream(ctx context.Context, w http.ResponseWriter, j *job) (state RunState, complete bool) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	flush := http.NewResponseController(w).Flush
+	total := j.streamParts()
+	due := j.started.Add(j.firstDelay())
+	for n := j.run.From + 1; n <= total; n++ {
+		if n <= j.tokens {
+			due = due.Add(j.interval())
+		}
+		if !e.pause(ctx, due) {
+			return RunCancelled, false
+		}
+		if j.fails && n > j.tokens/2 {
+			return RunFailed, false
+		}
+		if e.Faults().Malformed {
+			_, _ = fmt.Fprint(w, "broken line\n\n")
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, e.part(j, n)); err != nil {
+			return RunCancelled, false
+		}
+		if err := flush(); err != nil {
+			return RunCancelled, false
+		}
+		e.runs.parts(j.run, n)
+		if e.Faults().CutAfterPart == n {
+			return RunFailed, false
+		}
+	}
+	_, _ = fmt.Fprintf(w, "event: end\ndata: {\"parts\":%d,\"completion_tokens\":%d,\"prompt_tokens\":%d}\n\ndata: [DONE]\n\n",
+		total, j.tokens, j.run.PromptTokens)
+	return RunFinished, true
+}
+
+// streamParts counts the parts: one per token, the reason for the end and, on
+// demand, the usage.
+func (j *job) streamParts() int {
+	if j.body.StreamOptions.IncludeUsage {
+		return j.tokens + 2
+	}
+	return j.tokens + 1
+}
+
+func (e *Engine) part(j *job, n int) []byte {
+	chunk := j.completion("chat.completion.chunk")
+	switch {
+	case n <= j.tokens:
+		word, delta := e.word(j, n-1), &message{}
+		delta.Content = &word
+		if n == 1 {
+			delta.Role = "assistant"
+		}
+		chunk.Choices = append(chunk.Choices, choice{Delta: delta})
+	case n == j.tokens+1:
+		stop := "stop"
+		chunk.Choices = append(chunk.Choices, choice{Delta: &message{}, FinishReason: &stop})
+	default:
+		chunk.Usage = j.usage()
+	}
+	data, _ := json.Marshal(chunk)
+	return data
+}
--- /dev/null
+++ b/upstream/admin.go
@@ -0,0 +1,84 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/savoryshift/savoryshift/errkind"
+)
+
+// maxAdminBytes bounds the answers of an engine other than completions.
+const maxAdminBytes = 4 << 20
+
+// Cancel tells an engine to stop an attempt. It succeeds when the attempt is
+// unknown or has ended.
+func (c *Client) Cancel(ctx context.Context, base, attemptID string) error {
+	return c.admin(ctx, http.MethodDelete, base+PathAttempts+url.PathEscape(attemptID), nil, nil)
+}
+
+// Load returns the load report of an engine.
+func (c *Client) Load(ctx context.Context, base string) (LoadReport, error) {
+	var report LoadReport
+	err := c.admin(ctx, http.MethodGet, base+PathLoad, nil, &report)
+	if err == nil && (report.Slots < 0 || report.Running < 0 || report.Queued < 0 || report.AgeMs < 0) {
+		return LoadReport{}, invalid("load report has negative counts")
+	}
+	return report, err
+}
+
+// CacheEvents returns the published cache events with a sequence number above
+// after.
+func (c *Client) CacheEvents(ctx context.Context, base string, after int64) (CacheEventsReply, error) {
+	var reply CacheEventsReply
+	err := c.admin(ctx, http.MethodGet, base+PathCacheEvents+"?after="+strconv.FormatInt(after, 10), nil, &reply)
+	return reply, err
+}
+
+// Order tells an engine which versions to hold. An engine that has seen a
+// higher fencing number refuses with kind errkind.Conflict.
+func (c *Client) Order(ctx context.Context, base string, order Order) error {
+	return c.admin(ctx, http.MethodPost, base+PathOrders, order, nil)
+}
+
+// Held returns the versions that an engine holds now.
+func (c *Client) Held(ctx context.Context, base string) ([]string, error) {
+	var held []string
+	err := c.admin(ctx, http.MethodGet, base+PathHeld, nil, &held)
+	return held, err
+}
+
+// admin sends one small JSON call. All of them are idempotent.
+func (c *Client) admin(ctx context.Context, method, target string, in, out any) error {
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return errkind.Wrap(errkind.Internal, err)
+		}
+	}
+	header := http.Header{"Content-Type": {"application/json"}}
+	x, err := c.send(ctx, outgoing{method: method, url: target, header: header, body: body, repeatable: true})
+	if err != nil {
+		return err
+	}
+	defer x.release()
+	data, err := x.readAll(maxAdminBytes)
+	if err != nil {
+		return err
+	}
+	switch {
+	case x.resp.StatusCode == http.StatusConflict:
+		return errkind.New(errkind.Conflict, "engine refused %s: %s", target, errorMessage(data))
+	case x.resp.StatusCode/100 != 2:
+		return errkind.New(errkind.UpstreamFailed, "engine answered %s with status %d: %s", target, x.resp.StatusCode, errorMessage(data))
+	case out == nil:
+		return nil
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return invalid("answer to %s: %w", target, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/upstream/service.go
@@ -0,0 +1,87 @@
+package upstream
+
+import (
+	"context"
+	"net/http"
+	"net/textproto"
+	"strings"
+	"time"
+)
+
+// ServiceCall is one call to a plain service.
+type ServiceCall struct {
+	// URL is the base URL of the instance.
+	URL    string
+	Method string
+	// Path is the escaped path, with its leading slash.
+	Path string
+	// Query is the raw query, without the question mark.
+	Query string
+	// Header is sent without its hop-by-hop fields.
+	Header http.Header
+	Body   []byte
+	// Deadline bounds the call; zero means none beyond that of the context.
+	Deadline time.Time
+	// Repeatable allows the transport to transmit the call again when a reused
+	// connection breaks. A call that is not repeatable is transmitted at most
+	// once.
+	Repeatable bool
+	// BeforeWrite is as in Call.
+	BeforeWrite func() error
+}
+
+// ServiceResult is the answer of a plain service, whatever its status.
+type ServiceResult struct {
+	Status int
+	// Header is without hop-by-hop fields.
+	Header http.Header
+	Body   []byte
+	Total  time.Duration
+}
+
+// Forward sends a call to a plain service and returns its whole answer.
+func (c *Client) Forward(ctx context.Context, call ServiceCall) (ServiceResult, error) {
+	target := strings.TrimSuffix(call.URL, "/") + call.Path
+	if call.Query != "" {
+		target += "?" + call.Query
+	}
+	x, err := c.send(ctx, outgoing{
+		method: call.Method, url: target, header: endToEnd(call.Header), body: call.Body,
+		deadline: call.Deadline, repeatable: call.Repeatable, beforeWrite: call.BeforeWrite,
+	})
+	if err != nil {
+		return ServiceResult{}, err
+	}
+	defer x.release()
+	body, err := x.readAll(c.o.MaxAnswerBytes)
+	if err != nil {
+		return ServiceResult{}, err
+	}
+	return ServiceResult{
+		Status: x.resp.StatusCode, Header: endToEnd(x.resp.Header), Body: body, Total: time.Since(x.start),
+	}, nil
+}
+
+// hopByHop lists the fields that concern one connection only (RFC 9110, 7.6.1).
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// endToEnd returns a copy of h without hop-by-hop fields and without the fields
+// that Connection names.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	if out == nil {
+		return http.Header{}
+	}
+	for _, line := range h.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
