--- /dev/null
+++ b/coord/claim/bench_test.go
@@ -0,0 +1,120 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/savoryshift/savoryshift/coord/memstore"
+	"github.com/savoryshift/savoryshift/coord/store"
+)
+
+const tableWritesPerSecond = 300
+
+// limited serves commits in order at a fixed rate.
+type limited struct {
+	store.Table
+	mu   sync.Mutex
+	free time.Time // when the next commit can start
+}
+
+func (l *limited) Commit(ctx context.Context, ops []store.Op) error {
+	l.mu.Lock()
+	l.free = later(l.free, time.Now()).Add(time.Second / tableWritesPerSecond)
+	wait := time.Until(l.free)
+	l.mu.Unlock()
+	time.Sleep(wait)
+	return l.Table.Commit(ctx, ops)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// load offers bookings at a steady rate to several daemons for ten seconds of
+// virtual time. It returns the bookings finished per second and the latencies
+// from arrival to a won claim.
+func load(b *testing.B, daemons, perSecond int, ungrouped bool) (carried float64, wait []time.Duration) {
+	const seconds = 10
+	synctest.Test(&testing.T{}, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		table := &limited{Table: memstore.New()}
+		var running, calls sync.WaitGroup
+		var mu sync.Mutex
+		claimers := make([]*Claimer, daemons)
+		for i := range claimers {
+			claimers[i] = New(Options{Table: table, Ungrouped: ungrouped, CallTimeout: 5 * time.Second})
+			running.Go(func() { _ = claimers[i].Run(ctx) })
+		}
+		began, finished := time.Now(), 0
+		for i := range perSecond * seconds {
+			time.Sleep(time.Until(began.Add(time.Duration(i) * time.Second / time.Duration(perSecond))))
+			calls.Go(func() {
+				within, stop := context.WithTimeout(ctx, 2*time.Second)
+				defer stop()
+				arrived := time.Now()
+				c, err := claimers[i%daemons].Acquire(within, Key{"org", fmt.Sprint(i)}, Fingerprint{})
+				if err != nil || c.BeginDispatch() != nil {
+					return
+				}
+				won := time.Since(arrived)
+				if c.Complete(within, Outcome{Status: 200}) != nil {
+					return
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				wait = append(wait, won)
+				finished++
+			})
+		}
+		calls.Wait()
+		carried = float64(finished) / time.Since(began).Seconds()
+		cancel()
+		running.Wait()
+	})
+	slices.Sort(wait)
+	return carried, wait
+}
+
+// BenchmarkBookings prints the bookings per second that 300 table writes a
+// second carry, and the latency that the claim adds.
+func BenchmarkBookings(b *testing.B) {
+	for _, c := range []struct {
+		name            string
+		daemons, offers int
+		ungrouped       bool
+	}{
+		{"ungrouped/9daemons/100", 9, 100, true},
+		{"ungrouped/9daemons/140", 9, 140, true},
+		{"ungrouped/9daemons/300", 9, 300, true},
+		{"grouped/9daemons/100", 9, 100, false},
+		{"grouped/9daemons/140", 9, 140, false},
+		{"grouped/9daemons/300", 9, 300, false},
+		{"grouped/9daemons/1000", 9, 1000, false},
+		{"grouped/9daemons/3000", 9, 3000, false},
+		{"grouped/9daemons/6100", 9, 6100, false},
+		{"ungrouped/320daemons/100", 320, 100, true},
+		{"grouped/320daemons/100", 320, 100, false},
+		{"grouped/320daemons/140", 320, 140, false},
+		{"grouped/320daemons/300", 320, 300, false},
+		{"grouped/320daemons/1000", 320, 1000, false},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			for b.Loop() {
+				carried, wait := load(b, c.daemons, c.offers, c.ungrouped)
+				b.ReportMetric(carried, "bookings/s")
+				if len(wait) > 0 {
+					b.ReportMetric(float64(wait[len(wait)/2])/1e6, "p50-ms")
+					b.ReportMetric(float64(wait[len(wait)*99/100])/1e6, "p99-ms")
+				}
+			}
+		})
+	}
+}
