policy, bench: thin version of plans and simulation, end to end

The routing decision had no code yet. This adds plans with follow-up calls after a bad rating, learned times and qualities, and a discrete-event simulation with five baselines.

--- /dev/null
+++ b/bench/arrivals.go
@@ -0,0 +1,126 @@
+package bench
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// arrival is one request as generated, before any router sees it.
+type arrival struct {
+	id           int
+	at           time.Duration
+	class        int
+	organisation int
+	session      *session
+	daemon       int
+	prompt       float64
+	output       float64
+	deadline     time.Duration
+	leaves       time.Duration
+	prefix       uint64
+	prefixShare  float64
+}
+
+// session is a sequence of requests that prefers to stay on one version.
+type session struct {
+	id           int
+	started      time.Duration
+	organisation int
+	group        int
+	remaining    int
+}
+
+// prefixStride separates the prefix groups of classes.
+const prefixStride = 1 << 20
+
+// uniformDraw returns a number in [0, 1) that depends only on its arguments,
+// so that all routers see the same outcome for the same key.
+func uniformDraw(seed uint64, keys ...uint64) float64 {
+	h := seed
+	for _, k := range keys {
+		h = mix(h ^ mix(k))
+	}
+	return float64(h>>11) / (1 << 53)
+}
+
+// mix is the finaliser of SplitMix64.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
+
+func (d Lognormal) draw(rng *rand.Rand) float64 {
+	return d.Median * math.Exp(d.Sigma*rng.NormFloat64())
+}
+
+// pick draws an index in proportion to the weights.
+func pick(rng *rand.Rand, n int, weight func(int) float64) int {
+	total := 0.0
+	for i := range n {
+		total += weight(i)
+	}
+	x := rng.Float64() * total
+	for i := range n {
+		x -= weight(i)
+		if x < 0 {
+			return i
+		}
+	}
+	return n - 1
+}
+
+// generate returns the Poisson arrivals of one run in order of time.
+func generate(w *Workload, rate float64, duration time.Duration, daemons int, seed uint64) []*arrival {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	open := make([][]*session, len(w.Classes))
+	var list []*arrival
+	sessions := 0
+	for at := time.Duration(0); ; {
+		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		if at >= duration {
+			return list
+		}
+		k := pick(rng, len(w.Classes), func(i int) float64 { return w.Classes[i].Share })
+		c := &w.Classes[k]
+		s := nextSession(w, c, rng, &open[k], at, &sessions)
+		list = append(list, &arrival{
+			id: len(list), at: at, class: k, organisation: s.organisation, session: s,
+			daemon:      rng.IntN(daemons),
+			prompt:      math.Max(1, math.Round(c.PromptTokens.draw(rng))),
+			output:      math.Max(1, math.Round(c.OutputTokens.draw(rng))),
+			deadline:    time.Duration(c.DeadlineMs.draw(rng) * float64(time.Millisecond)),
+			leaves:      time.Duration(c.CallerLeavesMs * float64(time.Millisecond)),
+			prefix:      uint64(k*prefixStride + s.group + 1),
+			prefixShare: c.PrefixShare,
+		})
+	}
+}
+
+// nextSession continues an open session or starts one, so that sessions have
+// the mean length of the class.
+func nextSession(w *Workload, c *Class, rng *rand.Rand, open *[]*session, at time.Duration, count *int) *session {
+	length := math.Max(1, c.SessionLengthCalls)
+	if len(*open) > 0 && rng.Float64() >= 1/length {
+		i := rng.IntN(len(*open))
+		s := (*open)[i]
+		s.remaining--
+		if s.remaining <= 0 {
+			*open = append((*open)[:i], (*open)[i+1:]...)
+		}
+		return s
+	}
+	s := &session{
+		id: *count, started: at,
+		organisation: pick(rng, len(w.Organisations), func(i int) float64 { return w.Organisations[i].Share }),
+		group:        rng.IntN(max(1, c.PrefixGroups)),
+		remaining:    int(math.Round(length)) - 1,
+	}
+	*count++
+	if s.remaining > 0 {
+		*open = append(*open, s)
+	}
+	return s
+}
--- /dev/null
+++ b/bench/faults.go
@@ -0,0 +1,109 @@
+package bench
+
+import "time"
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// scheduleFault schedules the events of a fault, each with its end.
+func (w *world) scheduleFault(f *Fault) {
+	if f == nil {
+		return
+	}
+	for i := range f.Events {
+		e := &f.Events[i]
+		w.at(seconds(e.AtS), func() { w.apply(e, true) })
+		if e.ForS > 0 {
+			w.at(seconds(e.AtS+e.ForS), func() { w.apply(e, false) })
+		}
+	}
+}
+
+// apply starts or ends one event.
+func (w *world) apply(e *Event, on bool) {
+	switch e.Kind {
+	case eventVersionQuality:
+		w.forVersion(e.Version, func(v int) {
+			w.quality[v] = choose(on, e.QualityFactor, 1)
+			w.bad[v] = choose(on, w.now, -1)
+		})
+	case eventVersionErrors:
+		w.forVersion(e.Version, func(v int) {
+			w.errors[v] = choose(on, e.ErrorProbability, 0)
+			w.bad[v] = choose(on, w.now, -1)
+		})
+	case eventUpstreamsDown:
+		for _, en := range w.selected(e) {
+			en.setDown(on)
+		}
+	case eventUpstreamsSlow:
+		for _, en := range w.selected(e) {
+			en.setSpeed(en.spec.SpeedFactor * choose(on, e.SpeedFactor, 1))
+		}
+	case eventZoneCut:
+		w.cutZone(e, on)
+	case eventPlatformDown:
+		w.platformDown = on
+	case eventRatingDelay:
+		w.ratingDelay = seconds(choose(on, e.Ms, w.load.Rating.DelayMs) / 1000)
+	}
+}
+
+func choose[T any](cond bool, a, b T) T {
+	if cond {
+		return a
+	}
+	return b
+}
+
+func (w *world) forVersion(id string, do func(int)) {
+	if v := w.versionIndex(id); v >= 0 {
+		do(v)
+	}
+}
+
+// selected returns the engines that an event is about: those of a zone, those
+// of a version, each n-th, or all.
+func (w *world) selected(e *Event) []*engine {
+	var list []*engine
+	for i, en := range w.engines {
+		if e.AvailabilityZone != "" && en.spec.AvailabilityZone != e.AvailabilityZone {
+			continue
+		}
+		if e.Version != "" && !contains(en.spec.Versions, e.Version) {
+			continue
+		}
+		if e.Every > 1 && i%e.Every != 0 {
+			continue
+		}
+		list = append(list, en)
+	}
+	return list
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *world) cutZone(e *Event, on bool) {
+	z := w.zoneIndex(e.AvailabilityZone)
+	if z < 0 {
+		return
+	}
+	w.zones[z].cutPlatform = on && e.FromPlatform
+	w.zones[z].cutZones = on && e.FromZones
+}
+
+// cacheEvent publishes a cache event, late and with gaps.
+func (w *world) cacheEvent(e *engine, prefix uint64) {
+	w.callSeq++
+	if uniformDraw(w.seed, 8, uint64(w.callSeq)) < 1.0/cacheEventLossOneIn {
+		return
+	}
+	lag := time.Duration(e.spec.LoadReportLagMs * float64(time.Millisecond))
+	w.caches = append(w.caches, cacheHint{visible: w.now + lag, at: w.now, engine: e.index, prefix: prefix})
+}
--- /dev/null
+++ b/bench/metrics.go
@@ -0,0 +1,152 @@
+package bench
+
+import (
+	"sort"
+	"time"
+)
+
+// ClassResult is the quality of one class in one cell.
+type ClassResult struct {
+	Name    string  `json:"name"`
+	Target  float64 `json:"target"`
+	Answers int     `json:"answers"`
+	Good    int     `json:"good"`
+	// Requests counts all requests of the class.
+	Requests int `json:"requests"`
+}
+
+// Quality is the share of good answers.
+func (c *ClassResult) Quality() float64 {
+	if c.Answers == 0 {
+		return 0
+	}
+	return float64(c.Good) / float64(c.Answers)
+}
+
+// Cell is the result of one router at one level under one fault, over one or
+// more seeds.
+type Cell struct {
+	Workload string `json:"workload"`
+	Router   string `json:"router"`
+	Level    string `json:"level"`
+	Fault    string `json:"fault"`
+	Seeds    int    `json:"seeds"`
+	Requests int    `json:"requests"`
+	// Feasible counts the requests that an idle engine could answer in time.
+	Feasible int `json:"feasible"`
+	// Answered counts requests answered once, whole and before the caller left;
+	// FeasibleAnswered those of them that were feasible.
+	Answered         int           `json:"answered"`
+	FeasibleAnswered int           `json:"feasible_answered"`
+	Refusals         int           `json:"refusals"`
+	Cost             float64       `json:"cost"`
+	Calls            int           `json:"upstream_calls"`
+	Retries          int           `json:"retries"`
+	Exposure         int           `json:"calls_to_bad_version"`
+	HaltS            []float64     `json:"halt_s"`
+	Classes          []ClassResult `json:"classes"`
+	SimulatedS       float64       `json:"simulated_s"`
+
+	firstTokens, totals []float64
+	Summary             Quantiles `json:"quantiles"`
+}
+
+// Quantiles of the answers in time, in seconds.
+type Quantiles struct {
+	FirstP50 float64 `json:"first_token_p50_s"`
+	FirstP95 float64 `json:"first_token_p95_s"`
+	TotalP50 float64 `json:"total_p50_s"`
+	TotalP95 float64 `json:"total_p95_s"`
+}
+
+func newCell(w *Workload, router, level, fault string) *Cell {
+	c := &Cell{Workload: w.Name, Router: router, Level: level, Fault: fault}
+	for _, k := range w.Classes {
+		c.Classes = append(c.Classes, ClassResult{Name: k.Name, Target: k.QualityTarget})
+	}
+	return c
+}
+
+// add adds the requests of one run.
+func (c *Cell) add(w *world, duration time.Duration) {
+	c.Seeds++
+	c.SimulatedS += duration.Seconds()
+	c.Exposure += w.badCalls
+	if w.firstHalt >= 0 {
+		c.HaltS = append(c.HaltS, w.firstHalt.Seconds())
+	}
+	for _, q := range w.requests {
+		c.addRequest(w, q)
+	}
+}
+
+func (c *Cell) addRequest(w *world, q *request) {
+	k := &c.Classes[q.class]
+	feasible := w.feasible(q)
+	c.Requests++
+	k.Requests++
+	c.Cost += q.cost
+	c.Calls += q.calls
+	c.Retries += q.retries
+	if feasible {
+		c.Feasible++
+	}
+	if q.refused {
+		c.Refusals++
+	}
+	if !q.answered {
+		return
+	}
+	c.Answered++
+	k.Answers++
+	if feasible {
+		c.FeasibleAnswered++
+	}
+	if q.good {
+		k.Good++
+	}
+	c.firstTokens = append(c.firstTokens, q.firstToken.Seconds())
+	c.totals = append(c.totals, q.total.Seconds())
+}
+
+// feasible reports whether some version on an idle engine, at the speed that
+// engines have without faults, would answer in time.
+func (w *world) feasible(q *request) bool {
+	left := (q.deadline + q.leaves - w.clientLatency()).Seconds()
+	for v, engines := range w.byVersion {
+		spec := &w.load.Versions[v]
+		for _, e := range engines {
+			t := spec.FirstTokenMs/1000 + q.output/spec.OutputTokensPerSSlot
+			if t/e.spec.SpeedFactor+2*w.latency(q.daemon, e).Seconds() <= left {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// finish computes the quantiles.
+func (c *Cell) finish() {
+	c.Summary = Quantiles{
+		FirstP50: quantile(c.firstTokens, 0.5), FirstP95: quantile(c.firstTokens, 0.95),
+		TotalP50: quantile(c.totals, 0.5), TotalP95: quantile(c.totals, 0.95),
+	}
+}
+
+// CostPerRequest is the cost of all calls over the number of requests.
+func (c *Cell) CostPerRequest() float64 { return c.Cost / float64(max(1, c.Requests)) }
+
+// CallsPerRequest counts all calls, those of cascades included.
+func (c *Cell) CallsPerRequest() float64 { return float64(c.Calls) / float64(max(1, c.Requests)) }
+
+// Goodput is the number of answers in time per second.
+func (c *Cell) Goodput() float64 { return float64(c.Answered) / max(c.SimulatedS, 1e-9) }
+
+// quantile sorts x and returns the value at p.
+func quantile(x []float64, p float64) float64 {
+	if len(x) == 0 {
+		return 0
+	}
+	sort.Float64s(x)
+	return x[min(len(x)-1, int(p*float64(len(x))))]
+}
--- /dev/null
+++ b/bench/oracle.go
@@ -0,0 +1,5 @@
+package bench
+
+const routerOracle = "oracle"
+
+func (w *world) solveOracle(arrivals []*arrival) {}
--- /dev/null
+++ b/policy/learn.go
@@ -0,0 +1,111 @@
+package policy
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Options of a planner.
+type Options struct {
+	// RatingAccuracy is the probability that a rating is right. Default: 0.9.
+	RatingAccuracy float64
+	// Exploration is the share of requests that may go to a version which is
+	// not the best known one. Default: 0.02.
+	Exploration float64
+	// RetryBudget is the number of retries per request, on average, of each
+	// organisation. Default: 0.1.
+	RetryBudget float64
+}
+
+// cellKey names a version on an engine.
+type cellKey struct{ Upstream, Version string }
+
+// qualityKey names a version for a class.
+type qualityKey struct{ Class, Version string }
+
+// Planner learns from observations and decides. All methods are safe for
+// concurrent use: decisions read an immutable View and per-class atomics, and
+// learning takes a short lock that decisions do not take.
+type Planner struct {
+	opts    Options
+	targets sync.Map // class name to *target
+	orgs    sync.Map // organisation to *budget
+	price   priceState
+	tick    atomic.Int64
+
+	mu    sync.Mutex
+	own   Summary
+	peers map[string]Summary
+}
+
+// New returns a planner that knows nothing yet.
+func New(o Options) *Planner {
+	if o.RatingAccuracy == 0 {
+		o.RatingAccuracy = 0.9
+	}
+	if o.Exploration == 0 {
+		o.Exploration = 0.02
+	}
+	if o.RetryBudget == 0 {
+		o.RetryBudget = 0.1
+	}
+	return &Planner{opts: o, own: newSummary(), peers: map[string]Summary{}}
+}
+
+// Served tells how a call went that has produced an answer.
+type Served struct {
+	Class, Version, Upstream string
+	// First is the time from sending to the first token; 0 when the call may
+	// have waited in the queue of the engine.
+	First time.Duration
+	// Streaming is the time from the first to the last token.
+	Streaming time.Duration
+	// Tokens is the length of the answer.
+	Tokens float64
+	// CachedShare is the part of the prompt that was expected to be cached.
+	CachedShare float64
+}
+
+// ObserveServed learns times and lengths from a whole answer.
+func (p *Planner) ObserveServed(s Served, now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := cellKey{s.Upstream, s.Version}
+	cell := p.own.Cells[key]
+	if s.First > 0 {
+		base := s.First.Seconds() / (1 - prefixSaving*s.CachedShare)
+		cell.First.add(math.Log(base), sampleDecay, now)
+	}
+	if s.Streaming > 0 && s.Tokens > 0 {
+		cell.PerToken.add(math.Log(s.Streaming.Seconds()/s.Tokens), sampleDecay, now)
+	}
+	p.own.Cells[key] = cell
+}
+
+// ObserveLength learns the length of the answers of a class.
+func (p *Planner) ObserveLength(class string, tokens float64) {
+	if tokens <= 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.own.Lengths[class]
+	m.add(math.Log(tokens), lengthMemory)
+	p.own.Lengths[class] = m
+}
+
+// lengthMemory is the number of answers after which older lengths fade.
+const lengthMemory = 500
+
+// ObserveRating learns the quality of a version and the delay of the rating.
+func (p *Planner) ObserveRating(class, version string, good bool, delay, now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := qualityKey{class, version}
+	c := p.own.Ratings[key]
+	c.add(good)
+	p.own.Ratings[key] = c
+	p.own.RatingDelay.add(math.Log(math.Max(delay.Seconds(), 1e-3)), sampleDecay, now)
+}
--- /dev/null
+++ b/policy/learned.go
@@ -0,0 +1,195 @@
+package policy
+
+import (
+	"math"
+)
+
+// learned is the joined knowledge of all daemons, prepared for one view.
+type learned struct {
+	cells       map[cellKey][]CellStat
+	ratings     map[qualityKey]CountStat
+	lengths     map[string]MomentStat
+	debts       map[string]float64
+	ratingDelay float64
+	versionID   []string
+	models      []string
+	byUpstream  map[string][]int
+	// first and perToken are the logarithms of the times of a version on a
+	// typical engine, with their weights.
+	first, perToken []float64
+	known           []bool
+}
+
+// defaultRatingDelay is used before the first rating, in seconds.
+const defaultRatingDelay = 0.5
+
+// joinLocked joins own and peer summaries. The planner's lock is held.
+func (p *Planner) joinLocked(in Inputs) *learned {
+	l := &learned{
+		cells: map[cellKey][]CellStat{}, ratings: map[qualityKey]CountStat{},
+		lengths: map[string]MomentStat{}, debts: map[string]float64{},
+	}
+	delays := []MeanStat{p.own.RatingDelay}
+	l.join(&p.own)
+	for name := range p.peers {
+		s := p.peers[name]
+		l.join(&s)
+		for class, d := range s.Debts {
+			l.debts[class] += d
+		}
+		delays = append(delays, s.RatingDelay)
+	}
+	l.ratingDelay = defaultRatingDelay
+	if mean, w := pool(delays); w > 0 {
+		l.ratingDelay = math.Exp(mean)
+	}
+	l.prepare(in)
+	return l
+}
+
+func (l *learned) join(s *Summary) {
+	for k, c := range s.Cells {
+		l.cells[k] = append(l.cells[k], c)
+	}
+	for k, c := range s.Ratings {
+		sum := l.ratings[k]
+		sum.N += c.N
+		sum.Good += c.Good
+		l.ratings[k] = sum
+	}
+	for k, m := range s.Lengths {
+		sum := l.lengths[k]
+		sum.N += m.N
+		sum.Sum += m.Sum
+		sum.Squares += m.Squares
+		l.lengths[k] = sum
+	}
+}
+
+// prepare computes the typical times of each version.
+func (l *learned) prepare(in Inputs) {
+	n := len(in.Versions)
+	l.first, l.perToken, l.known = make([]float64, n), make([]float64, n), make([]bool, n)
+	index := make(map[string]int, n)
+	for i, v := range in.Versions {
+		index[v.ID] = i
+		l.versionID = append(l.versionID, v.ID)
+		l.models = append(l.models, v.Model)
+	}
+	l.byUpstream = map[string][]int{}
+	counts, firstCounts := make([]float64, n), make([]float64, n)
+	for k, stats := range l.cells {
+		ver, ok := index[k.Version]
+		if !ok {
+			continue
+		}
+		l.byUpstream[k.Upstream] = append(l.byUpstream[k.Upstream], ver)
+		if x, w := pool(perTokens(stats)); w > 0 {
+			l.perToken[ver] += x
+			counts[ver]++
+		}
+		if x, w := pool(firsts(stats)); w > 0 {
+			l.first[ver] += x
+			firstCounts[ver]++
+		}
+	}
+	for i := range n {
+		l.known[i] = counts[i] > 0
+		l.perToken[i] = meanOr(l.perToken[i], counts[i], math.Log(defaultPerToken))
+		l.first[i] = meanOr(l.first[i], firstCounts[i], math.Log(defaultFirst))
+	}
+	l.borrowFromSiblings()
+}
+
+func meanOr(sum, n, otherwise float64) float64 {
+	if n == 0 {
+		return otherwise
+	}
+	return sum / n
+}
+
+// borrowFromSiblings gives a version that was never seen the times of another
+// version of its model.
+func (l *learned) borrowFromSiblings() {
+	for i := range l.known {
+		if l.known[i] {
+			continue
+		}
+		for j := range l.known {
+			if l.known[j] && l.models[i] == l.models[j] {
+				l.first[i], l.perToken[i] = l.first[j], l.perToken[j]
+			}
+		}
+	}
+}
+
+func perTokens(stats []CellStat) []MeanStat {
+	list := make([]MeanStat, len(stats))
+	for i := range stats {
+		list[i] = stats[i].PerToken
+	}
+	return list
+}
+
+func firsts(stats []CellStat) []MeanStat {
+	list := make([]MeanStat, len(stats))
+	for i := range stats {
+		list[i] = stats[i].First
+	}
+	return list
+}
+
+// times predicts time to first token and time per token, in seconds, of a
+// version on an engine. Samples of the pair count most; the other versions of
+// the engine show how its speed compares.
+func (l *learned) times(upstream string, ver int) (first, perToken float64) {
+	offset, weight := l.offset(upstream, ver)
+	if weight > 0 {
+		offset *= weight / (weight + 0.3)
+	}
+	stats := l.cells[cellKey{upstream, l.versionID[ver]}]
+	x, w := pool(perTokens(stats))
+	perTokenLog := (x*w + versionPull*(l.perToken[ver]+offset)) / (w + versionPull)
+	ratio := perTokenLog - l.perToken[ver]
+	y, wf := pool(firsts(stats))
+	firstLog := (y*wf + versionPull*(l.first[ver]+ratio)) / (wf + versionPull)
+	return math.Exp(firstLog), math.Exp(perTokenLog)
+}
+
+// offset is how much slower than typical an engine is, judged by its other
+// versions, in logarithms.
+func (l *learned) offset(upstream string, except int) (offset, weight float64) {
+	sum := 0.0
+	for _, ver := range l.byUpstream[upstream] {
+		if ver == except {
+			continue
+		}
+		x, w := pool(perTokens(l.cells[cellKey{upstream, l.versionID[ver]}]))
+		sum += w * (x - l.perToken[ver])
+		weight += w
+	}
+	if weight == 0 {
+		return 0, 0
+	}
+	return sum / weight, weight
+}
+
+// quality estimates the quality of a version for a class. The ratings of other
+// versions of the same model serve as a prior.
+func (l *learned) quality(class string, versions []VersionSpec, i int, s VersionSpec, prior, accuracy float64) estimate {
+	var siblings CountStat
+	for j, other := range versions {
+		if j != i && other.Model == s.Model {
+			c := l.ratings[qualityKey{class, other.ID}]
+			siblings.N += c.N
+			siblings.Good += c.Good
+		}
+	}
+	weight := float64(priorRatings)
+	if siblings.N > 0 {
+		e := qualityOf(siblings, prior, priorRatings, accuracy)
+		prior = e.mean
+		weight += math.Min(siblings.N, siblingRatings)
+	}
+	return qualityOf(l.ratings[qualityKey{class, s.ID}], prior, weight, accuracy)
+}
