--- /dev/null
+++ b/settings/doc.go
@@ -0,0 +1,7 @@
+// Package settings reads the daemon's JSON settings file.
+//
+// Decoding is strict: unknown and duplicate keys, null, wrong types and
+// trailing data are errors. Load returns all problems of a file at once, each
+// with the JSON pointer of the value and the allowed range. Defaults and
+// ranges stand in the field tags, from which docs/settings.md is generated.
+package settings
--- /dev/null
+++ b/settings/load.go
@@ -0,0 +1,83 @@
+package settings
+
+import (
+	"io"
+	"os"
+	"reflect"
+	"strconv"
+
+	"github.com/samber/oops"
+
+	"github.com/savoryshift/savoryshift/internal/check"
+)
+
+// maxFileBytes bounds the settings file; a file with 1,000 tokens has 150 kB.
+const maxFileBytes = 1 << 20
+
+// Problem is one fault of a settings file.
+type Problem = check.Problem
+
+// Problems is the error that lists all faults of a settings file.
+type Problems = check.Problems
+
+// Load reads and validates a settings file. The error is Problems unless the
+// file can't be read or has a syntax error.
+func Load(path string) (Settings, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return Settings{}, oops.Wrapf(err, "settings file")
+	}
+	defer file.Close()
+	data, err := io.ReadAll(io.LimitReader(file, maxFileBytes+1))
+	if err != nil {
+		return Settings{}, oops.Wrapf(err, "settings file %s", path)
+	}
+	if len(data) > maxFileBytes {
+		return Settings{}, oops.Errorf("settings file %s is longer than %d bytes", path, maxFileBytes)
+	}
+	return Parse(data)
+}
+
+// Parse decodes and validates the content of a settings file. Missing values
+// get their defaults.
+func Parse(data []byte) (Settings, error) {
+	s := Defaults()
+	if err := check.Decode(data, &s); err != nil {
+		return Settings{}, err
+	}
+	if s.AdvertisedPeerAddress == "" {
+		s.AdvertisedPeerAddress = s.Listen.Peers
+	}
+	if err := s.validate(); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+// Defaults returns the settings of an empty file. They lack the required
+// values.
+func Defaults() Settings {
+	var s Settings
+	setDefaults(reflect.ValueOf(&s).Elem())
+	return s
+}
+
+func setDefaults(v reflect.Value) {
+	for field, value := range v.Fields() {
+		if value.Kind() == reflect.Struct {
+			setDefaults(value)
+		}
+		if text, ok := field.Tag.Lookup("default"); ok {
+			value.SetInt(number(text))
+		}
+	}
+}
+
+// number parses a tag; a test covers all tags.
+func number(text string) int64 {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		panic(oops.Wrapf(err, "field tag"))
+	}
+	return n
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,155 @@
+package settings
+
+import "time"
+
+// AcceptInsecure is the text that InsecureBeyondLoopback must hold before a
+// listener beyond loopback starts without TLS.
+const AcceptInsecure = "I accept unencrypted traffic"
+
+// Settings is the daemon's settings file.
+type Settings struct {
+	// VM is the id of this VM on the platform's list. Required.
+	VM string `json:"vm"`
+	// AvailabilityZone is the zone of this VM. Required.
+	AvailabilityZone string `json:"availability_zone"`
+	// Region is the region of the zone. Required.
+	Region string `json:"region"`
+	// Listen holds the addresses of the listeners.
+	Listen Listen `json:"listen"`
+	// AdvertisedPeerAddress is the IP address and port at which other daemons
+	// reach the peer listener. Default: the address of the peer listener,
+	// which must then name an IP address.
+	AdvertisedPeerAddress string `json:"advertised_peer_address,omitempty"`
+	// SeedPeers are peer addresses to contact first, one or two of each zone.
+	SeedPeers []string `json:"seed_peers,omitempty"`
+	// PlatformURL is the base URL of the platform. Required.
+	PlatformURL string `json:"platform_url"`
+	// TLS holds the certificate files of the listeners.
+	TLS TLS `json:"tls"`
+	// InsecureBeyondLoopback must be "I accept unencrypted traffic" before a
+	// listener beyond loopback starts without TLS.
+	InsecureBeyondLoopback string `json:"insecure_beyond_loopback,omitempty"`
+	// ClusterToken is the shared secret between daemons, 16 to 256 characters.
+	// Required unless peers use mutual TLS.
+	ClusterToken string `json:"cluster_token,omitempty"`
+	// OperatorTokens lists who may use the operator API.
+	OperatorTokens []OperatorToken `json:"operator_tokens,omitempty"`
+	// SessionKeys is the key ring of session tokens: the first key signs, all
+	// keys verify. At least one is required.
+	SessionKeys []SessionKey `json:"session_keys"`
+	// Bounds limits memory and waiting.
+	Bounds Bounds `json:"bounds"`
+	// Periods holds the evidence lease and the periods of control work.
+	Periods Periods `json:"periods"`
+}
+
+// Listen holds one IP address and port per listener.
+type Listen struct {
+	// Callers is the address for callers. Required.
+	Callers string `json:"callers"`
+	// Operators is the address for operators and probes. Required.
+	Operators string `json:"operators"`
+	// Peers is the address for other daemons. Required.
+	Peers string `json:"peers"`
+}
+
+// TLS holds the certificate files per listener. A listener without files is
+// unencrypted.
+type TLS struct {
+	// Callers holds the files of the caller listener.
+	Callers TLSFiles `json:"callers"`
+	// Operators holds the files of the operator listener.
+	Operators TLSFiles `json:"operators"`
+	// Peers holds the files of mutual TLS between daemons; ca_file is required
+	// with the others.
+	Peers TLSFiles `json:"peers"`
+}
+
+// TLSFiles names PEM files. Either none or both of cert_file and key_file are
+// given.
+type TLSFiles struct {
+	// CertFile holds the certificate chain.
+	CertFile string `json:"cert_file,omitempty"`
+	// KeyFile holds the private key.
+	KeyFile string `json:"key_file,omitempty"`
+	// CAFile holds the certificates of the authorities. When it is set, the
+	// other side must present a certificate signed by one of them.
+	CAFile string `json:"ca_file,omitempty"`
+}
+
+// Role says what the owner of an operator token may do.
+type Role string
+
+// Roles of operators.
+const (
+	Viewer Role = "viewer"
+	Editor Role = "editor"
+)
+
+// OperatorToken lets one operator use the operator API.
+type OperatorToken struct {
+	// Name appears as the author of changes; 1 to 64 characters.
+	Name string `json:"name"`
+	// SHA256 is the hex SHA-256 digest of the token.
+	SHA256 string `json:"sha256"`
+	// Role is viewer (reads) or editor (reads and changes).
+	Role Role `json:"role"`
+}
+
+// SessionKey is one key of session tokens.
+type SessionKey struct {
+	// ID stands in the tokens; 1 to 16 letters or digits, unique.
+	ID string `json:"id"`
+	// SecretBase64 is the secret in standard base64, at least 32 bytes.
+	SecretBase64 string `json:"secret_base64"`
+}
+
+// Bounds limits memory and waiting.
+type Bounds struct {
+	// BodyBytes limits the body of a request and of a stored or rated answer.
+	BodyBytes int64 `json:"body_bytes" default:"4194304" min:"1024" max:"67108864" unit:"bytes"`
+	// HeaderBytes limits the headers of a request.
+	HeaderBytes int64 `json:"header_bytes" default:"65536" min:"4096" max:"1048576" unit:"bytes"`
+	// HeaderReadTimeoutMs limits the time for reading the headers of a request.
+	HeaderReadTimeoutMs Milliseconds `json:"header_read_timeout_ms" default:"5000" min:"100" max:"60000" unit:"ms"`
+	// StreamIdleTimeoutMs limits the time between two parts of a stream, to
+	// the caller and from the upstream.
+	StreamIdleTimeoutMs Milliseconds `json:"stream_idle_timeout_ms" default:"30000" min:"1000" max:"600000" unit:"ms"`
+	// OutcomeBytes limits the body of the stored outcome of a call that runs
+	// at most once.
+	OutcomeBytes int64 `json:"outcome_bytes" default:"65536" min:"0" max:"1048576" unit:"bytes"`
+	// LedgerBytes limits the billing entries in memory; new requests are
+	// refused when it is reached.
+	LedgerBytes int64 `json:"ledger_bytes" default:"67108864" min:"1048576" max:"1073741824" unit:"bytes"`
+	// ConcurrentRequests limits the requests in flight.
+	ConcurrentRequests int64 `json:"concurrent_requests" default:"20000" min:"1" max:"1000000" unit:"requests"`
+	// DrainTimeoutMs limits how long a planned stop waits for requests in
+	// flight; it should be at least the longest deadline.
+	DrainTimeoutMs Milliseconds `json:"drain_timeout_ms" default:"600000" min:"1000" max:"3600000" unit:"ms"`
+}
+
+// Periods holds the evidence lease and the periods of control work. All
+// daemons of a deployment use the same values.
+type Periods struct {
+	// EvidenceLeaseMs is the age of evidence from which a daemon is isolated.
+	// At least twice the sum of head_read_ms and peer_pull_ms.
+	EvidenceLeaseMs Milliseconds `json:"evidence_lease_ms" default:"4000" min:"1000" max:"60000" unit:"ms"`
+	// HeadReadMs is the period at which delegates read the head of the log.
+	HeadReadMs Milliseconds `json:"head_read_ms" default:"500" min:"50" max:"10000" unit:"ms"`
+	// PeerPullMs is the period at which a daemon pulls from its peers.
+	PeerPullMs Milliseconds `json:"peer_pull_ms" default:"1000" min:"50" max:"10000" unit:"ms"`
+	// TickMs is the period of the control systems.
+	TickMs Milliseconds `json:"tick_ms" default:"100" min:"10" max:"1000" unit:"ms"`
+	// ClaimGroupMs is how long claims are collected for one transaction.
+	ClaimGroupMs Milliseconds `json:"claim_group_ms" default:"5" min:"0" max:"100" unit:"ms"`
+	// LedgerFlushMs is the period at which billing entries are flushed.
+	LedgerFlushMs Milliseconds `json:"ledger_flush_ms" default:"5000" min:"100" max:"60000" unit:"ms"`
+	// VMListMs is the period at which the platform's list of VMs is read.
+	VMListMs Milliseconds `json:"vm_list_ms" default:"2000" min:"100" max:"60000" unit:"ms"`
+}
+
+// Milliseconds is a duration in milliseconds.
+type Milliseconds int64
+
+// Duration returns m as a time.Duration.
+func (m Milliseconds) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
