daemon: thin version of the daemon with proxy, claims and configuration

Cause: the parts exist but no process joins them. Conclusion: the workspace builds; nothing has been run end to end yet.

--- /dev/null
+++ b/cmd/savoryshift/doc.go
@@ -0,0 +1,2 @@
+// Command savoryshift is the router daemon that runs on every entry VM.
+package main
--- /dev/null
+++ b/cmd/savoryshift/main.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"go.uber.org/zap"
+
+	"github.com/savoryshift/savoryshift/daemon"
+	"github.com/savoryshift/savoryshift/settings"
+)
+
+// Exit codes.
+const (
+	exitFailure     = 1
+	exitBadSettings = 2
+)
+
+type options struct {
+	Settings string `long:"settings" description:"path of the JSON settings file" required:"true"`
+}
+
+func main() {
+	os.Exit(start(os.Args[1:]))
+}
+
+// start runs the daemon until a signal ends it and returns the exit code.
+func start(args []string) int {
+	var o options
+	if _, err := flags.NewParser(&o, flags.Default).ParseArgs(args); err != nil {
+		var flagErr *flags.Error
+		if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
+			return 0
+		}
+		return exitBadSettings
+	}
+	s, err := settings.Load(o.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitBadSettings
+	}
+	logger, err := zap.NewProduction()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailure
+	}
+	defer func() { _ = logger.Sync() }()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	d, err := daemon.New(daemon.Options{Settings: s, Logger: logger})
+	if err != nil {
+		logger.Error("start failed", zap.Error(err))
+		return exitFailure
+	}
+	if err := d.Run(ctx); err != nil {
+		logger.Error("stopped after a failure", zap.Error(err))
+		return exitFailure
+	}
+	logger.Info("stopped")
+	return 0
+}
--- a/coord/member/view.go
+++ b/coord/member/view.go
@@ -211,6 +211,17 @@
 	return v.list(func(e *entry, now time.Time) bool { return !v.silent(e, now) })
 }
 
+// LiveIn returns the live VMs of one zone, by id.
+func (v *View) LiveIn(zone string) []VM {
+	vms := v.list(func(e *entry, now time.Time) bool {
+		return e.vm.AvailabilityZone() == zone && !v.silent(e, now)
+	})
+	if v.o.Self.AvailabilityZone() == zone {
+		return vms
+	}
+	return slices.DeleteFunc(vms, func(vm VM) bool { return vm.ID == v.o.Self.ID })
+}
+
 func (v *View) list(keep func(*entry, time.Time) bool) []VM {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -258,11 +269,10 @@
 // ones, so that a change of the view moves few choices. When none of the zone
 // is live, as after a long partition, the choice falls on suspects and seeds.
 func (v *View) Delegates(zone string, n int) []string {
-	var ids []string
-	for _, vm := range v.Live() {
-		if vm.AvailabilityZone() == zone {
-			ids = append(ids, vm.ID)
-		}
+	live := v.LiveIn(zone)
+	ids := make([]string, len(live))
+	for i, vm := range live {
+		ids[i] = vm.ID
 	}
 	if len(ids) == 0 {
 		ids = v.Contacts(zone)
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,201 @@
+package daemon
+
+import (
+	"context"
+	"encoding/base64"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/samber/oops"
+	"go.uber.org/zap"
+
+	"github.com/savoryshift/savoryshift/coord/claim"
+	"github.com/savoryshift/savoryshift/coord/member"
+	"github.com/savoryshift/savoryshift/platform"
+	"github.com/savoryshift/savoryshift/proxy"
+	"github.com/savoryshift/savoryshift/session"
+	"github.com/savoryshift/savoryshift/settings"
+	"github.com/savoryshift/savoryshift/upstream"
+)
+
+// Options configures a Daemon.
+type Options struct {
+	Settings settings.Settings
+	// Logger defaults to one that discards.
+	Logger *zap.Logger
+	// Callers, Operators and Peers are listeners to use in place of the
+	// addresses in Settings.
+	Callers   net.Listener
+	Operators net.Listener
+	Peers     net.Listener
+}
+
+// Daemon is the process that runs on an entry VM.
+type Daemon struct {
+	o        Options
+	logger   *zap.Logger
+	platform *platform.Client
+	config   *configuration
+	claimer  *claim.Claimer
+	upstream *upstream.Client
+	routing  *routing
+	guards   *guards
+	proxy    *proxy.Server
+	ready    atomic.Bool
+}
+
+// New builds a daemon and binds its listeners. It starts no goroutine.
+func New(o Options) (*Daemon, error) {
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	d := &Daemon{o: o, logger: o.Logger, guards: &guards{}}
+	s := o.Settings
+	ring, err := sessionRing(s.SessionKeys)
+	if err != nil {
+		return nil, err
+	}
+	d.platform = platform.New(platform.Options{URL: s.PlatformURL})
+	d.config = newConfiguration(configurationOptions{
+		table:   d.platform,
+		objects: d.platform.Objects(),
+		self: member.VM{
+			ID:          member.JoinID(s.AvailabilityZone, s.VM),
+			Incarnation: time.Now().UnixNano(),
+		},
+		lease:  s.Periods.EvidenceLeaseMs.Duration(),
+		sync:   s.Periods.PeerPullMs.Duration(),
+		head:   s.Periods.HeadReadMs.Duration(),
+		logger: d.logger,
+	})
+	d.config.peers = noPeers{}
+	d.claimer = claim.New(claim.Options{
+		Table:           d.platform,
+		Daemon:          d.config.members.Self().ID,
+		GroupWindow:     s.Periods.ClaimGroupMs.Duration(),
+		Ungrouped:       s.Periods.ClaimGroupMs == 0,
+		MaxOutcomeBytes: int(s.Bounds.OutcomeBytes),
+	})
+	d.upstream = upstream.New(upstream.Options{StreamIdle: s.Bounds.StreamIdleTimeoutMs.Duration()})
+	d.routing = newRouting(s.AvailabilityZone, d.guards)
+	d.proxy = proxy.New(proxy.Options{
+		Snapshot: d.config.Snapshot,
+		Evidence: d.config.lease,
+		Halts:    d.config,
+		Router:   d.routing,
+		Rater:    rater{d.platform},
+		Upstream: d.upstream,
+		Sessions: sessions{ring},
+		Limiter:  openLimiter{},
+		Biller:   openBiller{},
+		Claims:   claims{d.claimer},
+		Bounds: proxy.Bounds{
+			BodyBytes:          s.Bounds.BodyBytes,
+			ConcurrentRequests: s.Bounds.ConcurrentRequests,
+			OutcomeBytes:       s.Bounds.OutcomeBytes,
+		},
+		Log: d.logger,
+	})
+	return d, d.listen()
+}
+
+func sessionRing(keys []settings.SessionKey) (*session.Ring, error) {
+	var o session.Options
+	for _, k := range keys {
+		secret, err := base64.StdEncoding.DecodeString(k.SecretBase64)
+		if err != nil {
+			return nil, oops.Wrapf(err, "session key %q", k.ID)
+		}
+		o.Keys = append(o.Keys, session.Key{ID: k.ID, Secret: secret})
+	}
+	return session.New(o)
+}
+
+// listen binds the listeners that were not given.
+func (d *Daemon) listen() error {
+	for _, l := range []struct {
+		into    *net.Listener
+		address string
+	}{
+		{&d.o.Callers, d.o.Settings.Listen.Callers},
+		{&d.o.Operators, d.o.Settings.Listen.Operators},
+		{&d.o.Peers, d.o.Settings.Listen.Peers},
+	} {
+		if *l.into != nil {
+			continue
+		}
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return oops.Wrapf(err, "listener")
+		}
+		*l.into = listener
+	}
+	return nil
+}
+
+// Run starts the daemon and returns after a graceful shutdown, which begins
+// when ctx ends or an actor fails. Actors are interrupted in the order in which
+// they are added: callers first, so that requests in flight still have all
+// other parts.
+func (d *Daemon) Run(ctx context.Context) error {
+	var g run.Group
+	stop, cancel := context.WithCancel(ctx)
+	g.Add(func() error { <-stop.Done(); return nil }, func(error) { cancel() })
+	d.addCallers(&g)
+	d.addLoop(&g, d.config.Run)
+	d.addLoop(&g, d.control)
+	d.addLoop(&g, d.claimer.Run)
+	return g.Run()
+}
+
+// addLoop adds an actor that runs until its context ends.
+func (d *Daemon) addLoop(g *run.Group, loop func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
+}
+
+// addCallers adds the caller listener. Its interrupt returns when all requests
+// in flight have ended.
+func (d *Daemon) addCallers(g *run.Group) {
+	b := d.o.Settings.Bounds
+	server := &http.Server{
+		Handler:           d.proxy,
+		ReadHeaderTimeout: b.HeaderReadTimeoutMs.Duration(),
+		MaxHeaderBytes:    int(b.HeaderBytes),
+	}
+	drained := make(chan struct{})
+	g.Add(func() error {
+		err := server.Serve(d.o.Callers)
+		if err == http.ErrServerClosed {
+			<-drained
+			return nil
+		}
+		return oops.Wrapf(err, "caller listener")
+	}, func(error) {
+		defer close(drained)
+		ctx, cancel := context.WithTimeout(context.Background(), b.DrainTimeoutMs.Duration())
+		defer cancel()
+		if err := server.Shutdown(ctx); err != nil {
+			d.logger.Error("requests were cut by the drain timeout", zap.Int64("in_flight", d.proxy.InFlight()))
+		}
+	})
+}
+
+// control owns the view of upstreams and rebuilds it each tick.
+func (d *Daemon) control(ctx context.Context) error {
+	ticker := time.NewTicker(d.o.Settings.Periods.TickMs.Duration())
+	defer ticker.Stop()
+	for {
+		if s := d.config.Snapshot(); s != nil {
+			d.routing.rebuild(s, nil, true)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/daemon/routing.go
@@ -0,0 +1,363 @@
+package daemon
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/savoryshift/savoryshift/errkind"
+	"github.com/savoryshift/savoryshift/policy"
+	"github.com/savoryshift/savoryshift/proxy"
+	"github.com/savoryshift/savoryshift/tree"
+)
+
+const (
+	// prefixShare is the part of a prompt that its prefix is assumed to cover.
+	prefixShare = 0.5
+	// sameZoneDistance and otherZoneDistance are assumed one-way latencies.
+	sameZoneDistance  = 250 * time.Microsecond
+	otherZoneDistance = 2 * time.Millisecond
+	// sampledShare of the answers of settled versions is rated for learning;
+	// all answers of a candidate are.
+	sampledShare = 0.1
+)
+
+// upstreamState is what the control loop knows about an upstream.
+type upstreamState struct {
+	// healthy is false after failed probes and while the upstream is leaving.
+	healthy bool
+	// held lists the versions that the engine reports to hold; nil means that
+	// it has not reported.
+	held   []string
+	report *policy.Report
+}
+
+// routing implements proxy.Router on package policy. Traffic goroutines read
+// an immutable view; the control loop replaces it.
+type routing struct {
+	planner *policy.Planner
+	start   time.Time
+	zone    string
+	view    atomic.Pointer[routeView]
+	guards  *guards
+
+	mu   sync.Mutex
+	live map[string]*policy.Live
+}
+
+// routeView is an immutable picture for decisions.
+type routeView struct {
+	*policy.View
+	snapshot  *tree.Snapshot
+	versions  map[string]int
+	upstreams map[string]int
+	usable    map[string]bool
+	live      map[string]*policy.Live
+}
+
+func newRouting(zone string, g *guards) *routing {
+	return &routing{
+		planner: policy.New(policy.Options{}),
+		start:   time.Now(),
+		zone:    zone,
+		guards:  g,
+		live:    make(map[string]*policy.Live),
+	}
+}
+
+// now is the clock of package policy.
+func (r *routing) now() time.Duration { return time.Since(r.start) }
+
+// liveOf returns the counters of an upstream, which outlive the views.
+func (r *routing) liveOf(id string) *policy.Live {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l, ok := r.live[id]
+	if !ok {
+		l = &policy.Live{}
+		r.live[id] = l
+	}
+	return l
+}
+
+// rebuild compiles a new view. Only the control loop calls it.
+func (r *routing) rebuild(s *tree.Snapshot, states map[string]upstreamState, ratingUp bool) {
+	v := &routeView{
+		snapshot:  s,
+		versions:  make(map[string]int),
+		upstreams: make(map[string]int),
+		usable:    make(map[string]bool),
+		live:      make(map[string]*policy.Live),
+	}
+	in := policy.Inputs{RatingAvailable: ratingUp}
+	for id, version := range s.Tree().Versions {
+		v.versions[id] = len(in.Versions)
+		in.Versions = append(in.Versions, policy.VersionSpec{
+			ID:              id,
+			Model:           version.Model,
+			CostPer1kOutput: version.CostPer1kOutputTokens,
+			Usable:          version.State != tree.VersionWithdrawn,
+		})
+	}
+	for id, up := range s.Tree().Upstreams {
+		state, known := states[id]
+		v.usable[id] = !up.Draining && (!known || state.healthy)
+		v.live[id] = r.liveOf(id)
+		v.live[id].Sample(r.now())
+		if up.Kind != tree.EngineUpstream {
+			continue
+		}
+		v.upstreams[id] = len(in.Upstreams)
+		in.Upstreams = append(in.Upstreams, policy.UpstreamSpec{
+			ID:       id,
+			Versions: v.indices(heldVersions(up, state)),
+			Slots:    up.Slots,
+			Distance: r.distance(up),
+			Usable:   v.usable[id],
+			Report:   state.report,
+			Live:     v.live[id],
+		})
+	}
+	v.View = r.planner.BuildView(in, r.now())
+	r.view.Store(v)
+}
+
+// heldVersions are the versions that an engine should hold and, once it has
+// reported, does hold.
+func heldVersions(up tree.Upstream, state upstreamState) []string {
+	if state.held == nil {
+		return up.Versions
+	}
+	var held []string
+	for _, id := range up.Versions {
+		if slices.Contains(state.held, id) {
+			held = append(held, id)
+		}
+	}
+	return held
+}
+
+func (r *routing) distance(up tree.Upstream) time.Duration {
+	if up.AvailabilityZone == r.zone {
+		return sameZoneDistance
+	}
+	return otherZoneDistance
+}
+
+func (v *routeView) indices(ids []string) []int {
+	list := make([]int, 0, len(ids))
+	for _, id := range ids {
+		if i, ok := v.versions[id]; ok {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// Plan implements proxy.Router.
+func (r *routing) Plan(q proxy.RouteRequest) (proxy.Plan, error) {
+	v := r.view.Load()
+	if v == nil {
+		return proxy.Plan{}, errkind.New(errkind.NoConfiguration, "this daemon has no view of the upstreams yet")
+	}
+	req := r.request(v, q, q.Versions)
+	return v.convert(r.planner.Choose(v.View, &req, r.now()))
+}
+
+// Next implements proxy.Router.
+func (r *routing) Next(q proxy.RouteRequest, p proxy.Progress) (proxy.Plan, error) {
+	v := r.view.Load()
+	versions := q.Versions
+	if p.KeepVersion != "" {
+		versions = []string{p.KeepVersion}
+	}
+	req := r.request(v, q, versions)
+	progress := policy.Progress{Calls: len(p.Tried)}
+	for _, t := range p.Tried {
+		if i, ok := v.versions[t.Version]; ok {
+			progress.Tried = append(progress.Tried, i)
+		}
+	}
+	if p.Failed != nil {
+		if i, ok := v.upstreams[p.Failed.Upstream]; ok {
+			progress.Failed, progress.Avoid = true, i
+		}
+	}
+	if p.Held != nil {
+		if i, ok := v.versions[p.Held.Target.Version]; ok {
+			progress.Held = v.Posterior(req.Class, i, false)
+			progress.Tokens = float64(p.Held.CompletionTokens)
+		}
+	}
+	plan, err := v.convert(r.planner.Next(v.View, &req, progress, r.now()))
+	if p.KeepVersion != "" && len(plan.Steps) > 1 {
+		plan.Steps = plan.Steps[:1]
+	}
+	return plan, err
+}
+
+// request describes q to package policy.
+func (r *routing) request(v *routeView, q proxy.RouteRequest, versions []string) policy.Request {
+	e := q.Effective
+	return policy.Request{
+		Organisation:    q.Organisation,
+		Class:           classOf(q),
+		PromptTokens:    float64(q.PromptTokens),
+		Deadline:        q.Deadline.Sub(r.start),
+		QualityTarget:   e.QualityTarget,
+		LatencyQuantile: e.LatencyQuantile,
+		Weights:         policy.Weights{Cost: e.Weights.Cost, Latency: e.Weights.Latency, Exposure: e.Weights.Exposure},
+		Priority:        e.Priority,
+		Share:           1,
+		Versions:        v.indices(versions),
+		Prefix:          q.PrefixHash,
+		PrefixShare:     prefixShare,
+		Seed:            xxhash.Sum64String(q.RequestID),
+	}
+}
+
+// Bounds between the classes of requests, in tokens.
+const (
+	shortAnswer  = 128
+	middleAnswer = 512
+	shortPrompt  = 300
+	middlePrompt = 1200
+)
+
+// classOf groups requests of a service by size, because quality and length
+// differ more by size than within one.
+func classOf(q proxy.RouteRequest) string {
+	size, short, middle := q.PromptTokens, shortPrompt, middlePrompt
+	if q.MaxTokens > 0 {
+		size, short, middle = q.MaxTokens, shortAnswer, middleAnswer
+	}
+	switch {
+	case size <= short:
+		return q.Service + "/short"
+	case size <= middle:
+		return q.Service + "/middle"
+	}
+	return q.Service + "/long"
+}
+
+// convert turns a plan of package policy into one of package proxy.
+func (v *routeView) convert(p policy.Plan) (proxy.Plan, error) {
+	if p.Refused() {
+		return proxy.Plan{}, errkind.New(p.Refusal, "no feasible plan: %s", p.Refusal)
+	}
+	plan := proxy.Plan{Kind: p.Kind.String(), Priority: p.Priority}
+	for i := range p.N {
+		call := p.Calls[i]
+		id := v.UpstreamID(call.Upstream)
+		up, _ := v.snapshot.Upstream(id)
+		version := v.VersionID(call.Version)
+		info, _ := v.snapshot.Version(version)
+		plan.Steps = append(plan.Steps, proxy.Step{
+			Target:     proxy.Target{Upstream: id, URL: up.URL, Model: info.Model, Version: version},
+			StartAfter: call.StartAfter,
+			Rated:      i == 0 && (p.Kind == policy.Cascade || p.Kind == policy.EarlyCascade),
+		})
+	}
+	return plan, nil
+}
+
+// Usable implements proxy.Router.
+func (r *routing) Usable(t proxy.Target) bool { return r.view.Load().usable[t.Upstream] }
+
+// Started implements proxy.Router.
+func (r *routing) Started(_ proxy.RouteRequest, t proxy.Target) { r.liveOf(t.Upstream).Begin() }
+
+// Finished implements proxy.Router.
+func (r *routing) Finished(o proxy.Outcome) {
+	live := r.liveOf(o.Target.Upstream)
+	live.End()
+	if o.Cancelled {
+		return
+	}
+	if o.Err != nil {
+		r.failed(live, o)
+		return
+	}
+	live.Succeeded()
+	served := policy.Served{
+		Class:     classOf(o.Request),
+		Version:   o.Target.Version,
+		Upstream:  o.Target.Upstream,
+		Streaming: o.Total - o.FirstToken,
+		Tokens:    float64(o.CompletionTokens),
+	}
+	if live.InFlight() == 0 && o.Request.Stream {
+		served.First = o.FirstToken
+	}
+	r.planner.ObserveServed(served, r.now())
+	r.planner.ObserveLength(served.Class, served.Tokens)
+	r.guards.served(o)
+}
+
+// failed tells an upstream that cannot be reached from a version that fails.
+func (r *routing) failed(live *policy.Live, o proxy.Outcome) {
+	switch errkind.Of(o.Err) {
+	case errkind.UpstreamFailed, errkind.UpstreamInvalidAnswer:
+		r.guards.failed(o)
+		live.Failed(r.now())
+	case errkind.UpstreamRefused, errkind.UpstreamTimeout:
+		live.Failed(r.now())
+	}
+}
+
+// Rated implements proxy.Router.
+func (r *routing) Rated(q proxy.RouteRequest, t proxy.Target, good bool, delay time.Duration) {
+	r.planner.ObserveRating(classOf(q), t.Version, good, delay, r.now())
+	r.guards.rated(q, t, good)
+}
+
+// SampleRating implements proxy.Router.
+func (r *routing) SampleRating(_ proxy.RouteRequest, t proxy.Target) bool {
+	return r.guards.watched(t.Version) || rand.Float64() < sampledShare
+}
+
+// ServiceTarget implements proxy.Router: the usable instance with the fewest
+// calls in flight, in the own zone where there is a choice.
+func (r *routing) ServiceTarget(service string, tried []string) (proxy.Target, error) {
+	v := r.view.Load()
+	if v == nil {
+		return proxy.Target{}, errkind.New(errkind.NoConfiguration, "this daemon has no view of the upstreams yet")
+	}
+	var best *tree.UpstreamInfo
+	for _, up := range v.snapshot.UpstreamsOfService(service) {
+		if !v.usable[up.ID] || slices.Contains(tried, up.ID) {
+			continue
+		}
+		if best == nil || r.compare(v, up, best) < 0 {
+			best = up
+		}
+	}
+	if best == nil {
+		return proxy.Target{}, errkind.New(errkind.NoCapacity, "no instance of service %q is available", service)
+	}
+	v.live[best.ID].Begin()
+	return proxy.Target{Upstream: best.ID, URL: best.URL}, nil
+}
+
+func (r *routing) compare(v *routeView, a, b *tree.UpstreamInfo) int {
+	return cmp.Or(
+		cmp.Compare(v.live[a.ID].InFlight(), v.live[b.ID].InFlight()),
+		cmp.Compare(r.distance(a.Upstream), r.distance(b.Upstream)),
+	)
+}
+
+// ServiceFinished implements proxy.Router.
+func (r *routing) ServiceFinished(t proxy.Target, err error) {
+	live := r.liveOf(t.Upstream)
+	live.End()
+	if err == nil {
+		live.Succeeded()
+		return
+	}
+	live.Failed(r.now())
+}
--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -28,6 +28,10 @@
 	text string
 }
 
+// heldReleaseMargin is how long before the deadline an answer at hand is
+// released, so that it reaches the caller in time.
+const heldReleaseMargin = 20 * time.Millisecond
+
 // execution is the state of one request while its calls are made. It belongs to
 // one goroutine.
 type execution struct {
@@ -55,8 +59,8 @@
 		if err == nil && !failed {
 			return a, nil
 		}
-		if ctx.Err() != nil {
-			return x.orHeld(a, errkind.Wrap(errkind.UpstreamTimeout, ctx.Err()))
+		if ctx.Err() != nil || !time.Now().Before(x.m.route.Deadline.Add(-heldReleaseMargin)) && x.held != nil {
+			return x.orHeld(a, errkind.Wrap(errkind.UpstreamTimeout, errOr(err, context.DeadlineExceeded)))
 		}
 		if err != nil && !errkind.AnswerFor(errkind.Of(err)).Retry {
 			return x.orHeld(a, err)
@@ -90,7 +94,11 @@
 // runSteps makes the calls of one plan. rejected says that the answer was rated
 // as not good; it is then held.
 func (x *execution) runSteps(ctx context.Context, plan Plan) (a answer, rejected bool, err error) {
-	ctx, cancel := context.WithCancel(ctx)
+	until := x.m.route.Deadline
+	if x.held != nil {
+		until = until.Add(-heldReleaseMargin)
+	}
+	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	first := plan.Steps[0]
 	live := x.m.chat.stream && (x.delivered > 0 || !first.Rated && x.held == nil)
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -164,12 +164,12 @@
 	case isNew && strings.HasPrefix(name, ":"):
 		return pinnedSession{id: uuid.NewString(), name: name[1:], wanted: true}, nil
 	}
-	pin, err := s.o.Sessions.Verify(text)
+	pin, err := s.o.Sessions.Verify(text, r.organisation)
 	if err != nil {
 		return pinnedSession{}, err
 	}
-	if pin.Organisation != r.organisation || pin.Service != service {
-		return pinnedSession{}, errkind.New(errkind.Forbidden, "the session belongs to another organisation or service")
+	if pin.Service != service {
+		return pinnedSession{}, errkind.New(errkind.Forbidden, "the session belongs to another service")
 	}
 	return pinnedSession{id: pin.ID, name: pin.Name, versions: pin.Versions, wanted: true}, nil
 }
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -59,7 +59,7 @@
 type Sessions interface {
 	Sign(SessionPin) (string, error)
 	// Verify returns an error of kind BadRequest or Forbidden.
-	Verify(token string) (SessionPin, error)
+	Verify(token, organisation string) (SessionPin, error)
 }
 
 // StoredOutcome is the answer of a non-idempotent call as it is kept with its
--- a/session/session.go
+++ b/session/session.go
@@ -44,8 +44,11 @@
 	Service      string
 	// Session is the id of the session.
 	Session string
-	// Version is the model version that the session keeps.
-	Version string
+	// Name selects a session node of the settings tree; "" for none.
+	Name string
+	// Versions are the model versions that the session keeps, one of each
+	// model.
+	Versions []string
 	// IssuedAt has a resolution of one second.
 	IssuedAt time.Time
 }
@@ -55,7 +58,8 @@
 	Organisation string `json:"o"`
 	Service      string `json:"s"`
 	Session      string `json:"i"`
-	Version      string `json:"v"`
+	Name         string `json:"n,omitempty"`
+	Versions     string `json:"v"` // separated by commas
 	IssuedAt     int64  `json:"t"` // Unix seconds
 }
 
@@ -110,7 +114,14 @@
 	if t.IssuedAt.IsZero() {
 		t.IssuedAt = r.now()
 	}
-	data, err := json.Marshal(payload{t.Organisation, t.Service, t.Session, t.Version, t.IssuedAt.Unix()})
+	data, err := json.Marshal(payload{
+		Organisation: t.Organisation,
+		Service:      t.Service,
+		Session:      t.Session,
+		Name:         t.Name,
+		Versions:     strings.Join(t.Versions, ","),
+		IssuedAt:     t.IssuedAt.Unix(),
+	})
 	if err != nil {
 		return "", err
 	}
@@ -182,5 +193,12 @@
 	if err := json.Unmarshal(data, &p); err != nil {
 		return Token{}, ErrMalformed
 	}
-	return Token{p.Organisation, p.Service, p.Session, p.Version, time.Unix(p.IssuedAt, 0)}, nil
+	return Token{
+		Organisation: p.Organisation,
+		Service:      p.Service,
+		Session:      p.Session,
+		Name:         p.Name,
+		Versions:     strings.Split(p.Versions, ","),
+		IssuedAt:     time.Unix(p.IssuedAt, 0),
+	}, nil
 }
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -14,7 +14,7 @@
 
 var (
 	issued = time.Unix(1_796_000_000, 0)
-	pin    = session.Token{Organisation: "club-0", Service: "brief-model", Session: "0197", Version: "s1", IssuedAt: issued}
+	pin    = session.Token{Organisation: "club-0", Service: "brief-model", Session: "0197", Name: "guide", Versions: []string{"s1", "m1"}, IssuedAt: issued}
 )
 
 func key(id string, fill byte) session.Key {
@@ -35,7 +35,7 @@
 	assert.NilError(t, err)
 	got, err := ring(t, issued.Add(time.Hour), key("k2", 2), key("k1", 1)).Verify(text, "club-0")
 	assert.NilError(t, err)
-	assert.Equal(t, got, pin)
+	assert.DeepEqual(t, got, pin)
 	for _, c := range []struct {
 		ring *session.Ring
 		org  string
