--- /dev/null
+++ b/cmd/savoryctl/doc.go
@@ -0,0 +1,2 @@
+// Command savoryctl is the command-line tool of savoryshift.
+package main
