--- a/cmd/savoryctl/doc.go
+++ b/cmd/savoryctl/doc.go
@@ -1,2 +1,2 @@
-// Command savoryctl is the command-line tool for operators and newcomers.
+// Command savoryctl is the command-line tool of savoryshift.
 package main
