--- a/proxy/service.go
+++ b/proxy/service.go
@@ -9,6 +9,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/savoryshift/savoryshift/errkind"
@@ -209,7 +210,7 @@
 	return upstream.ServiceCall{
 		URL:         t.URL,
 		Method:      q.Method,
-		Path:        q.URL.EscapedPath(),
+		Path:        q.upstreamPath(),
 		Query:       q.URL.RawQuery,
 		Header:      forwardedHeader(q),
 		Body:        q.body,
@@ -219,6 +220,12 @@
 	}
 }
 
+// upstreamPath is the path without the prefix that selects the service.
+func (q *serviceRequest) upstreamPath() string {
+	prefix := q.snapshot.Tree().Services[q.service].PathPrefix
+	return "/" + strings.TrimPrefix(q.URL.EscapedPath(), prefix)
+}
+
 // forwardedHeader returns the caller's headers without those meant for the
 // router.
 func forwardedHeader(q *serviceRequest) http.Header {
