upstream, daemon: tell a failing version from an unreachable upstream

Cause: an engine that answers with an error status was put into backoff like one that cannot be reached, so a candidate that fails 30% of its answers would take the healthy versions on the same engine out of use. Ruled out: reading the error text. Conclusion: a typed StatusError; only unreachable upstreams back off.

--- a/daemon/routing.go
+++ b/daemon/routing.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -14,6 +15,7 @@
 	"github.com/savoryshift/savoryshift/policy"
 	"github.com/savoryshift/savoryshift/proxy"
 	"github.com/savoryshift/savoryshift/tree"
+	"github.com/savoryshift/savoryshift/upstream"
 )
 
 const (
@@ -302,9 +304,13 @@
 // failed tells an upstream that cannot be reached from a version that fails.
 func (r *routing) failed(live *policy.Live, o proxy.Outcome) {
 	switch errkind.Of(o.Err) {
-	case errkind.UpstreamFailed, errkind.UpstreamInvalidAnswer:
+	case errkind.UpstreamInvalidAnswer:
 		r.guards.failed(o)
-		live.Failed(r.now())
+	case errkind.UpstreamFailed:
+		r.guards.failed(o)
+		if _, answered := errors.AsType[*upstream.StatusError](o.Err); !answered {
+			live.Failed(r.now())
+		}
 	case errkind.UpstreamRefused, errkind.UpstreamTimeout:
 		live.Failed(r.now())
 	}
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -27,6 +27,17 @@
 	return errkind.New(errkind.UpstreamInvalidAnswer, format, args...)
 }
 
+// StatusError is an error status of an upstream that answered. The upstream can
+// be reached, so the failure may lie with the version rather than with it.
+type StatusError struct {
+	Status  int
+	Message string
+}
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("upstream answered with status %d: %s", e.Status, e.Message)
+}
+
 // checkHeader checks the ids, the version and the status of an answer. The ids
 // come first: a refusal that belongs to another attempt proves nothing.
 func (x *exchange) checkHeader(call Call) error {
@@ -54,7 +65,7 @@
 			Status: x.resp.StatusCode, Leaving: h.Get(HeaderLeaving) == "true", Message: errorMessage(body),
 		})
 	}
-	return errkind.New(errkind.UpstreamFailed, "upstream answered with status %d: %s", x.resp.StatusCode, errorMessage(body))
+	return errkind.Wrap(errkind.UpstreamFailed, &StatusError{Status: x.resp.StatusCode, Message: errorMessage(body)})
 }
 
 // errorMessage extracts the message of an OpenAI-compatible error body.
