--- a/cmd/savoryctl/standin_test.go
+++ b/cmd/savoryctl/standin_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -11,29 +10,15 @@
 
 	"github.com/oklog/run"
 	"gotest.tools/v3/assert"
-)
-
-// pipeListener is a listener over net.Pipe, for virtual time.
-type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-}
 
-func (l pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-func (l pipeListener) Close() error   { close(l.closed); return nil }
-func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+	"github.com/savoryshift/savoryshift/upstream/upstreamtest"
+)
 
 // A stop must let a call in flight finish.
 func TestServeFinishesCallsInFlight(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := pipeListener{make(chan net.Conn, 1), make(chan struct{})}
+		network := upstreamtest.New()
+		l := network.Listen("standin:80")
 		slow := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			time.Sleep(time.Second)
 			_, _ = io.WriteString(w, "complete")
@@ -43,11 +28,7 @@
 		done := make(chan error, 1)
 		go func() { done <- serve(l, slow, wait, interrupt) }()
 		time.AfterFunc(500*time.Millisecond, stop)
-		transport := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
-			client, server := net.Pipe()
-			l.conns <- server
-			return client, nil
-		}}
+		transport := &http.Transport{DialContext: network.Dial}
 		resp, err := (&http.Client{Transport: transport}).Get("http://standin/")
 		assert.NilError(t, err)
 		body, err := io.ReadAll(resp.Body)
--- /dev/null
+++ b/upstream/checks_test.go
@@ -0,0 +1,269 @@
+package upstream_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/savoryshift/savoryshift/errkind"
+	"github.com/savoryshift/savoryshift/standin/engine"
+	"github.com/savoryshift/savoryshift/upstream"
+	"github.com/savoryshift/savoryshift/upstream/upstreamtest"
+)
+
+// canned answers every call with the ids of the call and a fixed body.
+func canned(contentType, body string, header ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		for _, name := range []string{upstream.HeaderRequestID, upstream.HeaderAttemptID, upstream.HeaderVersion} {
+			w.Header().Set(name, r.Header.Get(name))
+		}
+		w.Header().Set("Content-Type", contentType)
+		for i := 0; i+1 < len(header); i += 2 {
+			w.Header().Set(header[i], header[i+1])
+		}
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+const (
+	endOne    = "event: end\ndata: {\"parts\":1,\"completion_tokens\":1}\n\ndata: [DONE]\n\n"
+	goodWhole = `{"model":"small","choices":[{"message":{"role":"assistant"},"finish_reason":"stop"}],"usage":{"prompt_tokens":1,"completion_tokens":1}}`
+)
+
+var small = upstream.Options{MaxAnswerBytes: 1 << 10, MaxPartBytes: 64, MaxLineBytes: 128, MaxHeaderBytes: 4 << 10}
+
+// Each malformed answer must end in an error; accepted, it would reach a caller
+// as if it were whole.
+func TestMalformedAnswersAreRejected(t *testing.T) {
+	const invalid, failed = errkind.UpstreamInvalidAnswer, errkind.UpstreamFailed
+	long := strings.Repeat("x", 2<<10)
+	for _, tc := range []struct {
+		name, body string
+		kind       errkind.Kind // empty: accepted
+		parts      int
+	}{
+		{"good", "id: 1\ndata: {}\n\n" + endOne, "", 1},
+		{"comments and CRLF", ": hi\r\n\r\nid: 1\r\ndata: {}\r\n\r\n" + endOne, "", 1},
+		{"duplicate part", "id: 1\ndata: {}\n\nid: 1\ndata: {}\n\n" + endOne, "", 1},
+		{"out of order", "id: 2\ndata: {}\n\nid: 1\ndata: {}\n\n" + strings.Replace(endOne, ":1", ":2", 1), "", 2},
+		{"gap", "id: 2\ndata: {}\n\n" + endOne, invalid, 0},
+		{"too many ahead", manyParts(2, 40), invalid, 0},
+		{"wrong count", "id: 1\ndata: {}\n\nid: 2\ndata: {}\n\n" + endOne, invalid, 2},
+		{"no number", "data: {}\n\n" + endOne, invalid, 0},
+		{"number zero", "id: 0\ndata: {}\n\n" + endOne, invalid, 0},
+		{"number overflow", "id: 99999999999999999999\ndata: {}\n\n" + endOne, invalid, 0},
+		{"no end event", "id: 1\ndata: {}\n\ndata: [DONE]\n\n", invalid, 1},
+		{"end without count", "id: 1\ndata: {}\n\nevent: end\ndata: {}\n\ndata: [DONE]\n\n", invalid, 1},
+		{"part after end", endOne[:len(endOne)-len("data: [DONE]\n\n")] + "id: 1\ndata: {}\n\n", invalid, 0},
+		{"unknown event", "event: other\ndata: {}\n\n" + endOne, invalid, 0},
+		{"unknown field", "broken line\n\n" + endOne, invalid, 0},
+		{"part not JSON", "id: 1\ndata: {\n\n" + endOne, invalid, 0},
+		{"invalid UTF-8", "id: 1\ndata: \"\xff\"\n\n" + endOne, invalid, 0},
+		{"long line", "id: 1\ndata: \"" + long + "\"\n\n" + endOne, invalid, 0},
+		{"long part", "id: 1\n" + strings.Repeat("data: 111111111111111111\n", 5) + "\n" + endOne, invalid, 0},
+		{"cut before the end", "id: 1\ndata: {}\n\n", failed, 1},
+		{"cut in the end event", "id: 1\ndata: {}\n\nevent: end\ndata: {\"parts\":1}\n", failed, 1},
+		{"empty", "", failed, 0},
+	} {
+		t.Run("stream/"+tc.name, func(t *testing.T) {
+			url := serve(t, canned("text/event-stream", tc.body))
+			res, err := newClient(t, small).Stream(context.Background(), call(url, streamBody), 0, func(upstream.Part) error { return nil })
+			checkKind(t, err, tc.kind)
+			assert.Equal(t, res.Parts, tc.parts)
+		})
+	}
+	for _, tc := range []struct {
+		name, body string
+		header     []string
+		kind       errkind.Kind
+	}{
+		{"good", goodWhole, nil, ""},
+		{"wrong request id", goodWhole, []string{upstream.HeaderRequestID, "r2"}, invalid},
+		{"answer of a late attempt", goodWhole, []string{upstream.HeaderAttemptID, "a0"}, invalid},
+		{"wrong version", goodWhole, []string{upstream.HeaderVersion, "s2"}, invalid},
+		{"no choices", `{"choices":[],"usage":{}}`, nil, invalid},
+		{"not finished", strings.Replace(goodWhole, `"stop"`, `null`, 1), nil, invalid},
+		{"no usage", strings.Replace(goodWhole, "usage", "other", 1), nil, invalid},
+		{"not JSON", "!" + goodWhole, nil, invalid},
+		{"two documents", goodWhole + goodWhole, nil, invalid},
+		{"invalid UTF-8", strings.Replace(goodWhole, "small", "\xff", 1), nil, invalid},
+		{"too long", strings.Replace(goodWhole, "small", long, 1), nil, invalid},
+		{"long header", goodWhole, []string{"X-Long", strings.Repeat("x", 5<<10)}, invalid},
+		{"cut", goodWhole, []string{"Content-Length", "900"}, failed},
+	} {
+		t.Run("whole/"+tc.name, func(t *testing.T) {
+			url := serve(t, canned("application/json", tc.body, tc.header...))
+			_, err := newClient(t, small).Complete(context.Background(), call(url, wholeBody))
+			checkKind(t, err, tc.kind)
+		})
+	}
+}
+
+func checkKind(t *testing.T, err error, kind errkind.Kind) {
+	t.Helper()
+	if kind == "" {
+		assert.NilError(t, err)
+		return
+	}
+	assert.Assert(t, err != nil)
+	assert.Equal(t, errkind.Of(err), kind, "%v", err)
+	assert.Assert(t, errkind.RanOf(err) != errkind.RanNo, "%v", err)
+	if kind == errkind.UpstreamInvalidAnswer {
+		assert.Equal(t, errkind.RanOf(err), errkind.RanYes, "%v", err)
+	}
+}
+
+func manyParts(from, to int) string {
+	var b strings.Builder
+	for n := from; n <= to; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: {}\n\n", n)
+	}
+	return b.String()
+}
+
+// A refusal counts as "not run" only under the ids of the attempt.
+func TestRefusalNeedsTheIdsOfTheAttempt(t *testing.T) {
+	for attempt, ran := range map[string]errkind.Ran{"a1": errkind.RanNo, "a0": errkind.RanUnknown} {
+		url := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(upstream.HeaderRequestID, "r1")
+			w.Header().Set(upstream.HeaderAttemptID, attempt)
+			w.Header().Set(upstream.HeaderRan, "no")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}))
+		_, err := newClient(t, upstream.Options{}).Complete(context.Background(), call(url, wholeBody))
+		assert.Equal(t, errkind.RanOf(err), ran, "attempt %s: %v", attempt, err)
+	}
+}
+
+// A stream that stalls must end with a timeout well before its deadline, and
+// an engine that never starts must end at the deadline.
+func TestStalledStreamTimesOut(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		freeze time.Duration
+		want   time.Duration
+		parts  int
+	}{
+		{"stalls after parts", 3500 * time.Millisecond, 13 * time.Second, 3},
+		{"never starts", 0, 30 * time.Second, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := upstreamtest.New()
+				e := engine.New(engine.Options{Fallback: &engine.Profile{TokensPerSecond: 1, Quality: 1}})
+				c := newClient(t, upstream.Options{Dial: network.Dial})
+				stalled := call(network.Serve(t, "engine:80", e), streamBody)
+				stalled.Deadline = time.Now().Add(30 * time.Second)
+				time.AfterFunc(tc.freeze, func() { e.SetFaults(engine.Faults{Frozen: true}) })
+				synctest.Wait()
+				start := time.Now()
+				res, err := c.Stream(context.Background(), stalled, 0, func(upstream.Part) error { return nil })
+				assert.Equal(t, errkind.Of(err), errkind.UpstreamTimeout, "%v", err)
+				assert.Equal(t, time.Since(start), tc.want)
+				assert.Equal(t, res.Parts, tc.parts)
+				e.SetFaults(engine.Faults{})
+			})
+		})
+	}
+}
+
+// script is the order in which one upstream sends the parts of an answer; the
+// connection ends without an end event when cut is set.
+type script struct {
+	order []int
+	cut   bool
+}
+
+func (s script) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var b strings.Builder
+	for _, n := range s.order {
+		fmt.Fprintf(&b, "id: %d\ndata: %d\n\n", n, n)
+	}
+	if !s.cut {
+		fmt.Fprintf(&b, "event: end\ndata: {\"parts\":%d,\"completion_tokens\":1}\n\ndata: [DONE]\n\n", scriptParts)
+	}
+	canned("text/event-stream", b.String())(w, r)
+}
+
+const scriptParts = 12
+
+// drawScript draws parts 1 to scriptParts or a beginning of them, with
+// duplicates and swaps.
+func drawScript(t *rapid.T, last bool) script {
+	n := scriptParts
+	if !last {
+		n = rapid.IntRange(0, scriptParts).Draw(t, "sent")
+	}
+	var order []int
+	for i := 1; i <= n; i++ {
+		for range rapid.IntRange(1, 2).Draw(t, "copies") {
+			order = append(order, i)
+		}
+	}
+	for range rapid.IntRange(0, 6).Draw(t, "swaps") {
+		if len(order) > 1 {
+			i := rapid.IntRange(0, len(order)-2).Draw(t, "swap")
+			order[i], order[i+1] = order[i+1], order[i]
+		}
+	}
+	return script{order: order, cut: !last}
+}
+
+// The caller receives each part once and in order, whatever order, duplicates
+// and cuts the upstreams produce, when a cut stream is resumed on another
+// upstream from the last part delivered.
+func TestResumedStreamIsWholeAndInOrder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		got, err := collect(t, rt, func(r upstream.Result) int { return r.Parts })
+		assert.NilError(rt, err)
+		assert.DeepEqual(rt, got, allParts())
+	})
+}
+
+// Twin: without the part numbers, a resumed stream repeats parts.
+func TestResumedStreamTwinWithoutNumbers(t *testing.T) {
+	broken := false
+	rapid.Check(t, func(rt *rapid.T) {
+		got, err := collect(t, rt, func(upstream.Result) int { return 0 })
+		broken = broken || err != nil || len(got) != scriptParts
+	})
+	assert.Assert(t, broken, "the check cannot fail")
+}
+
+func allParts() []string {
+	var want []string
+	for n := 1; n <= scriptParts; n++ {
+		want = append(want, fmt.Sprint(n))
+	}
+	return want
+}
+
+// collect streams from up to three upstreams in turn and resumes after the part
+// that resume names.
+func collect(t *testing.T, rt *rapid.T, resume func(upstream.Result) int) ([]string, error) {
+	network := upstreamtest.New()
+	c := upstream.New(upstream.Options{Dial: network.Dial})
+	defer c.Close()
+	var got []string
+	from, upstreams := 0, rapid.IntRange(1, 3).Draw(rt, "upstreams")
+	for i := range upstreams {
+		url := network.Serve(t, fmt.Sprintf("engine-%d:80", i), drawScript(rt, i == upstreams-1))
+		res, err := c.Stream(context.Background(), call(url, streamBody), from, func(p upstream.Part) error {
+			got = append(got, string(p.Data))
+			return nil
+		})
+		if err == nil || errkind.Of(err) == errkind.UpstreamInvalidAnswer {
+			return got, err
+		}
+		from = resume(res)
+	}
+	return got, nil
+}
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -142,7 +142,8 @@
 		return errkind.UpstreamTimeout
 	case x.ctx.Err() != nil:
 		return errkind.UpstreamFailed
-	case errors.As(err, &network), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, ErrResent):
+	case errors.As(err, &network), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF),
+		errors.Is(err, ErrTruncated), errors.Is(err, ErrResent):
 		return errkind.UpstreamFailed
 	case x.firstByte.Load():
 		return errkind.UpstreamInvalidAnswer
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -16,7 +16,10 @@
 const (
 	streamBufferBytes = 4 << 10
 	// maxAhead bounds the parts that are kept while an earlier one is missing.
-	maxAhead = 32
+	maxAhead      = 32
+	maxAheadBytes = 1 << 20
+	// maxPooledBytes bounds the buffers that are kept for later streams.
+	maxPooledBytes = 64 << 10
 	// drainTimeout bounds the wait for the end of the body after the last
 	// event; a connection whose body has ended can be used again.
 	drainTimeout = 50 * time.Millisecond
@@ -69,6 +72,14 @@
 	return r
 }
 
+func putReader(r *eventReader) {
+	if cap(r.data)+cap(r.long) > maxPooledBytes {
+		return
+	}
+	r.r.Reset(nil)
+	readers.Put(r)
+}
+
 // stream is the state of one streamed answer.
 type stream struct {
 	x        *exchange
@@ -78,12 +89,14 @@
 	idleTime time.Duration
 	from     int
 	ahead    map[int][]byte // parts that arrived before an earlier one
-	end      *endEvent
+	// aheadBytes is the size of ahead.
+	aheadBytes int
+	end        *endEvent
 }
 
 // run reads events up to [DONE].
 func (s *stream) run(r *eventReader) error {
-	defer readers.Put(r)
+	defer putReader(r)
 	var ev event
 	for {
 		err := r.next(&ev)
@@ -135,7 +148,6 @@
 	if !json.Valid(ev.data) {
 		return invalid("part %d is not valid JSON", ev.id)
 	}
-	s.idle.Reset(s.idleTime)
 	switch {
 	case ev.id <= s.res.Parts:
 		return nil
@@ -155,6 +167,9 @@
 	if len(s.ahead) >= maxAhead {
 		return invalid("part %d is missing after %d later parts", s.res.Parts+1, maxAhead)
 	}
+	if s.aheadBytes += len(ev.data); s.aheadBytes > maxAheadBytes {
+		return invalid("part %d is missing after %d bytes of later parts", s.res.Parts+1, maxAheadBytes)
+	}
 	if s.ahead == nil {
 		s.ahead = map[int][]byte{}
 	}
@@ -170,6 +185,7 @@
 			return nil
 		}
 		delete(s.ahead, number)
+		s.aheadBytes -= len(data)
 		if err := s.deliver(number, data); err != nil {
 			return err
 		}
@@ -181,9 +197,11 @@
 	if s.res.FirstToken == 0 {
 		s.res.FirstToken = time.Since(s.x.start)
 	}
+	s.idle.Stop() // the time that the caller takes does not count
 	if err := s.emit(Part{Number: number, Data: data}); err != nil {
 		return errkind.WithRan(err, errkind.RanYes)
 	}
+	s.idle.Reset(s.idleTime)
 	s.res.Parts = number
 	return nil
 }
