--- a/internal/check/decode.go
+++ b/internal/check/decode.go
@@ -109,6 +109,9 @@
 	if t.Kind() == reflect.Pointer {
 		t = t.Elem()
 	}
+	if t == reflect.TypeFor[json.RawMessage]() {
+		return
+	}
 	switch t.Kind() {
 	case reflect.Struct:
 		c.conformStruct(path, value, t)
