--- /dev/null
+++ b/cmd/savoryctl/check.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/samber/oops"
+
+	"github.com/savoryshift/savoryshift/internal/check"
+	"github.com/savoryshift/savoryshift/settings"
+	"github.com/savoryshift/savoryshift/tree"
+)
+
+var checkCommand = command{name: "check", short: "Check a settings file or a tree; exit code 2 when it has problems",
+	new: func(e *env) flags.Commander { return &checkOptions{env: e} }}
+
+type checkOptions struct {
+	env  *env
+	Kind string `long:"kind" choice:"auto" choice:"settings" choice:"tree" default:"auto" description:"kind of the file"`
+	Args struct {
+		File string `positional-arg-name:"FILE" required:"true"`
+	} `positional-args:"yes"`
+}
+
+// checkResult is the output with --json.
+type checkResult struct {
+	File     string          `json:"file"`
+	Kind     string          `json:"kind"`
+	Problems []check.Problem `json:"problems"`
+}
+
+// Execute implements flags.Commander.
+func (o *checkOptions) Execute([]string) error {
+	data, err := os.ReadFile(o.Args.File)
+	if err != nil {
+		return oops.Wrap(err)
+	}
+	if o.Kind == "auto" {
+		o.Kind = kindOfFile(data)
+	}
+	if o.Kind == "tree" {
+		_, err = tree.ParseValid(data)
+	} else {
+		_, err = settings.Parse(data)
+	}
+	result := checkResult{File: o.Args.File, Kind: o.Kind, Problems: []check.Problem{}}
+	if problems, ok := errors.AsType[check.Problems](err); ok {
+		result.Problems = problems
+	} else if err != nil {
+		result.Problems = []check.Problem{{Value: err.Error(), Allowed: "one JSON document"}}
+	}
+	if printErr := o.env.print(result, func(w io.Writer) { printCheck(w, result) }); printErr != nil {
+		return printErr
+	}
+	if err != nil {
+		return errProblems
+	}
+	return nil
+}
+
+func printCheck(w io.Writer, r checkResult) {
+	for _, p := range r.Problems {
+		fmt.Fprintln(w, p)
+	}
+	fmt.Fprintf(w, "%s (%s): %d problems\n", r.File, r.Kind, len(r.Problems))
+}
+
+// kindOfFile tells a tree from a settings file by the keys that only a
+// settings file has.
+func kindOfFile(data []byte) string {
+	var object map[string]json.RawMessage
+	if err := json.Unmarshal(data, &object); err != nil {
+		return "settings"
+	}
+	for _, key := range []string{"versions", "upstreams", "services", "organisations", "rollouts", "defaults"} {
+		if _, ok := object[key]; ok {
+			return "tree"
+		}
+	}
+	return "settings"
+}
--- /dev/null
+++ b/cmd/savoryctl/rollout.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"github.com/jessevdk/go-flags"
+
+	"github.com/savoryshift/savoryshift/operator"
+)
+
+var rolloutCommand = command{name: "rollout", short: "Start, pause, continue or abort a roll-out", sub: []command{
+	{name: "start", short: "Move new sessions to another version, step by step",
+		new: func(e *env) flags.Commander { return &rolloutStart{env: e} }},
+	rolloutStep("pause", "Keep a roll-out at its share"),
+	rolloutStep("continue", "Continue a paused roll-out"),
+	rolloutStep("abort", "Send new sessions to the base version again"),
+}}
+
+type rolloutArgs struct {
+	ID string `positional-arg-name:"ROLLOUT" required:"true" description:"id of the roll-out"`
+}
+
+type rolloutStart struct {
+	env *env
+	editFlags
+	From        string      `long:"from" required:"true" description:"base version"`
+	To          string      `long:"to" required:"true" description:"version to roll out"`
+	Percent     float64     `long:"percent" default:"5" description:"share of new sessions at the start"`
+	StepPercent float64     `long:"step-percent" default:"10" description:"percent added with each step"`
+	StepSeconds float64     `long:"step-seconds" default:"60" description:"seconds between steps"`
+	Args        rolloutArgs `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (o *rolloutStart) Execute([]string) error {
+	c, err := o.env.client()
+	if err != nil {
+		return err
+	}
+	result, err := c.Rollout(o.env.ctx, o.Args.ID, "start", operator.Action{
+		ID: o.changeID(), Reason: o.Reason, From: o.From, To: o.To,
+		Percent: o.Percent, StepPercent: o.StepPercent, StepSeconds: o.StepSeconds,
+	})
+	return o.env.finish(c, o.editFlags, result, err)
+}
+
+func rolloutStep(step, short string) command {
+	return command{name: step, short: short, new: func(e *env) flags.Commander { return &rolloutStepOptions{env: e, step: step} }}
+}
+
+type rolloutStepOptions struct {
+	env  *env
+	step string
+	editFlags
+	Args rolloutArgs `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (o *rolloutStepOptions) Execute([]string) error {
+	c, err := o.env.client()
+	if err != nil {
+		return err
+	}
+	result, err := c.Rollout(o.env.ctx, o.Args.ID, o.step, operator.Action{ID: o.changeID(), Reason: o.Reason})
+	return o.env.finish(c, o.editFlags, result, err)
+}
--- /dev/null
+++ b/cmd/savoryctl/savoryctl_test.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryshift/savoryshift/operator"
+	"github.com/savoryshift/savoryshift/operator/operatortest"
+	"github.com/savoryshift/savoryshift/tree"
+)
+
+type result struct {
+	code     int
+	out, err string
+}
+
+func savoryctl(t *testing.T, args ...string) result {
+	var out, errOut bytes.Buffer
+	code := run(t.Context(), args, &out, &errOut)
+	return result{code, out.String(), errOut.String()}
+}
+
+const small = `{"versions":{"s1":{"model":"small","cost_per_1k_output_tokens":1},"s2":{"model":"small","cost_per_1k_output_tokens":1,"state":"candidate"}},
+"upstreams":{"e1":{"kind":"engine","url":"http://10.0.0.1:80","availability_zone":"a","versions":["s1"],"slots":4}},
+"services":{"model":{"kind":"model","upstreams":["e1"]}},"organisations":{"club":{"models":["small"],"services":{"model":{}}}}}`
+
+// Guards against commands that exit with 0 after a failure, and against output
+// that hides why an edit lost or which zones are missing.
+func TestCommandsAgainstADaemon(t *testing.T) {
+	log, daemon := &operatortest.Log{}, &operatortest.Daemon{}
+	server := httptest.NewServer(operator.New(operator.Options{Log: log, Acceptance: daemon, Halter: daemon, Status: daemon, Tokens: operatortest.Tokens()}))
+	defer server.Close()
+	t.Setenv("SAVORYSHIFT_API", server.URL)
+	t.Setenv("SAVORYSHIFT_TOKEN", operatortest.EditorToken)
+	file := filepath.Join(t.TempDir(), "tree.json")
+	assert.NilError(t, os.WriteFile(file, []byte(small), 0o600))
+
+	for _, c := range []struct {
+		line string // words separated by blanks
+		code int
+		want string // part of stdout or stderr
+	}{
+		{"set --patch " + file + " -r first", exitOK, "revision 1: accepted"},
+		{"set /defaults/priority 7 -r more", exitOK, "revision 2: accepted"},
+		{"set /defaults/priority 8 -r late --base 1", exitConflict, `{"defaults":{"priority":7}}`},
+		{"set /defaults/priority 70 -r wrong", exitFailure, "/defaults/priority: 70 is not allowed; allowed: 0 to 9"},
+		{"set /defaults/priority 8", exitProblems, "required flag `-r, --reason' was not specified"},
+		{"get /defaults", exitOK, `"priority": 7`},
+		{"get /nothing", exitFailure, `no "nothing"`},
+		{"get --effective club/model", exitOK, "priority             7                        from /defaults"},
+		{"diff 1", exitOK, "+ /defaults: {\"priority\":7}"},
+		{"rollout start r1 --from s1 --to s2 -r try", exitOK, "revision 3"},
+		{"rollout pause r1 -r wait", exitOK, "revision 4"},
+		{"rollout continue r1 -r go", exitOK, "revision 5"},
+		{"halt s2 --rollout r1 -r errors", exitOK, "version s2 is halted in roll-out r1"},
+		{"withdraw s2 --successor s1 -r bad", exitOK, "revision 6"},
+		{"rollout abort r1 -r again", exitOK, "nothing to change at revision 6"},
+		{"drain e1 -r repair", exitOK, "revision 7"},
+		{"status", exitOK, "halted   s2 in roll-out r1"},
+		{"status 7 --json", exitOK, `"state": "accepted"`},
+		{"history --limit 2", exitOK, "repair"},
+		{"audit --author ana", exitOK, `patch  {"defaults":{"priority":7}}`},
+		{"get --token wrong", exitFailure, "unauthenticated"},
+		{"rollout", exitProblems, "Please specify one command"},
+	} {
+		got := savoryctl(t, strings.Fields(c.line)...)
+		assert.Equal(t, got.code, c.code, "%s: %+v", c.line, got)
+		assert.Assert(t, strings.Contains(got.out+got.err, c.want), "%s: %+v", c.line, got)
+	}
+	daemon.Lag = 2
+	got := savoryctl(t, "drain", "e1", "--undo", "--wait", "-r", "repaired")
+	assert.Equal(t, got.code, exitOK)
+	assert.Assert(t, strings.Contains(got.err, "missing zones: tt-tucker; missing VMs: entry-3"), got.err)
+	assert.Assert(t, strings.Contains(got.out, "accepted"), got.out)
+}
+
+// Guards against a check that passes a bad file or reports only one problem.
+func TestCheckListsProblems(t *testing.T) {
+	dir := t.TempDir()
+	for _, c := range []struct {
+		content, kind string
+		code, count   int
+	}{
+		{small, "tree", exitOK, 0},
+		{`{"defaults":{"priority":10,"quality_target":2}}`, "tree", exitProblems, 2},
+		{`{"vm":"a","wm":"b"}`, "settings", exitProblems, 1},
+		{`{"versions":`, "settings", exitProblems, 1},
+	} {
+		file := filepath.Join(dir, "file.json")
+		assert.NilError(t, os.WriteFile(file, []byte(c.content), 0o600))
+		got := savoryctl(t, "check", file, "--json")
+		var report checkResult
+		assert.NilError(t, json.Unmarshal([]byte(got.out), &report))
+		assert.Equal(t, got.code, c.code, c.content)
+		assert.Equal(t, len(report.Problems), c.count, c.content)
+		assert.Equal(t, report.Kind, c.kind)
+	}
+}
+
+// Guards against a printed digest that doesn't fit the printed secret.
+func TestKeyDigestAuthenticates(t *testing.T) {
+	k, err := newKey("organisation")
+	assert.NilError(t, err)
+	doc, err := tree.ApplyPatch([]byte(small), []byte(`{"organisations":{"club":{"key_sha256":["`+k.SHA256+`"]}}}`))
+	assert.NilError(t, err)
+	s, err := tree.Build(doc, 1, "")
+	assert.NilError(t, err)
+	org, ok := s.Authenticate(k.Secret)
+	assert.Assert(t, ok && org == "club")
+}
