--- a/cmd/savoryctl/main.go
+++ b/cmd/savoryctl/main.go
@@ -43,7 +43,13 @@
 	sub []command
 }
 
-// commands is the list of all commands; add new ones here.
+// adders register commands on the parser themselves.
+var adders = []func(*flags.Parser) error{}
+
+// standalone commands parse their own arguments and return an exit code.
+var standalone = map[string]func(args []string) int{}
+
+// commands is the list of operator commands; add new ones here.
 func commands() []command {
 	return []command{
 		getCommand, setCommand, diffCommand, historyCommand, rolloutCommand, withdrawCommand, haltCommand,
@@ -53,13 +59,16 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	code := execute(ctx, os.Args[1:], os.Stdout, os.Stderr)
 	stop()
 	os.Exit(code)
 }
 
-// run executes one command line and returns the exit code.
-func run(ctx context.Context, args []string, out, errOut io.Writer) int {
+// execute runs one command line and returns the exit code.
+func execute(ctx context.Context, args []string, out, errOut io.Writer) int {
+	if len(args) > 0 && standalone[args[0]] != nil {
+		return standalone[args[0]](args[1:])
+	}
 	e := &env{ctx: ctx, out: out, err: errOut}
 	parser := flags.NewNamedParser("savoryctl", flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Operator API", "", &e.api); err != nil {
@@ -68,6 +77,11 @@
 	if err := register(parser.Command, e, commands()); err != nil {
 		return e.fail(err)
 	}
+	for _, add := range adders {
+		if err := add(parser); err != nil {
+			return e.fail(err)
+		}
+	}
 	_, err := parser.ParseArgs(args)
 	return e.fail(err)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -20,8 +20,9 @@
 	// reach the peer listener. Default: the address of the peer listener,
 	// which must then name an IP address.
 	AdvertisedPeerAddress string `json:"advertised_peer_address,omitempty"`
-	// SeedPeers are peer addresses to contact first, one or two of each zone.
-	SeedPeers []string `json:"seed_peers,omitempty"`
+	// SeedPeers are the daemons to contact first, one or two of each zone. The
+	// others are found through the platform.
+	SeedPeers []SeedPeer `json:"seed_peers,omitempty"`
 	// PlatformURL is the base URL of the platform. Required.
 	PlatformURL string `json:"platform_url"`
 	// TLS holds the certificate files of the listeners.
@@ -43,6 +44,16 @@
 	Periods Periods `json:"periods"`
 }
 
+// SeedPeer names another daemon and where to reach it.
+type SeedPeer struct {
+	// VM is the id of its VM. Required.
+	VM string `json:"vm"`
+	// AvailabilityZone is the zone of its VM. Required.
+	AvailabilityZone string `json:"availability_zone"`
+	// Address is the IP address and port of its peer listener. Required.
+	Address string `json:"address"`
+}
+
 // Listen holds one IP address and port per listener.
 type Listen struct {
 	// Callers is the address for callers. Required.
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -84,6 +84,17 @@
 	}
 }
 
+func (v *validator) seed(path string, s SeedPeer) {
+	for name, id := range map[string]string{"/vm": s.VM, "/availability_zone": s.AvailabilityZone} {
+		if !idPattern.MatchString(id) {
+			v.Add(path+name, id, allowedID)
+		}
+	}
+	if _, err := netip.ParseAddrPort(s.Address); err != nil {
+		v.Add(path+"/address", s.Address, allowedAddress)
+	}
+}
+
 func (v *validator) peers() {
 	addr, err := netip.ParseAddrPort(v.s.AdvertisedPeerAddress)
 	if err != nil || addr.Addr().IsUnspecified() {
@@ -93,9 +104,7 @@
 		v.Add("/seed_peers", len(v.s.SeedPeers), "at most %d addresses", maxSeedPeers)
 	}
 	for i, seed := range v.s.SeedPeers {
-		if _, err := netip.ParseAddrPort(seed); err != nil {
-			v.Add("/seed_peers/"+strconv.Itoa(i), seed, allowedAddress)
-		}
+		v.seed("/seed_peers/"+strconv.Itoa(i), seed)
 	}
 	files := v.s.TLS.Peers
 	if files.CertFile != "" && files.CAFile == "" {
--- a/tree/tree.go
+++ b/tree/tree.go
@@ -84,7 +84,8 @@
 // Service is one thing that callers can ask for.
 type Service struct {
 	Kind ServiceKind `json:"kind"`
-	// PathPrefix selects a plain service, for example "/hire-desk/".
+	// PathPrefix selects a plain service, for example "/hire-desk/". It is cut
+	// off before a call is passed on.
 	PathPrefix string `json:"path_prefix,omitempty"`
 	// Upstreams serve the service.
 	Upstreams []string `json:"upstreams"`
