tree, operator: problems in a fixed order, ids of edits, steps of roll-outs

Reports of clashes between two entries (path prefixes, key digests, roll-outs) depended on map order; ids are now visited in order. Patches are bounded by the log's 1 MiB.

Rollout.Step returns the step with its defaults.

--- a/operator/edit.go
+++ b/operator/edit.go
@@ -17,6 +17,8 @@
 const (
 	maxReasonBytes = 1000
 	maxIDBytes     = 64
+	// maxPatchBytes is the bound of the change log.
+	maxPatchBytes = 1 << 20
 	// actionAttempts bounds how often an action is computed again after a
 	// conflict with another change.
 	actionAttempts = 10
@@ -27,10 +29,24 @@
 	if err := readBody(r, &e); err != nil {
 		return nil, err
 	}
+	if e.Base < 0 {
+		return nil, errkind.New(errkind.BadRequest, "base %d is below 0", e.Base)
+	}
 	base, err := s.trees.at(r.Context(), e.Base)
 	if err != nil {
 		return nil, err
 	}
+	head, err := s.o.Log.Head(r.Context())
+	if err != nil {
+		return nil, err
+	}
+	if earlier, err := s.earlier(r.Context(), head.Revision, e.ID); err != nil {
+		return nil, err
+	} else if earlier != nil && (earlier.Author != author || !bytes.Equal(earlier.Patch, e.Patch)) {
+		return nil, errkind.New(errkind.BadRequest, "id %q is taken by revision %d with another author or patch", e.ID, earlier.Revision)
+	} else if earlier != nil {
+		return s.result(*earlier, false), nil
+	}
 	return s.propose(r.Context(), author, e, base)
 }
 
@@ -45,6 +61,9 @@
 	if e.Reason == "" || len(e.Reason) > maxReasonBytes {
 		return EditResult{}, errkind.New(errkind.BadRequest, "a reason of 1 to %d bytes is required", maxReasonBytes)
 	}
+	if len(e.Patch) > maxPatchBytes {
+		return EditResult{}, errkind.New(errkind.PayloadTooLarge, "the patch is longer than %d bytes", maxPatchBytes)
+	}
 	data, err := apply(base.data, e.Patch)
 	if err != nil {
 		return EditResult{}, err
@@ -142,7 +161,7 @@
 }
 
 // earlier returns the change with an id among the newest changes, so that a
-// repeated action whose reply was lost isn't taken for a new one.
+// repeated call whose reply was lost isn't taken for a new one.
 func (s *Server) earlier(ctx context.Context, head int64, id string) (*changelog.Change, error) {
 	changes, err := s.o.Log.Changes(ctx, max(0, head-pageSize), pageSize)
 	if err != nil {
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -81,9 +81,18 @@
 	assert.ErrorContains(t, err, "a reason of 1 to 1000 bytes")
 	_, err = editor.Propose(ctx, operator.Edit{Reason: "x", Base: 7, Patch: []byte(`{}`)})
 	assert.Equal(t, apiError(t, err).Code, errkind.NotFound)
+	edit := operator.Edit{ID: "one", Reason: "x", Base: 1, Patch: []byte(`{"defaults":{"priority":1}}`)}
+	for range 2 { // also with a base that is no longer the head
+		result, err := editor.Propose(ctx, edit)
+		assert.NilError(t, err)
+		assert.Equal(t, result.Revision, int64(2))
+	}
+	edit.Patch = []byte(`{"defaults":{"priority":2}}`)
+	_, err = editor.Propose(ctx, edit)
+	assert.ErrorContains(t, err, "is taken by revision 2")
 	page, err := editor.Changes(ctx, -1, 0)
 	assert.NilError(t, err)
-	assert.Equal(t, page.Head.Revision, int64(1))
+	assert.Equal(t, page.Head.Revision, int64(2))
 }
 
 // Guards against actions that skip a state, or are taken twice when their
--- a/tree/rollout.go
+++ b/tree/rollout.go
@@ -1,6 +1,8 @@
 package tree
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -10,6 +12,18 @@
 	DefaultStepSeconds = 60
 )
 
+// Step returns how much is added to the share after which time.
+func (r Rollout) Step() (percent float64, after time.Duration) {
+	percent, seconds := r.StepPercent, r.StepSeconds
+	if percent == 0 {
+		percent = DefaultStepPercent
+	}
+	if seconds == 0 {
+		seconds = DefaultStepSeconds
+	}
+	return percent, time.Duration(seconds * float64(time.Second))
+}
+
 // active says whether the roll-out is under way: its target is on trial.
 func (r Rollout) active() bool { return r.State == RolloutRunning || r.State == RolloutPaused }
 
--- a/tree/tree.go
+++ b/tree/tree.go
@@ -135,7 +135,8 @@
 	DeadlineMs *int64 `json:"deadline_ms,omitempty"`
 	// Weights of the measures.
 	Weights *Weights `json:"weights,omitempty"`
-	// Limits of a node hold for the sum of what is below it.
+	// Limits of a node hold for the sum of what is below it. Those of the
+	// defaults hold for each organisation that sets none.
 	Limits *Limits `json:"limits,omitempty"`
 	// RetryBudget is the number of retries allowed per request, on average.
 	// Range: 0 to 1. Default: 0.1.
@@ -173,7 +174,9 @@
 	RolloutDone    RolloutState = "done"
 )
 
-// Rollout moves new sessions from one version to another of the same model.
+// Rollout moves new sessions from one version to another of the same model. A
+// paused roll-out keeps its share, a finished one moves all new sessions, an
+// aborted one none.
 type Rollout struct {
 	From string `json:"from"`
 	To   string `json:"to"`
--- a/tree/validate.go
+++ b/tree/validate.go
@@ -1,6 +1,7 @@
 package tree
 
 import (
+	"maps"
 	"net/netip"
 	"net/url"
 	"regexp"
@@ -151,7 +152,8 @@
 
 func (v *validator) services() {
 	prefixes := map[string]string{}
-	for id, service := range v.t.Services {
+	for _, id := range slices.Sorted(maps.Keys(v.t.Services)) {
+		service := v.t.Services[id]
 		at := check.Pointer("/services", id)
 		v.id(at, id)
 		want := EngineUpstream
@@ -199,8 +201,8 @@
 	if overlap(prefix, reservedPrefix) {
 		v.Add(path, prefix, "a path outside "+reservedPrefix)
 	}
-	for other, taken := range prefixes {
-		if overlap(prefix, taken) {
+	for _, other := range slices.Sorted(maps.Keys(prefixes)) {
+		if taken := prefixes[other]; overlap(prefix, taken) {
 			v.Add(path, prefix, "a path that doesn't overlap %s of service %s", taken, other)
 		}
 	}
--- a/tree/validate_nodes.go
+++ b/tree/validate_nodes.go
@@ -1,6 +1,7 @@
 package tree
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 
@@ -24,7 +25,8 @@
 
 func (v *validator) organisations() {
 	owners := map[string]string{}
-	for id, org := range v.t.Organisations {
+	for _, id := range slices.Sorted(maps.Keys(v.t.Organisations)) {
+		org := v.t.Organisations[id]
 		at := check.Pointer("/organisations", id)
 		v.id(at, id)
 		v.overrides(at, org.Overrides)
@@ -170,7 +172,8 @@
 	if !r.moves() {
 		return
 	}
-	for otherID, other := range v.t.Rollouts {
+	for _, otherID := range slices.Sorted(maps.Keys(v.t.Rollouts)) {
+		other := v.t.Rollouts[otherID]
 		if otherID == id || !other.moves() {
 			continue
 		}
