daemon: operator API, acceptance of changes and planned stops

A change counts as in force everywhere when every entry VM acknowledged the newest revision that touches something usable in isolation, and the evidence lease has run out since the rest was known. Acknowledgements from all for every change were ruled out: a zone that is cut off would block edits that it cannot act on anyway. A planned stop fails readiness first and goes on accepting until the balancer has noticed.

--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -42,6 +42,8 @@
 	node     *spread.Node
 	peers    peers
 	logger   *zap.Logger
+	// applied is told of each snapshot that is put in force.
+	applied func(old, next *tree.Snapshot)
 
 	snapshot atomic.Pointer[tree.Snapshot]
 	halted   atomic.Pointer[map[string]bool]
@@ -211,7 +213,8 @@
 	c.applyMu.Lock()
 	defer c.applyMu.Unlock()
 	head, state := c.follower.State()
-	if old := c.snapshot.Load(); head.Revision == 0 || old != nil && old.Revision() >= head.Revision {
+	old := c.snapshot.Load()
+	if head.Revision == 0 || old != nil && old.Revision() >= head.Revision {
 		return
 	}
 	parsed, err := tree.Parse(state)
@@ -225,6 +228,7 @@
 		return
 	}
 	c.snapshot.Store(s)
+	c.applied(old, s)
 	c.node.Applied(head.Revision)
 	c.logger.Info("configuration in force", zap.Int64("revision", head.Revision))
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -35,16 +35,18 @@
 
 // Daemon is the process that runs on an entry VM.
 type Daemon struct {
-	o        Options
-	logger   *zap.Logger
-	platform *platform.Client
-	config   *configuration
-	claimer  *claim.Claimer
-	upstream *upstream.Client
-	routing  *routing
-	guards   *guards
-	proxy    *proxy.Server
-	ready    atomic.Bool
+	o          Options
+	logger     *zap.Logger
+	platform   *platform.Client
+	config     *configuration
+	claimer    *claim.Claimer
+	upstream   *upstream.Client
+	routing    *routing
+	guards     *guards
+	proxy      *proxy.Server
+	acceptance *acceptance
+	// draining is set when a planned stop begins.
+	draining atomic.Bool
 }
 
 // New builds a daemon and binds its listeners. It starts no goroutine.
@@ -72,6 +74,8 @@
 		logger: d.logger,
 	})
 	d.config.peers = noPeers{}
+	d.acceptance = &acceptance{lease: s.Periods.EvidenceLeaseMs.Duration(), unacknowledged: d.config.node.Unacknowledged, now: time.Now}
+	d.config.applied = d.acceptance.note
 	d.claimer = claim.New(claim.Options{
 		Table:           d.platform,
 		Daemon:          d.config.members.Self().ID,
@@ -143,14 +147,23 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	var g run.Group
 	stop, cancel := context.WithCancel(ctx)
-	g.Add(func() error { <-stop.Done(); return nil }, func(error) { cancel() })
+	g.Add(func() error { <-stop.Done(); return nil }, func(error) { cancel(); d.leaveBalancer() })
 	d.addCallers(&g)
 	d.addLoop(&g, d.config.Run)
 	d.addLoop(&g, d.control)
 	d.addLoop(&g, d.claimer.Run)
+	d.addOperators(&g)
 	return g.Run()
 }
 
+// leaveBalancer makes readiness fail and waits until the balancer has noticed,
+// while requests are still accepted.
+func (d *Daemon) leaveBalancer() {
+	d.draining.Store(true)
+	d.logger.Info("planned stop: readiness fails")
+	<-time.After(d.o.Settings.Periods.ReadinessDelayMs.Duration())
+}
+
 // addLoop adds an actor that runs until its context ends.
 func (d *Daemon) addLoop(g *run.Group, loop func(context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/demo/system.go
+++ b/demo/system.go
@@ -180,6 +180,7 @@
 	file.SessionKeys = []settings.SessionKey{{ID: "k1", SecretBase64: base64.StdEncoding.EncodeToString([]byte(sessionSecret))}}
 	file.Periods.VMListMs = settings.Milliseconds(listLag.Milliseconds())
 	file.Periods.LedgerFlushMs = 500
+	file.Periods.ReadinessDelayMs = 300
 	return file
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -155,6 +155,9 @@
 	ClaimGroupMs Milliseconds `json:"claim_group_ms" default:"5" min:"0" max:"100" unit:"ms"`
 	// LedgerFlushMs is the period at which billing entries are flushed.
 	LedgerFlushMs Milliseconds `json:"ledger_flush_ms" default:"5000" min:"100" max:"60000" unit:"ms"`
+	// ReadinessDelayMs is how long a planned stop goes on accepting requests
+	// after readiness has failed, until the balancer has noticed.
+	ReadinessDelayMs Milliseconds `json:"readiness_delay_ms" default:"3000" min:"0" max:"60000" unit:"ms"`
 	// VMListMs is the period at which the platform's list of VMs is read.
 	VMListMs Milliseconds `json:"vm_list_ms" default:"2000" min:"100" max:"60000" unit:"ms"`
 }
