control: tables and systems

Orders take a check before the write in package upstream, because the issuer can be paused between its decision and the call.

--- /dev/null
+++ b/control/system/rollouts.go
@@ -0,0 +1,97 @@
+package system
+
+import (
+	"time"
+
+	"github.com/savoryshift/savoryshift/control/table"
+	"github.com/savoryshift/savoryshift/errkind"
+	"github.com/savoryshift/savoryshift/tree"
+)
+
+const (
+	defaultStepPercent = 10.0
+	defaultStepTime    = 60 * time.Second
+	fullPercent        = 100.0
+	// AdvanceRetry is the time between two tries to write a step.
+	AdvanceRetry = 2 * time.Second
+	// AdvanceTimeout bounds one try.
+	AdvanceTimeout = 2 * time.Second
+)
+
+// Advance writes one step of a roll-out to the settings tree, on condition that
+// the roll-out still has the state that the step starts from. Its result is an
+// AdvanceResult.
+type Advance struct {
+	Rollout string
+	From    tree.Rollout
+	// Percent and State are the new values.
+	Percent float64
+	State   tree.RolloutState
+	Fencing int64
+	Timeout time.Duration
+}
+
+func (Advance) effect() {}
+
+// AdvanceResult is the end of an Advance effect. After a success the new values
+// arrive with the tree.
+type AdvanceResult struct {
+	Rollout string
+	// Kind is the kind of the error, empty for a success.
+	Kind errkind.Kind
+}
+
+// Rollouts advances the roll-outs that are running and not halted. A daemon
+// that takes over starts a whole step time from when it first saw the current
+// percent, because it cannot know when the last step was made.
+func Rollouts(t *table.Tables, now time.Time, in *Inputs) []Effect {
+	for _, result := range in.Advances {
+		if r := t.Rollouts.Get(result.Rollout); r != nil {
+			r.Pending, r.RetryAt = false, now.Add(AdvanceRetry)
+		}
+	}
+	if !in.RolloutLease.usable(now, AdvanceTimeout) {
+		return nil
+	}
+	var effects []Effect
+	for id, r := range t.Rollouts.All() {
+		if !canAdvance(t, id, r) || r.Pending || now.Before(r.RetryAt) || now.Sub(r.SteppedAt) < stepTime(r.Settings) {
+			continue
+		}
+		r.Pending = true
+		effects = append(effects, nextStep(id, r.Settings, in.RolloutLease.Fencing))
+	}
+	return effects
+}
+
+// usable says whether a call of the given length ends before the lease does.
+func (l Lease) usable(now time.Time, call time.Duration) bool {
+	return l.Held && !now.Add(call).After(l.Expires)
+}
+
+func canAdvance(t *table.Tables, id string, r *table.Rollout) bool {
+	to := t.Versions.Get(r.Settings.To)
+	return r.Settings.State == tree.RolloutRunning && !t.Halts[table.Halt{Version: r.Settings.To, Rollout: id}] &&
+		to != nil && to.State != tree.VersionWithdrawn
+}
+
+func stepTime(r tree.Rollout) time.Duration {
+	if r.StepSeconds <= 0 {
+		return defaultStepTime
+	}
+	return time.Duration(r.StepSeconds * float64(time.Second))
+}
+
+// nextStep adds one step; a roll-out that has stayed at the full percent for a
+// step time is done.
+func nextStep(id string, r tree.Rollout, fencing int64) Advance {
+	step := r.StepPercent
+	if step <= 0 {
+		step = defaultStepPercent
+	}
+	a := Advance{Rollout: id, From: r, Percent: min(fullPercent, r.Percent+step), State: r.State, Fencing: fencing, Timeout: AdvanceTimeout}
+	if r.Percent >= fullPercent {
+		a.State = tree.RolloutDone
+	}
+	return a
+}
--- a/upstream/admin.go
+++ b/upstream/admin.go
@@ -40,7 +40,7 @@
 // Order tells an engine which versions to hold. An engine that has seen a
 // higher fencing number refuses with kind errkind.Conflict.
 func (c *Client) Order(ctx context.Context, base string, order Order) error {
-	return c.admin(ctx, http.MethodPost, base+PathOrders, order, nil)
+	return c.adminChecked(ctx, http.MethodPost, base+PathOrders, order, nil, order.BeforeWrite)
 }
 
 // Held returns the versions that an engine holds now.
@@ -50,8 +50,12 @@
 	return held, err
 }
 
-// admin sends one small JSON call. All of them are idempotent.
 func (c *Client) admin(ctx context.Context, method, target string, in, out any) error {
+	return c.adminChecked(ctx, method, target, in, out, nil)
+}
+
+// adminChecked sends one small JSON call. All of them are idempotent.
+func (c *Client) adminChecked(ctx context.Context, method, target string, in, out any, beforeWrite func() error) error {
 	var body []byte
 	if in != nil {
 		var err error
@@ -60,7 +64,7 @@
 		}
 	}
 	header := http.Header{"Content-Type": {"application/json"}}
-	x, err := c.send(ctx, outgoing{method: method, url: target, header: header, body: body, repeatable: true})
+	x, err := c.send(ctx, outgoing{method: method, url: target, header: header, body: body, repeatable: true, beforeWrite: beforeWrite})
 	if err != nil {
 		return err
 	}
--- a/upstream/wire.go
+++ b/upstream/wire.go
@@ -74,6 +74,8 @@
 	// Fencing is the number of the issuer's lease.
 	Fencing int64    `json:"fencing"`
 	Hold    []string `json:"hold"`
+	// BeforeWrite is as in Call: it lets the issuer check its lease.
+	BeforeWrite func() error `json:"-"`
 }
 
 // endEvent is the data of the last event before [DONE].
