daemon, proxy: control loop, roll-out steps, ledger reservations

Room for a ledger entry is now reserved before a request runs, because an entry that does not fit after the run could only be lost or withhold the answer. Keys of repeated requests are digests: an idempotency key of 255 bytes with its service would have exceeded the ledger's bound of 255 bytes. A halted roll-out is written to the change log as aborted, with its target withdrawn; before, the halt mark would have been the only record.

--- a/control/system/rollouts.go
+++ b/control/system/rollouts.go
@@ -41,7 +41,8 @@
 	Kind errkind.Kind
 }
 
-// Rollouts advances the roll-outs that are running and not halted. A daemon
+// Rollouts advances the roll-outs that are running, and aborts those whose
+// candidate is halted, so that a halt mark ends up in the change log. A daemon
 // that takes over starts a whole step time from when it first saw the current
 // percent, because it cannot know when the last step was made.
 func Rollouts(t *table.Tables, now time.Time, in *Inputs) []Effect {
@@ -55,7 +56,15 @@
 	}
 	var effects []Effect
 	for id, r := range t.Rollouts.All() {
-		if !canAdvance(t, id, r) || r.Pending || now.Before(r.RetryAt) || now.Sub(r.SteppedAt) < stepTime(r.Settings) {
+		if r.Pending || now.Before(r.RetryAt) {
+			continue
+		}
+		if halted(t, id, r) {
+			r.Pending = true
+			effects = append(effects, abort(id, r.Settings, in.RolloutLease.Fencing))
+			continue
+		}
+		if !canAdvance(t, r) || now.Sub(r.SteppedAt) < stepTime(r.Settings) {
 			continue
 		}
 		r.Pending = true
@@ -69,10 +78,21 @@
 	return l.Held && !now.Add(call).After(l.Expires)
 }
 
-func canAdvance(t *table.Tables, id string, r *table.Rollout) bool {
+func canAdvance(t *table.Tables, r *table.Rollout) bool {
 	to := t.Versions.Get(r.Settings.To)
-	return r.Settings.State == tree.RolloutRunning && !t.Halts[table.Halt{Version: r.Settings.To, Rollout: id}] &&
-		to != nil && to.State != tree.VersionWithdrawn
+	return r.Settings.State == tree.RolloutRunning && to != nil && to.State != tree.VersionWithdrawn
+}
+
+// halted says whether a roll-out under way has a halt mark.
+func halted(t *table.Tables, id string, r *table.Rollout) bool {
+	active := r.Settings.State == tree.RolloutRunning || r.Settings.State == tree.RolloutPaused
+	return active && t.Halts[table.Halt{Version: r.Settings.To, Rollout: id}]
+}
+
+// abort ends a halted roll-out. The writer withdraws its target with the same
+// change.
+func abort(id string, r tree.Rollout, fencing int64) Advance {
+	return Advance{Rollout: id, From: r, Percent: r.Percent, State: tree.RolloutAborted, Fencing: fencing, Timeout: AdvanceTimeout}
 }
 
 func stepTime(r tree.Rollout) time.Duration {
--- a/daemon/adapters.go
+++ b/daemon/adapters.go
@@ -8,7 +8,11 @@
 )
 
 // rater implements proxy.Rater on the platform's rating service.
-type rater struct{ platform *platform.Client }
+type rater struct {
+	platform *platform.Client
+	// failed is told when the service gave no answer.
+	failed func()
+}
 
 // Rate implements proxy.Rater.
 func (r rater) Rate(ctx context.Context, j proxy.Judgement) (bool, error) {
@@ -20,5 +24,8 @@
 		Prompt:    j.Prompt,
 		Answer:    j.Answer,
 	})
+	if err != nil && ctx.Err() == nil {
+		r.failed()
+	}
 	return reply.Good, err
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/samber/oops"
 	"go.uber.org/zap"
 
+	"github.com/savoryshift/savoryshift/control/system"
 	"github.com/savoryshift/savoryshift/coord/claim"
 	"github.com/savoryshift/savoryshift/coord/member"
 	"github.com/savoryshift/savoryshift/platform"
@@ -45,6 +46,7 @@
 	guards     *guards
 	proxy      *proxy.Server
 	acceptance *acceptance
+	control    *control
 	// draining is set when a planned stop begins.
 	draining atomic.Bool
 }
@@ -85,12 +87,25 @@
 	})
 	d.upstream = upstream.New(upstream.Options{StreamIdle: s.Bounds.StreamIdleTimeoutMs.Duration()})
 	d.routing = newRouting(s.AvailabilityZone, d.guards)
+	d.control = &control{
+		tick:     s.Periods.TickMs.Duration(),
+		vmsEvery: s.Periods.VMListMs.Duration(),
+		config:   d.config,
+		routing:  d.routing,
+		upstream: d.upstream,
+		platform: d.platform,
+		advance:  d.config.advance,
+		leases:   func() (orders, rollouts system.Lease) { return system.Lease{}, system.Lease{} },
+		logger:   d.logger,
+		calls:    make(chan system.CallResult, callResults),
+	}
+	d.routing.observe = d.control.observe
 	d.proxy = proxy.New(proxy.Options{
 		Snapshot: d.config.Snapshot,
 		Evidence: d.config.lease,
 		Halts:    d.config,
 		Router:   d.routing,
-		Rater:    rater{d.platform},
+		Rater:    rater{platform: d.platform, failed: d.control.ratingFailed},
 		Upstream: d.upstream,
 		Sessions: proxy.RingSessions{Ring: ring},
 		Limiter:  openLimiter{},
@@ -150,7 +165,7 @@
 	g.Add(func() error { <-stop.Done(); return nil }, func(error) { cancel(); d.leaveBalancer() })
 	d.addCallers(&g)
 	d.addLoop(&g, d.config.Run)
-	d.addLoop(&g, d.control)
+	d.addLoop(&g, d.control.Run)
 	d.addLoop(&g, d.claimer.Run)
 	d.addOperators(&g)
 	return g.Run()
@@ -196,19 +211,3 @@
 		}
 	})
 }
-
-// control owns the view of upstreams and rebuilds it each tick.
-func (d *Daemon) control(ctx context.Context) error {
-	ticker := time.NewTicker(d.o.Settings.Periods.TickMs.Duration())
-	defer ticker.Stop()
-	for {
-		if s := d.config.Snapshot(); s != nil {
-			d.routing.rebuild(s, nil, true)
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
-}
--- a/daemon/interim.go
+++ b/daemon/interim.go
@@ -15,8 +15,9 @@
 
 type openBiller struct{}
 
-func (openBiller) Reserve() error                         { return nil }
+func (b openBiller) Reserve() (proxy.Reservation, error)  { return b, nil }
 func (openBiller) Add(context.Context, proxy.Usage) error { return nil }
+func (openBiller) Cancel()                                {}
 
 type noPeers struct{}
 
--- a/daemon/routing.go
+++ b/daemon/routing.go
@@ -47,6 +47,8 @@
 	zone    string
 	view    atomic.Pointer[routeView]
 	guards  *guards
+	// observe is told of the end of each call to an upstream.
+	observe func(upstream string, sentAt time.Time, err error)
 
 	mu   sync.Mutex
 	live map[string]*policy.Live
@@ -281,6 +283,7 @@
 	if o.Cancelled {
 		return
 	}
+	r.observe(o.Target.Upstream, time.Now().Add(-o.Total), o.Err)
 	if o.Err != nil {
 		r.failed(live, o)
 		return
@@ -361,6 +364,7 @@
 func (r *routing) ServiceFinished(t proxy.Target, err error) {
 	live := r.liveOf(t.Upstream)
 	live.End()
+	r.observe(t.Upstream, time.Now(), err)
 	if err == nil {
 		live.Succeeded()
 		return
--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -16,8 +16,9 @@
 	route   RouteRequest
 	chat    chatRequest
 	session pinnedSession
-	// usageKey is the request key of its ledger entry.
+	// usageKey is the request key of its ledger entry, room the place for it.
 	usageKey string
+	room     Reservation
 }
 
 // answer is what a call returned.
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -40,9 +40,10 @@
 	}
 	tokens := 0
 	defer func() { done(tokens) }()
-	if err := s.o.Biller.Reserve(); err != nil {
+	if m.room, err = s.o.Biller.Reserve(); err != nil {
 		return err
 	}
+	defer m.room.Cancel()
 	plan, err := s.o.Router.Plan(m.route)
 	if err != nil {
 		return err
@@ -107,7 +108,7 @@
 	}
 	m := &modelRequest{chat: chat, session: session, usageKey: r.id}
 	if key != "" {
-		m.usageKey = repeatKey(key, data)
+		m.usageKey = repeatKey(service, key, data)
 	}
 	m.route = RouteRequest{
 		RequestID:    r.id,
@@ -125,9 +126,14 @@
 }
 
 // repeatKey is the ledger key of a request with an idempotency key. It covers
-// the body, so that a key that is used for other content is billed again.
-func repeatKey(key string, body []byte) string {
-	return fmt.Sprintf("%s %x", key, sha256.Sum256(body))
+// service and body, so that a key that is used for other content is billed
+// again, and it is short enough for the ledger.
+func repeatKey(service, key string, body []byte) string {
+	h := sha256.New()
+	writeField(h, service)
+	writeField(h, key)
+	h.Write(body)
+	return fmt.Sprintf("idempotent/%x", h.Sum(nil))
 }
 
 // modelService finds the service that the "model" member names: the service
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -101,5 +101,5 @@
 	}
 }
 
-// usageGrace bounds how long an entry may take after the caller has gone.
-const usageGrace = 5 * time.Second
+// usageGrace bounds how long an answer waits for its ledger entry.
+const usageGrace = time.Second
--- a/proxy/proxytest/fakes.go
+++ b/proxy/proxytest/fakes.go
@@ -131,9 +131,12 @@
 }
 
 // Reserve implements proxy.Biller.
-func (b *Biller) Reserve() error { return nil }
+func (b *Biller) Reserve() (proxy.Reservation, error) { return b, nil }
 
-// Add implements proxy.Biller.
+// Cancel implements proxy.Reservation.
+func (b *Biller) Cancel() {}
+
+// Add implements proxy.Reservation.
 func (b *Biller) Add(_ context.Context, u proxy.Usage) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -147,11 +147,17 @@
 
 // Biller enters usage in the ledger.
 type Biller interface {
-	// Reserve returns an error of kind LedgerFull when no further entry can be
-	// kept.
-	Reserve() error
-	// Add returns when the entry is safe, or as safe as reachable daemons allow.
+	// Reserve takes room for one entry before a request runs. Its error has
+	// kind LedgerFull.
+	Reserve() (Reservation, error)
+}
+
+// Reservation is room for the entry of one request.
+type Reservation interface {
+	// Add returns when the entry is as safe as the reachable daemons allow.
 	Add(ctx context.Context, u Usage) error
+	// Cancel gives the room back; after Add it does nothing.
+	Cancel()
 }
 
 // Limiter admits requests under the limits of an organisation.
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -142,10 +142,10 @@
 }
 
 // bill enters usage in the ledger, also when the caller has gone meanwhile.
-func (s *Server) bill(ctx context.Context, u Usage) error {
+func bill(ctx context.Context, room Reservation, u Usage) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), usageGrace)
 	defer cancel()
-	return s.o.Biller.Add(ctx, u)
+	return room.Add(ctx, u)
 }
 
 const (
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -112,22 +112,24 @@
 	if key == "" {
 		return errkind.New(errkind.BadRequest, "%s %s needs the header %s", q.Method, q.URL.Path, HeaderIdempotencyKey)
 	}
-	if err := s.o.Biller.Reserve(); err != nil {
+	room, err := s.o.Biller.Reserve()
+	if err != nil {
 		return err
 	}
+	defer room.Cancel()
 	claim, stored, err := s.o.Claims.Acquire(ctx, q.organisation, q.service+" "+key, q.fingerprint())
 	if err != nil {
 		return err
 	}
-	usage := Usage{Organisation: q.organisation, RequestKey: q.service + " " + key, Service: q.service, Time: time.Now()}
+	usage := Usage{Organisation: q.organisation, RequestKey: repeatKey(q.service, key, q.body), Service: q.service, Time: time.Now()}
 	if stored != nil {
-		return s.answerRepeat(ctx, w, stored, usage)
+		return s.answerRepeat(ctx, w, stored, room, usage)
 	}
 	result, err := s.dispatchOnce(ctx, q, claim)
 	if err != nil {
 		return err
 	}
-	if err := s.bill(ctx, usage); err != nil {
+	if err := bill(ctx, room, usage); err != nil {
 		return errkind.WithRan(err, errkind.RanYes)
 	}
 	s.writeResult(w, result, false)
@@ -250,9 +252,9 @@
 // answerRepeat answers with the stored outcome of an earlier call. It enters
 // the usage again, because the daemon that ran the call may have died before it
 // did; the ledger counts a key once.
-func (s *Server) answerRepeat(ctx context.Context, w http.ResponseWriter, o *StoredOutcome, usage Usage) error {
+func (s *Server) answerRepeat(ctx context.Context, w http.ResponseWriter, o *StoredOutcome, room Reservation, usage Usage) error {
 	s.counters.repeated.Add(1)
-	if err := s.bill(ctx, usage); err != nil {
+	if err := bill(ctx, room, usage); err != nil {
 		return errkind.WithRan(err, errkind.RanYes)
 	}
 	if o.Truncated {
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -66,7 +66,7 @@
 			return a, errkind.WithRan(err, errkind.RanYes)
 		}
 	}
-	if err := s.bill(ctx, m.usage(a)); err != nil {
+	if err := bill(ctx, m.room, m.usage(a)); err != nil {
 		return a, x.streamError(errkind.WithRan(err, errkind.RanYes))
 	}
 	switch {
@@ -93,7 +93,7 @@
 	if ctx.Err() != nil && x.events.started {
 		a.result.PromptTokens = x.m.chat.promptTokens
 		a.result.CompletionTokens = x.delivered
-		if billErr := x.s.bill(ctx, x.m.usage(a)); billErr != nil {
+		if billErr := bill(ctx, x.m.room, x.m.usage(a)); billErr != nil {
 			err = billErr
 		}
 	}
