tree: patches and strict decoding at the size to design for

Cause: with 3,300 engines, 30 versions and 100 organisations (480 kB of JSON), one change cost 60 ms for the patch and 118 ms for parsing and compiling on each daemon: reading tokens, a search per upstream that was quadratic, and a list of struct fields made anew for each value.

Now ApplyPatch decodes only objects along the patch, documents without duplicate keys (as many keys as colons) are decoded at once, and the field lists are cached. go test ./tree -bench LargeTree, before and after: ApplyPatch 59.9 ms, 19.4 ms; Build 118 ms, 43 ms; TouchesIsolated 3.8 ms, 3.4 ms; Effective 78 ns and no allocation. FuzzValue compares both decoders; 15 s, no finding.

--- a/internal/check/decode.go
+++ b/internal/check/decode.go
@@ -9,6 +9,7 @@
 	"reflect"
 	"strconv"
 	"strings"
+	"sync"
 )
 
 // maxDepth bounds the nesting of a document; the deepest value of the settings
@@ -34,6 +35,71 @@
 // Value parses one JSON document into map[string]any, []any, string, bool,
 // json.Number and nil. Duplicate keys and trailing data are errors.
 func Value(data []byte) (any, error) {
+	if value, ok := quickValue(data); ok {
+		return value, nil
+	}
+	return tokenValue(data)
+}
+
+// quickValue decodes at once, which takes a third of the time of reading
+// tokens. It gives up on each document for which tokenValue returns an error:
+// fewer keys after decoding than colons before mean a duplicate key.
+func quickValue(data []byte) (value any, ok bool) {
+	colons, depth := shape(data)
+	if depth > maxDepth {
+		return nil, false
+	}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.UseNumber()
+	if err := dec.Decode(&value); err != nil {
+		return nil, false
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return nil, false
+	}
+	return value, countKeys(value) == colons
+}
+
+// shape counts the colons and the nesting outside strings.
+func shape(data []byte) (colons, deepest int) {
+	depth, quoted := 0, false
+	for i := 0; i < len(data); i++ {
+		switch c := data[i]; {
+		case quoted && c == '\\':
+			i++
+		case c == '"':
+			quoted = !quoted
+		case quoted:
+		case c == ':':
+			colons++
+		case c == '{' || c == '[':
+			depth++
+			deepest = max(deepest, depth)
+		case c == '}' || c == ']':
+			depth--
+		}
+	}
+	return colons, deepest
+}
+
+func countKeys(value any) int {
+	n := 0
+	switch v := value.(type) {
+	case map[string]any:
+		n = len(v)
+		for _, inner := range v {
+			n += countKeys(inner)
+		}
+	case []any:
+		for _, inner := range v {
+			n += countKeys(inner)
+		}
+	}
+	return n
+}
+
+// tokenValue reads tokens, so that it can say where a fault is.
+func tokenValue(data []byte) (any, error) {
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.UseNumber()
 	value, err := readValue(dec, "", 0)
@@ -144,10 +210,10 @@
 		c.Add(path, kindOf(value), "an object")
 		return
 	}
-	fields := Fields(t)
+	keys := fields(t)
 	for key, v := range object {
 		at := Pointer(path, key)
-		field, ok := fields[key]
+		field, ok := keys[key]
 		if !ok {
 			c.Add(at, "unknown key", "a documented key")
 			continue
@@ -212,20 +278,32 @@
 	}
 }
 
-// Fields returns the JSON keys of struct type t with their types; the fields
-// of embedded structs count as its own.
-func Fields(t reflect.Type) map[string]reflect.Type {
-	fields := map[string]reflect.Type{}
+// fieldsOf caches the results of fields by type.
+var fieldsOf sync.Map
+
+// fields returns the JSON keys of struct type t with their types; the fields
+// of embedded structs count as its own. Callers don't change the map.
+func fields(t reflect.Type) map[string]reflect.Type {
+	if known, ok := fieldsOf.Load(t); ok {
+		return known.(map[string]reflect.Type)
+	}
+	found := listFields(t)
+	fieldsOf.Store(t, found)
+	return found
+}
+
+func listFields(t reflect.Type) map[string]reflect.Type {
+	found := map[string]reflect.Type{}
 	for field := range t.Fields() {
 		if field.Anonymous {
-			for key, inner := range Fields(field.Type) {
-				fields[key] = inner
+			for key, inner := range fields(field.Type) {
+				found[key] = inner
 			}
 			continue
 		}
 		if key, _, _ := strings.Cut(field.Tag.Get("json"), ","); key != "" {
-			fields[key] = field.Type
+			found[key] = field.Type
 		}
 	}
-	return fields
+	return found
 }
--- a/operator/server.go
+++ b/operator/server.go
@@ -17,7 +17,7 @@
 )
 
 // DefaultMaxBodyBytes bounds the body of a request; the merge patch of a whole
-// tree with 3,300 upstreams has about 700 kB.
+// tree with 3,300 upstreams has 480 kB.
 const DefaultMaxBodyBytes = 4 << 20
 
 // ChangeLog is the log of accepted changes (coord/changelog).
--- a/tree/patch.go
+++ b/tree/patch.go
@@ -8,40 +8,55 @@
 )
 
 // ApplyPatch applies an RFC 7386 merge patch to the JSON of a tree. An empty
-// tree counts as {}. The result has sorted keys, so that every daemon computes
-// the same bytes from the same patches.
+// tree counts as {}. Objects along the patch have sorted keys in the result, so
+// that every daemon computes the same bytes from the same patches. Values that
+// the patch doesn't name are copied without decoding.
 func ApplyPatch(tree, patch []byte) ([]byte, error) {
 	if len(bytes.TrimSpace(tree)) == 0 {
 		tree = []byte("{}")
 	}
-	target, err := check.Value(tree)
-	if err != nil {
+	if !json.Valid(tree) {
+		_, err := check.Value(tree)
 		return nil, err
 	}
 	change, err := check.Value(patch)
 	if err != nil {
 		return nil, err
 	}
-	return encode(merge(target, change))
+	merged, err := merge(tree, change)
+	if err != nil {
+		return nil, err
+	}
+	return encode(merged)
 }
 
-func merge(target, patch any) any {
+// merge returns the value to encode after a patch of target.
+func merge(target json.RawMessage, patch any) (any, error) {
 	changes, ok := patch.(map[string]any)
 	if !ok {
-		return patch
+		return patch, nil
 	}
-	object, ok := target.(map[string]any)
-	if !ok {
-		object = map[string]any{}
+	object := map[string]json.RawMessage{}
+	if trimmed := bytes.TrimSpace(target); len(trimmed) > 0 && trimmed[0] == '{' {
+		if err := json.Unmarshal(target, &object); err != nil {
+			return nil, err
+		}
+	}
+	merged := make(map[string]any, len(object)+len(changes))
+	for key, value := range object {
+		merged[key] = value
 	}
 	for key, value := range changes {
 		if value == nil {
-			delete(object, key)
+			delete(merged, key)
 			continue
 		}
-		object[key] = merge(object[key], value)
+		var err error
+		if merged[key], err = merge(object[key], value); err != nil {
+			return nil, err
+		}
 	}
-	return object
+	return merged, nil
 }
 
 func encode(value any) ([]byte, error) {
--- a/tree/validate.go
+++ b/tree/validate.go
@@ -180,6 +180,7 @@
 }
 
 func (v *validator) serviceUpstreams(path string, ids []string, want UpstreamKind) {
+	seen := make(map[string]bool, len(ids))
 	for i, id := range ids {
 		up, ok := v.t.Upstreams[id]
 		switch {
@@ -187,9 +188,10 @@
 			v.Add(element(path, i), id, "the id of an upstream")
 		case up.Kind != want:
 			v.Add(element(path, i), id, "an upstream of kind %s", want)
-		case slices.Index(ids, id) != i:
+		case seen[id]:
 			v.Add(element(path, i), id, "each upstream once")
 		}
+		seen[id] = true
 	}
 }
 
