--- a/cmd/savoryctl/diff.go
+++ b/cmd/savoryctl/diff.go
@@ -5,6 +5,8 @@
 	"io"
 
 	"github.com/jessevdk/go-flags"
+
+	"github.com/savoryshift/savoryshift/tree"
 )
 
 var diffCommand = command{name: "diff", short: "Compare two revisions of the tree",
@@ -28,14 +30,16 @@
 	if err != nil {
 		return err
 	}
-	return o.env.print(got, func(w io.Writer) {
-		for _, d := range got.Differences {
-			if len(d.Old) > 0 {
-				fmt.Fprintf(w, "- %s: %s\n", d.Path, d.Old)
-			}
-			if len(d.New) > 0 {
-				fmt.Fprintf(w, "+ %s: %s\n", d.Path, d.New)
-			}
+	return o.env.print(got, func(w io.Writer) { printDifferences(w, got.Differences) })
+}
+
+func printDifferences(w io.Writer, list []tree.Difference) {
+	for _, d := range list {
+		if len(d.Old) > 0 {
+			fmt.Fprintf(w, "- %s: %s\n", d.Path, d.Old)
 		}
-	})
+		if len(d.New) > 0 {
+			fmt.Fprintf(w, "+ %s: %s\n", d.Path, d.New)
+		}
+	}
 }
--- a/cmd/savoryctl/savoryctl_test.go
+++ b/cmd/savoryctl/savoryctl_test.go
@@ -48,7 +48,7 @@
 		want string // part of stdout or stderr
 	}{
 		{"set --patch " + file + " -r first", exitOK, "revision 1: accepted"},
-		{"set /defaults/priority 7 -r more", exitOK, "revision 2: accepted"},
+		{"set /defaults/priority 7 -r more", exitOK, "revision 2: accepted\n+ /defaults: {\"priority\":7}"},
 		{"set /defaults/priority 8 -r late --base 1", exitConflict, `{"defaults":{"priority":7}}`},
 		{"set /defaults/priority 70 -r wrong", exitFailure, "/defaults/priority: 70 is not allowed; allowed: 0 to 9"},
 		{"set /defaults/priority 8", exitProblems, "required flag `-r, --reason' was not specified"},
--- a/cmd/savoryctl/set.go
+++ b/cmd/savoryctl/set.go
@@ -20,7 +20,7 @@
 type setOptions struct {
 	env *env
 	editFlags
-	Base  int64  `long:"base" default:"-1" description:"revision that the change is based on (default: the newest)"`
+	Base  int64  `long:"base" default:"-1" default-mask:"the newest" description:"revision that the change is based on; give the one that get printed, so that the change of another operator is not overwritten unseen"`
 	Patch string `long:"patch" value-name:"FILE" description:"file with a JSON merge patch, - for standard input"`
 	Args  struct {
 		Path  string `positional-arg-name:"POINTER" description:"JSON pointer, for example /defaults/priority"`
@@ -46,7 +46,15 @@
 		o.Base = head.Head.Revision
 	}
 	result, err := c.Propose(o.env.ctx, operator.Edit{ID: o.changeID(), Reason: o.Reason, Base: o.Base, Patch: patch})
-	return o.env.finish(c, o.editFlags, result, err)
+	if err := o.env.finish(c, o.editFlags, result, err); err != nil || result.NoEffect || o.env.api.JSON {
+		return err
+	}
+	diff, err := c.Diff(o.env.ctx, result.Revision-1, result.Revision)
+	if err != nil {
+		return err
+	}
+	printDifferences(o.env.out, diff.Differences)
+	return nil
 }
 
 func (o *setOptions) patch() (json.RawMessage, error) {
--- a/operator/actions.go
+++ b/operator/actions.go
@@ -96,6 +96,7 @@
 	if err := s.o.Halter.Halt(r.Context(), mark, author+": "+h.Reason); err != nil {
 		return nil, err
 	}
+	s.o.Counters.Add(countHalts, 1)
 	s.o.Logger.Info("version halted", zap.String("version", h.Version), zap.String("rollout", h.Rollout), zap.String("author", author), zap.String("reason", h.Reason))
 	return mark, nil
 }
--- a/operator/edit.go
+++ b/operator/edit.go
@@ -77,6 +77,7 @@
 	if err != nil {
 		return EditResult{}, err
 	}
+	s.o.Counters.Add(countEdits, 1)
 	s.o.Logger.Info("change committed", zap.Int64("revision", change.Revision), zap.String("id", change.ID),
 		zap.String("author", author), zap.String("reason", e.Reason))
 	return s.result(change, false), nil
--- a/operator/server.go
+++ b/operator/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"expvar"
 	"net/http"
 	"time"
@@ -65,6 +66,9 @@
 	MaxBodyBytes int64
 	// Vars answers GET /debug/vars; default expvar.Handler.
 	Vars http.Handler
+	// Counters counts edits, conflicts, refusals and halts; default a map that
+	// isn't published.
+	Counters *expvar.Map
 	// Logger defaults to none.
 	Logger *zap.Logger
 	// Now defaults to time.Now, NewID to a new UUID.
@@ -72,6 +76,14 @@
 	NewID func() string
 }
 
+// Names of the counters.
+const (
+	countEdits     = "edits"
+	countConflicts = "conflicts"
+	countRefused   = "refused"
+	countHalts     = "halts"
+)
+
 // Server serves the operator API. It is safe for concurrent use.
 type Server struct {
 	o      Options
@@ -94,6 +106,9 @@
 	if o.Vars == nil {
 		o.Vars = expvar.Handler()
 	}
+	if o.Counters == nil {
+		o.Counters = new(expvar.Map)
+	}
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
@@ -154,6 +169,12 @@
 		value, err := h(r, author)
 		if err == nil {
 			answer(w, http.StatusOK, value)
+			return nil
+		}
+		if _, conflict := errors.AsType[*changelog.ConflictError](err); conflict {
+			s.o.Counters.Add(countConflicts, 1)
+		} else {
+			s.o.Counters.Add(countRefused, 1)
 		}
 		return err
 	}))
