--- a/cmd/savoryctl/main.go
+++ b/cmd/savoryctl/main.go
@@ -44,7 +44,7 @@
 }
 
 // adders register commands on the parser themselves.
-var adders = []func(*flags.Parser) error{addStandinCommand, addLoadCommand}
+var adders = []func(*flags.Parser) error{addStandinCommand, addLoadCommand, addDemoCommand}
 
 // standalone commands parse their own arguments and return an exit code.
 var standalone = map[string]func(args []string) int{"bench": runBench}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,6 +14,7 @@
 
 	"github.com/savoryshift/savoryshift/control/system"
 	"github.com/savoryshift/savoryshift/coord/claim"
+	"github.com/savoryshift/savoryshift/coord/ledger"
 	"github.com/savoryshift/savoryshift/coord/member"
 	"github.com/savoryshift/savoryshift/platform"
 	"github.com/savoryshift/savoryshift/proxy"
@@ -41,6 +42,7 @@
 	platform   *platform.Client
 	config     *configuration
 	claimer    *claim.Claimer
+	ledger     *ledger.Ledger
 	upstream   *upstream.Client
 	routing    *routing
 	guards     *guards
@@ -85,6 +87,14 @@
 		Ungrouped:       s.Periods.ClaimGroupMs == 0,
 		MaxOutcomeBytes: int(s.Bounds.OutcomeBytes),
 	})
+	d.ledger = ledger.New(ledger.Options{
+		Self:        ledger.Peer{ID: ledgerID(d.config.members.Self()), AvailabilityZone: s.AvailabilityZone},
+		Objects:     d.platform.Objects(),
+		Copier:      noCopier{},
+		Peers:       d.config.ledgerPeers,
+		FlushPeriod: s.Periods.LedgerFlushMs.Duration(),
+		MaxBytes:    int(s.Bounds.LedgerBytes),
+	})
 	d.upstream = upstream.New(upstream.Options{StreamIdle: s.Bounds.StreamIdleTimeoutMs.Duration()})
 	d.routing = newRouting(s.AvailabilityZone, d.guards)
 	d.control = &control{
@@ -109,7 +119,7 @@
 		Upstream: d.upstream,
 		Sessions: proxy.RingSessions{Ring: ring},
 		Limiter:  openLimiter{},
-		Biller:   openBiller{},
+		Biller:   biller{d.ledger},
 		Claims:   proxy.TableClaims{Claimer: d.claimer},
 		Bounds: proxy.Bounds{
 			BodyBytes:          s.Bounds.BodyBytes,
@@ -164,6 +174,7 @@
 	stop, cancel := context.WithCancel(ctx)
 	g.Add(func() error { <-stop.Done(); return nil }, func(error) { cancel(); d.leaveBalancer() })
 	d.addCallers(&g)
+	d.addLedger(&g)
 	d.addLoop(&g, d.config.Run)
 	d.addLoop(&g, d.control.Run)
 	d.addLoop(&g, d.claimer.Run)
@@ -185,6 +196,23 @@
 	g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
 }
 
+// drainTime bounds the flush of the ledger at a planned stop.
+const drainTime = 10 * time.Second
+
+// addLedger adds the ledger. Its interrupt returns when all entries are flushed
+// or handed over.
+func (d *Daemon) addLedger(g *run.Group) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error { return d.ledger.Run(ctx) }, func(error) {
+		limited, done := context.WithTimeout(context.Background(), drainTime)
+		defer done()
+		if err := d.ledger.Drain(limited); err != nil {
+			d.logger.Error("ledger was not drained", zap.Error(err))
+		}
+		cancel()
+	})
+}
+
 // addCallers adds the caller listener. Its interrupt returns when all requests
 // in flight have ended.
 func (d *Daemon) addCallers(g *run.Group) {
--- a/daemon/interim.go
+++ b/daemon/interim.go
@@ -5,7 +5,6 @@
 	"errors"
 
 	"github.com/savoryshift/savoryshift/coord/spread"
-	"github.com/savoryshift/savoryshift/proxy"
 	"github.com/savoryshift/savoryshift/tree"
 )
 
@@ -13,11 +12,10 @@
 
 func (openLimiter) Admit(*tree.Effective, int) (func(int), error) { return func(int) {}, nil }
 
-type openBiller struct{}
+type noCopier struct{}
 
-func (b openBiller) Reserve() (proxy.Reservation, error)  { return b, nil }
-func (openBiller) Add(context.Context, proxy.Usage) error { return nil }
-func (openBiller) Cancel()                                {}
+func (noCopier) CopyEntries(context.Context, string, []byte) error            { return errNoPeers }
+func (noCopier) ReleaseEntries(context.Context, string, string, uint64) error { return errNoPeers }
 
 type noPeers struct{}
 
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -119,6 +119,8 @@
 	m := new(expvar.Map).Init()
 	m.Set("proxy", d.proxy.Vars())
 	m.Set("claims", expvar.Func(func() any { return d.claimer.Stats() }))
+	m.Set("ledger", expvar.Func(func() any { return d.ledger.Stats() }))
+	m.Set("control_results_dropped", &d.control.dropped)
 	m.Set("spread", expvar.Func(func() any { return d.config.node.Counters() }))
 	m.Set("members", expvar.Func(func() any { return d.config.members.Counters() }))
 	m.Set("change_log_rejections", expvar.Func(func() any { return d.config.follower.Rejected() }))
--- a/operator/client.go
+++ b/operator/client.go
@@ -184,7 +184,7 @@
 }
 
 // WaitAccepted returns when a change is in force everywhere. It calls waiting
-// with each new state until then.
+// with each new state until then; waiting may be nil.
 func (c *Client) WaitAccepted(ctx context.Context, revision int64, waiting func(ChangeStatus)) (ChangeStatus, error) {
 	ticker := time.NewTicker(c.poll)
 	defer ticker.Stop()
@@ -194,7 +194,7 @@
 		if err != nil || status.State == Accepted {
 			return status, err
 		}
-		if text := fmt.Sprint(status); text != shown {
+		if text := fmt.Sprint(status); text != shown && waiting != nil {
 			shown = text
 			waiting(status)
 		}
