--- a/coord/member/view.go
+++ b/coord/member/view.go
@@ -47,13 +47,15 @@
 
 type entry struct {
 	vm        VM
+	zone      string // of the id, kept because every walk over the view needs it
 	heard     time.Time
 	suspected bool
 }
 
 // View is the membership view of one VM. It is safe for concurrent use.
 type View struct {
-	o Options
+	o    Options
+	home string // zone of o.Self
 
 	mu       sync.Mutex
 	entries  map[string]*entry
@@ -70,7 +72,10 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	return &View{o: o, entries: make(map[string]*entry), removed: make(map[string]int64), seeds: make(map[string]bool)}
+	return &View{
+		o: o, home: o.Self.AvailabilityZone(),
+		entries: make(map[string]*entry), removed: make(map[string]int64), seeds: make(map[string]bool),
+	}
 }
 
 // Self returns this VM.
@@ -141,11 +146,11 @@
 	case !known && len(v.entries) >= MaxMembers:
 		return ErrFull
 	case !known:
-		v.entries[vm.ID] = &entry{vm: vm, heard: at}
+		v.entries[vm.ID] = &entry{vm: vm, zone: vm.AvailabilityZone(), heard: at}
 		delete(v.removed, vm.ID)
 	case vm.Incarnation > e.vm.Incarnation:
 		v.counters.Restarts++
-		*e = entry{vm: vm, heard: at}
+		*e = entry{vm: vm, zone: e.zone, heard: at}
 	case at.After(e.heard):
 		e.heard = at
 	}
@@ -181,7 +186,7 @@
 
 func (v *View) silent(e *entry, now time.Time) bool {
 	limit := v.o.ForeignSuspectAfter
-	if e.vm.AvailabilityZone() == v.o.Self.AvailabilityZone() {
+	if e.zone == v.home {
 		limit = v.o.SuspectAfter
 	}
 	return now.Sub(e.heard) >= limit
@@ -211,6 +216,17 @@
 	return v.list(func(e *entry, now time.Time) bool { return !v.silent(e, now) })
 }
 
+// LiveIn returns the live VMs of one zone, by id.
+func (v *View) LiveIn(zone string) []VM {
+	vms := v.list(func(e *entry, now time.Time) bool {
+		return e.zone == zone && !v.silent(e, now)
+	})
+	if v.home == zone {
+		return vms
+	}
+	return slices.DeleteFunc(vms, func(vm VM) bool { return vm.ID == v.o.Self.ID })
+}
+
 func (v *View) list(keep func(*entry, time.Time) bool) []VM {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -230,13 +246,16 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	ids := make(map[string]bool)
-	for id := range v.entries {
-		ids[id] = ZoneOf(id) == zone
+	for id, e := range v.entries {
+		if e.zone == zone {
+			ids[id] = true
+		}
 	}
 	for id := range v.seeds {
-		ids[id] = ZoneOf(id) == zone
+		if ZoneOf(id) == zone {
+			ids[id] = true
+		}
 	}
-	maps.DeleteFunc(ids, func(_ string, in bool) bool { return !in })
 	return slices.Sorted(maps.Keys(ids))
 }
 
@@ -244,9 +263,9 @@
 func (v *View) Zones() []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	zones := map[string]bool{v.o.Self.AvailabilityZone(): true}
-	for id := range v.entries {
-		zones[ZoneOf(id)] = true
+	zones := map[string]bool{v.home: true}
+	for _, e := range v.entries {
+		zones[e.zone] = true
 	}
 	for id := range v.seeds {
 		zones[ZoneOf(id)] = true
@@ -258,11 +277,10 @@
 // ones, so that a change of the view moves few choices. When none of the zone
 // is live, as after a long partition, the choice falls on suspects and seeds.
 func (v *View) Delegates(zone string, n int) []string {
-	var ids []string
-	for _, vm := range v.Live() {
-		if vm.AvailabilityZone() == zone {
-			ids = append(ids, vm.ID)
-		}
+	live := v.LiveIn(zone)
+	ids := make([]string, len(live))
+	for i, vm := range live {
+		ids[i] = vm.ID
 	}
 	if len(ids) == 0 {
 		ids = v.Contacts(zone)
--- /dev/null
+++ b/coord/spread/convergence_test.go
@@ -0,0 +1,98 @@
+package spread_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryshift/savoryshift/coord/spread/spreadtest"
+)
+
+// Bounds of section 7 of the design page.
+const (
+	maxInForceP99   = 2 * time.Second
+	maxInForce      = 5 * time.Second
+	maxBytesPerNode = 13_000 // sent and received, per second
+)
+
+// fleetZones is the number of zones of the convergence tests.
+const fleetZones = 15
+
+// changeEvery is the mean time between changes at 3,100 a day.
+const changeEvery = 28 * time.Second
+
+// settleTime is what Measure adds after the last change.
+const settleTime = 5 * time.Second
+
+func latencyPlan(nodes int, loss float64, cut bool) spreadtest.Plan {
+	return spreadtest.Plan{
+		Options:    spreadtest.Options{Nodes: nodes, Zones: fleetZones, Seed: 1, Loss: loss},
+		Warmup:     8 * time.Second,
+		Changes:    changes,
+		PatchBytes: 600,
+		CutZone:    cut,
+	}
+}
+
+func trafficPlan(nodes int, cut bool) spreadtest.Plan {
+	p := latencyPlan(nodes, 0, cut)
+	p.Metered = true
+	p.Changes, p.Every = 1, changeEvery-settleTime
+	return p
+}
+
+// Guards against changes that reach a node only by the periodic exchange or
+// not at all: over a lost notification, or in a zone cut off from the platform.
+func TestChangeIsInForceWithinSeconds(t *testing.T) {
+	for _, tc := range []struct {
+		loss float64
+		cut  bool
+	}{{0, false}, {0, true}, {0.05, true}} {
+		f, err := spreadtest.Measure(latencyPlan(fleetNodes, tc.loss, tc.cut))
+		assert.NilError(t, err)
+		t.Logf("loss %v, cut %v: %+v", tc.loss, tc.cut, f)
+		assert.Equal(t, f.Missing, 0)
+		assert.Assert(t, f.P99 <= maxInForceP99 && f.Max <= maxInForce, "%+v", f)
+	}
+}
+
+// Guards against messages that outgrow the network budget of the busiest node.
+func TestTrafficPerNode(t *testing.T) {
+	f, err := spreadtest.Measure(trafficPlan(fleetNodes, true))
+	assert.NilError(t, err)
+	t.Logf("%+v", f)
+	assert.Assert(t, f.MaxBytes <= maxBytesPerNode, "%+v", f)
+}
+
+// benchChanges are the samples of one benchmark.
+const benchChanges = 200
+
+func BenchmarkConvergence(b *testing.B) {
+	for _, nodes := range []int{64, 160, 320} {
+		for _, cut := range []bool{false, true} {
+			b.Run(fmt.Sprintf("nodes=%d/cut=%v", nodes, cut), func(b *testing.B) {
+				for b.Loop() {
+					p := latencyPlan(nodes, 0, cut)
+					p.Changes = benchChanges
+					latency, err := spreadtest.Measure(p)
+					assert.NilError(b, err)
+					traffic, err := spreadtest.Measure(trafficPlan(nodes, cut))
+					assert.NilError(b, err)
+					report(b, latency, traffic)
+				}
+			})
+		}
+	}
+}
+
+func report(b *testing.B, latency, traffic spreadtest.Figures) {
+	b.ReportMetric(float64(latency.P50.Milliseconds()), "ms-p50")
+	b.ReportMetric(float64(latency.P99.Milliseconds()), "ms-p99")
+	b.ReportMetric(float64(latency.Max.Milliseconds()), "ms-max")
+	b.ReportMetric(traffic.MessagesPerNode, "messages/node/s")
+	b.ReportMetric(traffic.MeanBytes, "B/node/s")
+	b.ReportMetric(traffic.MaxBytes, "B/busiest/s")
+	b.ReportMetric(traffic.HeadReadsPerSecond, "reads/s")
+}
