--- a/coord/spread/message.go
+++ b/coord/spread/message.go
@@ -17,6 +17,8 @@
 	maxZones       = 64
 	maxRows        = member.MaxMembers
 	maxMarks       = 16
+	// maxAgeMs is far above every lease and cannot overflow a time.Duration.
+	maxAgeMs = int64(24 * time.Hour / time.Millisecond)
 )
 
 // ErrBadMessage reports a message that breaks a bound or a format.
@@ -45,9 +47,9 @@
 	Halts uint64
 	// Known is the digest of the report that the sender holds of the
 	// responder's zone, when that is another zone.
-	Known uint64
-	// Summary asks for the ages or digests of all reports. Reports is the
-	// digest of those that the sender holds.
+	Known uint32
+	// Summary asks for all reports without rows. Reports is the digest of
+	// those that the sender holds; when it is right, ages are enough.
 	Summary bool
 	Reports uint64
 	// Want asks for the rows of these zones.
@@ -61,38 +63,44 @@
 	// of Revision.
 	Revision int64
 	Behind   int64
-	Check    uint64
-	// HasEvidence says that the head was at EvidenceRevision Age ago.
-	HasEvidence      bool
-	EvidenceRevision int64
-	Age              time.Duration
+	Check    uint32
+	// HasEvidence says that the head was at Revision+Ahead AgeMs ago.
+	HasEvidence bool
+	Ahead       int64
+	AgeMs       int64
 	// Halts are marks that the requester may miss.
 	Halts []Mark
 	// Changes follow the requester's revision.
 	Changes []changelog.Change
-	// Zones are reports: with rows when asked for, otherwise a digest each.
+	// Zones are reports that the requester may miss.
 	Zones []ZoneReport
 	// Ages of all reports in milliseconds, by zone name, when the digests of
 	// requester and responder agree.
 	Ages []int64
 }
 
-// ZoneReport lists the live VMs of one zone as seen from inside it.
+// ZoneReport lists the live VMs of one zone, as seen from inside it, and their
+// acknowledgements. Rows are left out when the receiver may know them, because
+// they change much more rarely than the rest.
 type ZoneReport struct {
-	Zone   string
-	Digest uint64
+	Zone string
+	// Members is the digest of Rows.
+	Members uint64
 	// AgeMs is the time since the report was true, in milliseconds.
 	AgeMs int64
-	Rows  []Row
+	// Revision is the highest that a VM of the zone has acknowledged. All VMs
+	// have acknowledged it but those in Late, which holds pairs of the index
+	// of a row and the revision acknowledged by it.
+	Revision int64
+	Late     []int64
+	Rows     []Row
 }
 
-// Row is one VM of a report.
+// Row is one VM of a report. Rows are sorted by name.
 type Row struct {
 	// Name is the id without the zone.
 	Name        string
 	Incarnation int64
-	// Revision acknowledged by the VM.
-	Revision int64
 }
 
 // Notification tells a peer that there is something new to pull. It carries
@@ -138,24 +146,33 @@
 func (r SyncReply) check() error {
 	rows := 0
 	for _, z := range r.Zones {
-		rows += len(z.Rows)
-		if z.Zone == "" || z.AgeMs < 0 {
-			return fmt.Errorf("%w: report of zone %q", ErrBadMessage, z.Zone)
+		rows += max(len(z.Rows), len(z.Late)/2)
+		if err := z.check(); err != nil {
+			return err
 		}
 	}
 	for _, age := range r.Ages {
-		if age < 0 {
+		if age < 0 || age > maxAgeMs {
 			return fmt.Errorf("%w: report age %d ms", ErrBadMessage, age)
 		}
 	}
 	tooLong := len(r.Changes) > maxChanges || len(r.Zones) > maxZones || len(r.Ages) > maxZones || rows > maxRows
-	negative := r.Behind < 0 || r.Revision < r.Behind || r.EvidenceRevision < 0 || r.Age < 0
+	negative := r.Behind < 0 || r.Revision < r.Behind || r.Revision+r.Ahead < 0 || r.AgeMs < 0 || r.AgeMs > maxAgeMs
 	if tooLong || negative {
 		return fmt.Errorf("%w: sync reply", ErrBadMessage)
 	}
 	return checkMarks(r.Halts)
 }
 
+func (z ZoneReport) check() error {
+	bad := z.Zone == "" || z.AgeMs < 0 || z.AgeMs > maxAgeMs || z.Revision < 0 || len(z.Late)%2 != 0 ||
+		len(z.Rows) > 0 && digestRows(z.Rows) != z.Members
+	if bad {
+		return fmt.Errorf("%w: report of zone %.64q", ErrBadMessage, z.Zone)
+	}
+	return nil
+}
+
 func (n Notification) check() error {
 	if n.Revision < 0 {
 		return fmt.Errorf("%w: notification from %q", ErrBadMessage, n.From)
--- a/coord/spread/node.go
+++ b/coord/spread/node.go
@@ -105,18 +105,22 @@
 
 // Tick returns what is due. It is called several times per SyncEvery.
 func (n *Node) Tick() Plan {
-	n.members.Sweep()
 	now := n.o.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	delegate := n.delegate()
 	var plan Plan
-	if !now.Before(n.nextSync) {
+	syncDue, headDue := !now.Before(n.nextSync), !now.Before(n.nextHead)
+	if !syncDue && !headDue {
+		return plan
+	}
+	delegate := n.delegate()
+	if syncDue {
 		n.nextSync = next(n.nextSync, n.o.SyncEvery, now)
+		n.members.Sweep()
 		n.forget(now)
 		plan.Calls = n.calls(delegate)
 	}
-	if !now.Before(n.nextHead) {
+	if headDue {
 		n.nextHead = next(n.nextHead, n.o.HeadEvery, now)
 		plan.ReadHead = delegate || n.lease.Age() > fallbackAge
 	}
--- a/coord/spread/report.go
+++ b/coord/spread/report.go
@@ -35,28 +35,35 @@
 	}
 }
 
-// report is a ZoneReport with the time at which it was true.
+// report is a ZoneReport with the time at which it was true. A report is
+// replaced, not modified, but for its times.
 type report struct {
-	digest    uint64
+	ZoneReport
 	asOf      time.Time
 	refreshed time.Time // time up to which the rows were passed to the view
-	rows      []Row
 }
 
 // reportTable holds the newest report of each other zone.
 type reportTable map[string]*report
 
-// digestRows identifies the content of a report.
+// digestRows identifies the members of a zone.
 func digestRows(rows []Row) uint64 {
-	var digest uint64
-	buf := make([]byte, 0, 128)
+	h := xxhash.New()
 	for _, r := range rows {
-		buf = append(buf[:0], r.Name...)
-		buf = binary.BigEndian.AppendUint64(buf, uint64(r.Incarnation))
-		buf = binary.BigEndian.AppendUint64(buf, uint64(r.Revision))
-		digest ^= xxhash.Sum64(buf)
+		_, _ = h.WriteString(r.Name)
+		_, _ = h.Write(binary.BigEndian.AppendUint64([]byte{0}, uint64(r.Incarnation)))
 	}
-	return digest
+	return h.Sum64()
+}
+
+// digest identifies the members and their acknowledgements.
+func (z ZoneReport) digest() uint64 {
+	b := binary.BigEndian.AppendUint64([]byte(z.Zone), z.Members)
+	b = binary.BigEndian.AppendUint64(b, uint64(z.Revision))
+	for _, v := range z.Late {
+		b = binary.BigEndian.AppendUint64(b, uint64(v))
+	}
+	return xxhash.Sum64(b)
 }
 
 // combined identifies the content of all reports but those of two zones.
@@ -64,8 +71,7 @@
 	var digest uint64
 	for zone, r := range t {
 		if !slices.Contains(without, zone) {
-			buf := binary.BigEndian.AppendUint64([]byte(zone), r.digest)
-			digest ^= xxhash.Sum64(buf)
+			digest ^= r.digest()
 		}
 	}
 	return digest
@@ -86,12 +92,21 @@
 		return n.own
 	}
 	zone := n.self.AvailabilityZone()
-	var rows []Row
+	z := ZoneReport{Zone: zone}
+	var acked []int64
 	for _, vm := range n.members.LiveIn(zone) {
-		rows = append(rows, Row{vm.ID[len(zone)+1:], vm.Incarnation, n.ackOf(vm)})
+		z.Rows = append(z.Rows, Row{vm.ID[len(zone)+1:], vm.Incarnation})
+		acked = append(acked, n.ackOf(vm))
+	}
+	z.Members = digestRows(z.Rows)
+	z.Revision = slices.Max(acked) // this VM is always in the list
+	for i, revision := range acked {
+		if revision != z.Revision {
+			z.Late = append(z.Late, int64(i), revision)
+		}
 	}
-	n.own, n.ownAt = ZoneReport{Zone: zone, Digest: digestRows(rows), Rows: rows}, now
-	return n.own
+	n.own, n.ownAt = z, now
+	return z
 }
 
 func (n *Node) ackOf(vm member.VM) int64 {
@@ -101,16 +116,17 @@
 	return 0
 }
 
-// storedReport returns the report held of a zone, with rows if full.
-func (n *Node) storedReport(zone string, now time.Time, full bool) (ZoneReport, bool) {
+// held returns the report held of a zone with its age.
+func (n *Node) held(zone string, now time.Time) (ZoneReport, bool) {
+	if zone == n.self.AvailabilityZone() {
+		return n.ownReport(now), true
+	}
 	r, ok := n.reports[zone]
 	if !ok {
 		return ZoneReport{}, false
 	}
-	z := ZoneReport{Zone: zone, Digest: r.digest, AgeMs: ceilMs(now.Sub(r.asOf))}
-	if full {
-		z.Rows = r.rows
-	}
+	z := r.ZoneReport
+	z.AgeMs = ceilMs(now.Sub(r.asOf))
 	return z, true
 }
 
@@ -118,18 +134,25 @@
 	return int64((max(0, d) + time.Millisecond - 1) / time.Millisecond)
 }
 
-// takeReport stores a report with rows when it is newer than the known one.
-func (n *Node) takeReport(z ZoneReport, asOf time.Time) {
+// takeReport takes a report that was true at asOf. It returns false when the
+// rows are missing.
+func (n *Node) takeReport(z ZoneReport, asOf time.Time) bool {
 	old, known := n.reports[z.Zone]
-	if z.Zone == n.self.AvailabilityZone() || known && !asOf.After(old.asOf) || !known && len(n.reports) >= maxZones {
-		return
+	switch {
+	case known && asOf.Before(old.asOf), !known && len(n.reports) >= maxZones:
+		return true // not needed
+	case len(z.Rows) == 0 && known && old.Members == z.Members:
+		z.Rows = old.Rows
+	case len(z.Rows) == 0:
+		return false
 	}
-	if digestRows(z.Rows) != z.Digest {
-		n.counters.BadMessages++
-		return
+	next := &report{ZoneReport: z, asOf: asOf}
+	if known && old.digest() == z.digest() {
+		next.refreshed = old.refreshed
 	}
-	n.reports[z.Zone] = &report{digest: z.Digest, asOf: asOf, rows: z.Rows}
+	n.reports[z.Zone] = next
 	n.refresh(z.Zone, asOf)
+	return true
 }
 
 // refresh passes the rows of a report that is still true at asOf to the view.
@@ -142,10 +165,18 @@
 		return
 	}
 	r.refreshed = r.asOf
-	for _, row := range r.rows {
+	late := make(map[int64]int64, len(r.Late)/2)
+	for i := 0; i+1 < len(r.Late); i += 2 {
+		late[r.Late[i]] = r.Late[i+1]
+	}
+	for i, row := range r.Rows {
 		vm := member.VM{ID: member.JoinID(zone, row.Name), Incarnation: row.Incarnation}
+		revision, isLate := late[int64(i)]
+		if !isLate {
+			revision = r.Revision
+		}
 		if n.members.Hear(vm, r.asOf) == nil {
-			n.acks.merge(vm, row.Revision)
+			n.acks.merge(vm, revision)
 		}
 	}
 }
--- a/coord/spread/spreadtest/measure.go
+++ b/coord/spread/spreadtest/measure.go
@@ -15,7 +15,7 @@
 	Options
 	// Warmup passes before the first change.
 	Warmup time.Duration
-	// Changes are committed Every apart.
+	// Changes are committed Every apart, and up to 1 s more.
 	Changes int
 	Every   time.Duration
 	// PatchBytes is the size of each change.
@@ -43,6 +43,9 @@
 	HeadReadsPerSecond float64
 }
 
+// settle passes after the last change, so that it can reach every node.
+const settle = 5 * time.Second
+
 // Measure runs the experiment.
 func Measure(p Plan) (Figures, error) {
 	f := New(p.Options)
@@ -62,6 +65,7 @@
 		// The random part keeps changes from meeting the same phase of ticks.
 		f.Run(p.Every + time.Duration(f.rng.Int64N(int64(time.Second))))
 	}
+	f.Run(settle)
 	figures := f.figures(committed)
 	elapsed := (f.now - p.Warmup).Seconds()
 	figures.HeadReadsPerSecond = float64(f.Store.Counts().Reads-reads) / elapsed
--- a/coord/spread/sync.go
+++ b/coord/spread/sync.go
@@ -29,7 +29,7 @@
 	r.Behind = n.behind(r.Revision)
 	zone := member.ZoneOf(to)
 	if known, ok := n.reports[zone]; ok {
-		r.Known = known.digest
+		r.Known = uint32(known.digest())
 	}
 	if summary {
 		r.Summary = true
@@ -57,7 +57,9 @@
 		Incarnation: n.self.Incarnation,
 		Revision:    head.Revision, Behind: n.behind(head.Revision), Check: hashStart(head.Hash),
 	}
-	reply.EvidenceRevision, reply.Age, reply.HasEvidence = n.evidence()
+	if revision, ageMs, ok := n.evidence(); ok {
+		reply.HasEvidence, reply.Ahead, reply.AgeMs = true, revision-head.Revision, ageMs
+	}
 	if r.Halts != n.halts.digest {
 		reply.Halts = n.halts.page()
 	}
@@ -72,12 +74,14 @@
 	return reply, e, nil
 }
 
-func (n *Node) evidence() (int64, time.Duration, bool) {
+// evidence returns the newest evidence with its age rounded up. Evidence that is
+// too old for any use is left out.
+func (n *Node) evidence() (revision, ageMs int64, ok bool) {
 	revision, age, ok := n.lease.Evidence()
-	if !ok {
+	if !ok || age > time.Duration(maxAgeMs-1)*time.Millisecond {
 		return 0, 0, false
 	}
-	return revision, age, true
+	return revision, ceilMs(age), true
 }
 
 // admit checks the sender of a message and records that it lives.
@@ -112,14 +116,14 @@
 // addReports adds what the requester asked for of the zone reports.
 func (n *Node) addReports(reply *SyncReply, r SyncRequest, now time.Time) {
 	own, from := n.self.AvailabilityZone(), member.ZoneOf(r.From)
-	if from != own {
-		z := n.ownReport(now)
-		if z.Digest != r.Known {
+	for _, zone := range r.Want {
+		if z, ok := n.held(zone, now); ok {
 			reply.Zones = append(reply.Zones, z)
 		}
 	}
-	for _, zone := range r.Want {
-		if z, ok := n.storedReport(zone, now, true); ok {
+	if from != own && !slices.Contains(r.Want, own) {
+		if z := n.ownReport(now); uint32(z.digest()) != r.Known {
+			z.Rows = nil
 			reply.Zones = append(reply.Zones, z)
 		}
 	}
@@ -128,10 +132,11 @@
 	}
 	agree := r.Reports == n.reports.combined(own, from)
 	for _, zone := range n.reports.zones(own, from) {
-		z, _ := n.storedReport(zone, now, false)
+		z, _ := n.held(zone, now)
 		if agree {
 			reply.Ages = append(reply.Ages, z.AgeMs)
 		} else {
+			z.Rows = nil
 			reply.Zones = append(reply.Zones, z)
 		}
 	}
@@ -164,7 +169,7 @@
 	fresh := n.mergeHalts(r.Halts)
 	if r.HasEvidence {
 		// check has ruled out the values that Observe refuses.
-		_ = n.lease.Observe(r.EvidenceRevision, c.sentAt, r.Age)
+		_ = n.lease.Observe(r.Revision+r.Ahead, c.sentAt, time.Duration(r.AgeMs)*time.Millisecond)
 	}
 	want := n.takeReports(c, r)
 	e := n.news(before, fresh, c.To)
@@ -180,7 +185,7 @@
 
 // prove offers changes to the follower and compares the head of the sender
 // with a known revision. An ApplyError is no reason to reject the sender.
-func (n *Node) prove(revision int64, check uint64, changes []changelog.Change) error {
+func (n *Node) prove(revision int64, check uint32, changes []changelog.Change) error {
 	head, err := n.follower.Offer(changes)
 	if _, refused := errors.AsType[*changelog.ApplyError](err); refused {
 		err = nil
@@ -194,21 +199,21 @@
 	return err
 }
 
-// hashStart returns the first 8 bytes of a hex hash, 0 for an empty one.
-func hashStart(hash string) uint64 {
-	var b [8]byte
+// hashStart returns the first 4 bytes of a hex hash, 0 for an empty one.
+func hashStart(hash string) uint32 {
+	var b [4]byte
 	if len(hash) >= 2*len(b) {
 		_, _ = hex.Decode(b[:], []byte(hash[:2*len(b)]))
 	}
-	return binary.BigEndian.Uint64(b[:])
+	return binary.BigEndian.Uint32(b[:])
 }
 
 // takeReports stores the reports of a reply and returns the zones whose rows
-// the sender knows better.
+// are missing.
 func (n *Node) takeReports(c Call, r SyncReply) []string {
 	zone, own := member.ZoneOf(c.To), n.self.AvailabilityZone()
-	newer := slices.ContainsFunc(r.Zones, func(z ZoneReport) bool { return z.Zone == zone })
-	if known, ok := n.reports[zone]; ok && !newer && known.digest == c.Request.Known {
+	changed := slices.ContainsFunc(r.Zones, func(z ZoneReport) bool { return z.Zone == zone })
+	if known, ok := n.reports[zone]; ok && !changed && uint32(known.digest()) == c.Request.Known {
 		n.refresh(zone, c.sent)
 	}
 	if c.Request.Summary && len(r.Ages) > 0 {
@@ -217,14 +222,7 @@
 	var want []string
 	for _, z := range r.Zones {
 		asOf := c.sent.Add(-time.Duration(z.AgeMs) * time.Millisecond)
-		known, ok := n.reports[z.Zone]
-		switch {
-		case z.Zone == own:
-		case z.Zone == zone || slices.Contains(c.Request.Want, z.Zone):
-			n.takeReport(z, asOf)
-		case ok && known.digest == z.Digest:
-			n.refresh(z.Zone, asOf)
-		case !ok || asOf.After(known.asOf):
+		if z.Zone != own && !n.takeReport(z, asOf) {
 			want = append(want, z.Zone)
 		}
 	}
