upstream: reject calls and answers that cannot be checked

Five faults, each seen failing in its test first: an answer with two attempt ids was accepted by its first value; a call without ids matched an answer without ids; a service path without its slash could name another host; the answer to HEAD was measured by the length of a body that does not follow; load reports of a frozen engine had no time limit. An error object within a stream now ends the call as upstream_failed.

--- a/control/system/system_test.go
+++ b/control/system/system_test.go
@@ -1,7 +1,9 @@
 package system_test
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -15,6 +17,17 @@
 	"github.com/savoryshift/savoryshift/upstream"
 )
 
+// TestMain fixes the seed of the property tests unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed").Value; seed.String() == "0" {
+		if err := seed.Set("1"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // settings is a tree with one engine on a VM of its own.
--- a/control/table/table.go
+++ b/control/table/table.go
@@ -9,6 +9,7 @@
 // Table holds the entities of one kind by id.
 type Table[E any] struct {
 	rows map[string]*E
+	ids  []string // sorted; nil when rows were added or deleted since
 }
 
 // Get returns the entity, or nil.
@@ -23,12 +24,15 @@
 		t.rows = map[string]*E{}
 	}
 	e := new(E)
-	t.rows[id] = e
+	t.rows[id], t.ids = e, nil
 	return e
 }
 
 // Delete removes the entity.
-func (t *Table[E]) Delete(id string) { delete(t.rows, id) }
+func (t *Table[E]) Delete(id string) {
+	delete(t.rows, id)
+	t.ids = nil
+}
 
 // Len returns the number of entities.
 func (t *Table[E]) Len() int { return len(t.rows) }
@@ -36,7 +40,10 @@
 // All yields the entities in the order of their ids, so that a system gives the
 // same effects for the same tables. Entities may be deleted while it runs.
 func (t *Table[E]) All() iter.Seq2[string, *E] {
-	ids := slices.Sorted(maps.Keys(t.rows))
+	if t.ids == nil {
+		t.ids = slices.Sorted(maps.Keys(t.rows))
+	}
+	ids := t.ids
 	return func(yield func(string, *E) bool) {
 		for _, id := range ids {
 			if e, ok := t.rows[id]; ok && !yield(id, e) {
--- a/upstream/admin.go
+++ b/upstream/admin.go
@@ -63,6 +63,8 @@
 			return errkind.Wrap(errkind.Internal, err)
 		}
 	}
+	ctx, cancel := context.WithTimeout(ctx, AdminTimeout)
+	defer cancel()
 	header := http.Header{"Content-Type": {"application/json"}}
 	x, err := c.send(ctx, outgoing{method: method, url: target, header: header, body: body, repeatable: true, beforeWrite: beforeWrite})
 	if err != nil {
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -37,7 +37,7 @@
 	for _, echo := range []struct{ name, want string }{
 		{HeaderRequestID, call.RequestID}, {HeaderAttemptID, call.AttemptID}, {HeaderVersion, call.Version},
 	} {
-		if got := h.Get(echo.name); got != echo.want {
+		if got := h.Values(echo.name); len(got) != 1 || got[0] != echo.want {
 			return invalid("answer has %s %q, the call has %q", echo.name, got, echo.want)
 		}
 	}
--- a/upstream/checks_test.go
+++ b/upstream/checks_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -19,7 +21,19 @@
 	"github.com/savoryshift/savoryshift/upstream/upstreamtest"
 )
 
-// canned answers every call with the ids of the call and a fixed body.
+// TestMain fixes the seed of the property tests unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed").Value; seed.String() == "0" {
+		if err := seed.Set("1"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// canned answers every call with the ids of the call and a fixed body. A header
+// name with a leading plus adds a value.
 func canned(contentType, body string, header ...string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		for _, name := range []string{upstream.HeaderRequestID, upstream.HeaderAttemptID, upstream.HeaderVersion} {
@@ -27,6 +41,10 @@
 		}
 		w.Header().Set("Content-Type", contentType)
 		for i := 0; i+1 < len(header); i += 2 {
+			if name, ok := strings.CutPrefix(header[i], "+"); ok {
+				w.Header().Add(name, header[i+1])
+				continue
+			}
 			w.Header().Set(header[i], header[i+1])
 		}
 		_, _ = io.WriteString(w, body)
@@ -65,6 +83,7 @@
 		{"part after end", endOne[:len(endOne)-len("data: [DONE]\n\n")] + "id: 1\ndata: {}\n\n", invalid, 0},
 		{"unknown event", "event: other\ndata: {}\n\n" + endOne, invalid, 0},
 		{"unknown field", "broken line\n\n" + endOne, invalid, 0},
+		{"error in the stream", "id: 1\ndata: {}\n\nid: 2\ndata: {\"error\":{\"message\":\"oom\"}}\n\n" + endOne, failed, 1},
 		{"part not JSON", "id: 1\ndata: {\n\n" + endOne, invalid, 0},
 		{"invalid UTF-8", "id: 1\ndata: \"\xff\"\n\n" + endOne, invalid, 0},
 		{"long line", "id: 1\ndata: \"" + long + "\"\n\n" + endOne, invalid, 0},
@@ -89,6 +108,7 @@
 		{"wrong request id", goodWhole, []string{upstream.HeaderRequestID, "r2"}, invalid},
 		{"answer of a late attempt", goodWhole, []string{upstream.HeaderAttemptID, "a0"}, invalid},
 		{"wrong version", goodWhole, []string{upstream.HeaderVersion, "s2"}, invalid},
+		{"two attempt ids", goodWhole, []string{"+" + upstream.HeaderAttemptID, "a0"}, invalid},
 		{"no choices", `{"choices":[],"usage":{}}`, nil, invalid},
 		{"not finished", strings.Replace(goodWhole, `"stop"`, `null`, 1), nil, invalid},
 		{"no usage", strings.Replace(goodWhole, "usage", "other", 1), nil, invalid},
@@ -143,6 +163,48 @@
 	}
 }
 
+// A call without ids could not be told from another one, and a path without its
+// slash would change the host.
+func TestUncheckableCallsAreNotSent(t *testing.T) {
+	url, c := serve(t, canned("application/json", goodWhole)), newClient(t, upstream.Options{})
+	for name, change := range map[string]func(*upstream.Call){
+		"request id": func(c *upstream.Call) { c.RequestID = "" },
+		"attempt id": func(c *upstream.Call) { c.AttemptID = "" },
+		"version":    func(c *upstream.Call) { c.Version = "" },
+		"URL":        func(c *upstream.Call) { c.URL = "https://127.0.0.1:1" },
+	} {
+		bad := call(url, wholeBody)
+		change(&bad)
+		_, err := c.Complete(context.Background(), bad)
+		assert.Equal(t, errkind.Of(err), errkind.BadRequest, "%s: %v", name, err)
+		assert.Equal(t, errkind.RanOf(err), errkind.RanNo, name)
+	}
+	_, err := c.Forward(context.Background(), upstream.ServiceCall{URL: url, Method: http.MethodGet, Path: "@127.0.0.1:1/"})
+	assert.Equal(t, errkind.Of(err), errkind.BadRequest, "%v", err)
+}
+
+// The length in the answer to HEAD is that of a body that does not follow.
+func TestHeadOfALongAnswer(t *testing.T) {
+	url := serve(t, canned("text/plain", "", "Content-Length", "99999"))
+	res, err := newClient(t, small).Forward(context.Background(), upstream.ServiceCall{URL: url, Method: http.MethodHead, Path: "/"})
+	assert.NilError(t, err)
+	assert.Equal(t, res.Status, http.StatusOK)
+}
+
+// A load report of a frozen engine must not block its caller for good.
+func TestAdminCallsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, e := upstreamtest.New(), engine.New(engine.Options{})
+		c, url := newClient(t, upstream.Options{Dial: network.Dial}), network.Serve(t, "engine:80", e)
+		e.SetFaults(engine.Faults{Frozen: true})
+		start := time.Now()
+		_, err := c.Load(context.Background(), url)
+		assert.Equal(t, errkind.Of(err), errkind.UpstreamTimeout)
+		assert.Equal(t, time.Since(start), upstream.AdminTimeout)
+		e.SetFaults(engine.Faults{})
+	})
+}
+
 // A stream that stalls must end with a timeout well before its deadline, and
 // an engine that never starts must end at the deadline.
 func TestStalledStreamTimesOut(t *testing.T) {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -16,6 +16,9 @@
 	DefaultStreamIdle     = 10 * time.Second
 	DefaultDialTimeout    = 2 * time.Second
 
+	// AdminTimeout bounds every call to an engine other than a completion.
+	AdminTimeout = 5 * time.Second
+
 	idleConnsPerUpstream = 256
 	idleConnTimeout      = 60 * time.Second
 )
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -154,6 +154,9 @@
 // sendCall sends an engine call, resumed after part from, and checks the
 // status, ids and version of the answer.
 func (c *Client) sendCall(ctx context.Context, call Call, from int) (*exchange, error) {
+	if call.RequestID == "" || call.AttemptID == "" || call.Version == "" {
+		return nil, errkind.New(errkind.BadRequest, "upstream call needs a request id, an attempt id and a version")
+	}
 	if !call.Deadline.IsZero() && !time.Now().Before(call.Deadline) {
 		return nil, errkind.New(errkind.DeadlinePassed, "deadline passed before the call")
 	}
@@ -190,7 +193,7 @@
 
 // readAll reads the body of an answer of at most limit bytes.
 func (x *exchange) readAll(limit int64) ([]byte, error) {
-	if x.resp.ContentLength > limit {
+	if x.resp.ContentLength > limit && x.resp.Request.Method != http.MethodHead {
 		return nil, invalid("answer of %d bytes is longer than %d", x.resp.ContentLength, limit)
 	}
 	body, err := io.ReadAll(io.LimitReader(x.resp.Body, limit+1))
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -6,6 +6,8 @@
 	"net/textproto"
 	"strings"
 	"time"
+
+	"github.com/savoryshift/savoryshift/errkind"
 )
 
 // ServiceCall is one call to a plain service.
@@ -41,6 +43,9 @@
 
 // Forward sends a call to a plain service and returns its whole answer.
 func (c *Client) Forward(ctx context.Context, call ServiceCall) (ServiceResult, error) {
+	if !strings.HasPrefix(call.Path, "/") {
+		return ServiceResult{}, errkind.New(errkind.BadRequest, "path %q does not begin with a slash", call.Path)
+	}
 	target := strings.TrimSuffix(call.URL, "/") + call.Path
 	if call.Query != "" {
 		target += "?" + call.Query
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -14,6 +15,9 @@
 )
 
 const (
+	// doneData is the data of the last event.
+	doneData = "[DONE]"
+
 	streamBufferBytes = 4 << 10
 	// maxAhead bounds the parts that are kept while an earlier one is missing.
 	maxAhead      = 32
@@ -32,8 +36,9 @@
 var errIdle = errors.New("no part arrived within the idle timeout")
 
 var (
-	doneData = "[DONE]"
-	readers  = sync.Pool{New: func() any {
+	// errorPrefix begins the error object that engines put into a stream.
+	errorPrefix = []byte(`{"error"`)
+	readers     = sync.Pool{New: func() any {
 		return &eventReader{r: bufio.NewReaderSize(nil, streamBufferBytes)}
 	}}
 )
@@ -142,12 +147,16 @@
 // part emits a part when it is the next one, keeps it when it is ahead and
 // drops it when it was delivered before.
 func (s *stream) part(ev *event) error {
-	if !ev.hasID {
-		return invalid("part has no number")
-	}
 	if !json.Valid(ev.data) {
 		return invalid("part %d is not valid JSON", ev.id)
 	}
+	if bytes.HasPrefix(ev.data, errorPrefix) {
+		err := errkind.New(errkind.UpstreamFailed, "engine failed within the stream: %s", errorMessage(ev.data))
+		return errkind.WithRan(err, errkind.RanYes)
+	}
+	if !ev.hasID {
+		return invalid("part has no number")
+	}
 	switch {
 	case ev.id <= s.res.Parts:
 		return nil
