--- a/errkind/errkind_test.go
+++ b/errkind/errkind_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
+	"os"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -32,3 +35,15 @@
 	assert.Equal(t, errkind.RanOf(err), errkind.RanNo)
 	assert.Equal(t, errkind.Of(errors.New("plain")), errkind.Internal)
 }
+
+// The page for callers must not fall behind the table.
+func TestPageListsEveryKind(t *testing.T) {
+	page, err := os.ReadFile("../docs/api.md")
+	assert.NilError(t, err)
+	for _, k := range errkind.Kinds() {
+		a := errkind.AnswerFor(k)
+		retry := map[bool]string{true: "yes", false: "no"}[a.Retry]
+		row := fmt.Sprintf("| `%s` | %d | %s | %s |", k, a.Status, a.Ran, retry)
+		assert.Assert(t, strings.Contains(string(page), row), row)
+	}
+}
