--- a/coord/fence/schedule_test.go
+++ b/coord/fence/schedule_test.go
@@ -38,7 +38,8 @@
 type schedule struct {
 	Actions [candidates][]action
 	Faults  [candidates][]storetest.Fault
-	Delay   int // of each table call, in seconds
+	Delay   int             // of each table call before it takes effect, in seconds
+	Reply   [candidates]int // delay of the reply to a commit, in seconds
 }
 
 var anySchedule = rapid.Custom(func(t *rapid.T) schedule {
@@ -53,6 +54,7 @@
 				ClockStep: max(0, rapid.IntRange(-20, 5).Draw(t, "step")),
 			}
 		}), 20, 60).Draw(t, "actions")
+		s.Reply[i] = max(0, rapid.IntRange(-8, 8).Draw(t, "reply"))
 		fault := rapid.IntRange(int(storetest.None), int(storetest.Late))
 		for _, f := range rapid.SliceOfN(fault, 0, 12).Draw(t, "faults") {
 			s.Faults[i] = append(s.Faults[i], storetest.Fault(f))
@@ -115,12 +117,24 @@
 	}
 }
 
+// slow delays the replies of commits that took effect.
+type slow struct {
+	store.Table
+	delay time.Duration
+}
+
+func (s slow) Commit(ctx context.Context, ops []store.Op) error {
+	err := s.Table.Commit(ctx, ops)
+	time.Sleep(s.delay)
+	return err
+}
+
 // play runs one candidate. hurry makes its wait clock run ahead, for the twin.
 func play(t *testing.T, i int, s schedule, table store.Table, e *engines, hurry time.Duration) {
 	began, maxCall := time.Now(), maxCall>>i
 	var step atomic.Int64
 	l := New(Options{
-		Table: storetest.NewNode(table, nil, s.Faults[i]...), Name: "orders", Holder: fmt.Sprint(i),
+		Table: slow{storetest.NewNode(table, nil, s.Faults[i]...), time.Duration(s.Reply[i]) * time.Second}, Name: "orders", Holder: fmt.Sprint(i),
 		Duration: duration, MaxCall: maxCall,
 		Clock:     func() time.Duration { return time.Since(began) + time.Duration(step.Load()) },
 		WaitClock: func() time.Duration { return time.Since(began) * hurry },
