upstream: tell unreachable upstreams from other errors

The health system needs to know whether an error speaks against the upstream or against a version, a deadline or the caller. Errors that an upstream answers with are AnsweredError; the engine emulator now reports a failing version inside the stream instead of breaking the connection, as engines do.

--- a/standin/engine/answer.go
+++ b/standin/engine/answer.go
@@ -101,7 +101,9 @@
 			return RunCancelled, false
 		}
 		if j.fails && n > j.tokens/2 {
-			return RunFailed, false
+			data, _ := json.Marshal(errorBody(errkind.UpstreamFailed, "engine failed"))
+			_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
+			return RunFailed, true
 		}
 		if e.Faults().Malformed {
 			_, _ = fmt.Fprint(w, "broken line\n\n")
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -183,9 +183,13 @@
 func fail(w http.ResponseWriter, status int, kind errkind.Kind, message string) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(map[string]any{"error": map[string]any{
+	_ = json.NewEncoder(w).Encode(errorBody(kind, message))
+}
+
+func errorBody(kind errkind.Kind, message string) any {
+	return map[string]any{"error": map[string]any{
 		"message": message, "type": errkind.AnswerFor(kind).Type, "code": kind, "param": nil,
-	}})
+	}}
 }
 
 // refuse writes an error with the promise that the call does not run.
--- a/upstream/admin.go
+++ b/upstream/admin.go
@@ -50,6 +50,18 @@
 	return held, err
 }
 
+// Reach tells whether a plain service answers at all; any status will do.
+func (c *Client) Reach(ctx context.Context, base string) error {
+	ctx, cancel := context.WithTimeout(ctx, AdminTimeout)
+	defer cancel()
+	x, err := c.send(ctx, outgoing{method: http.MethodHead, url: base + "/", repeatable: true})
+	if err != nil {
+		return err
+	}
+	x.release()
+	return nil
+}
+
 func (c *Client) admin(ctx context.Context, method, target string, in, out any) error {
 	return c.adminChecked(ctx, method, target, in, out, nil)
 }
@@ -79,7 +91,7 @@
 	case x.resp.StatusCode == http.StatusConflict:
 		return errkind.New(errkind.Conflict, "engine refused %s: %s", target, errorMessage(data))
 	case x.resp.StatusCode/100 != 2:
-		return errkind.New(errkind.UpstreamFailed, "engine answered %s with status %d: %s", target, x.resp.StatusCode, errorMessage(data))
+		return errkind.Wrap(errkind.UpstreamFailed, &AnsweredError{Status: x.resp.StatusCode, Message: errorMessage(data)})
 	case out == nil:
 		return nil
 	}
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"unicode/utf8"
@@ -10,23 +9,6 @@
 	"github.com/savoryshift/savoryshift/errkind"
 )
 
-// RefusedError is an explicit refusal by an upstream. The attempt does not run.
-type RefusedError struct {
-	Status int
-	// Leaving says that the upstream takes no new work at all.
-	Leaving bool
-	Message string
-}
-
-func (e *RefusedError) Error() string {
-	return fmt.Sprintf("upstream refused with status %d: %s", e.Status, e.Message)
-}
-
-// invalid returns the error for an answer that fails a check.
-func invalid(format string, args ...any) error {
-	return errkind.New(errkind.UpstreamInvalidAnswer, format, args...)
-}
-
 // checkHeader checks the ids, the version and the status of an answer. The ids
 // come first: a refusal that belongs to another attempt proves nothing.
 func (x *exchange) checkHeader(call Call) error {
@@ -54,7 +36,7 @@
 			Status: x.resp.StatusCode, Leaving: h.Get(HeaderLeaving) == "true", Message: errorMessage(body),
 		})
 	}
-	return errkind.New(errkind.UpstreamFailed, "upstream answered with status %d: %s", x.resp.StatusCode, errorMessage(body))
+	return errkind.Wrap(errkind.UpstreamFailed, &AnsweredError{Status: x.resp.StatusCode, Message: errorMessage(body)})
 }
 
 // errorMessage extracts the message of an OpenAI-compatible error body.
--- a/upstream/checks_test.go
+++ b/upstream/checks_test.go
@@ -191,6 +191,51 @@
 	assert.Equal(t, res.Status, http.StatusOK)
 }
 
+// The health of an engine must not suffer from callers who leave, from short
+// deadlines or from errors of a version.
+func TestUnreachableIsToldFromOtherErrors(t *testing.T) {
+	slow := engine.Profile{TokensPerSecond: 1, Quality: 1}
+	for name, tc := range map[string]struct {
+		faults      engine.Faults
+		address     string
+		deadline    time.Duration
+		leaves      time.Duration
+		unreachable bool
+	}{
+		"healthy":          {address: "engine:80"},
+		"no listener":      {address: "none:80", unreachable: true},
+		"cut":              {address: "engine:80", faults: engine.Faults{CutAfterPart: 2}, unreachable: true},
+		"engine error":     {address: "engine:80", faults: engine.Faults{ErrorRate: 1}},
+		"malformed":        {address: "engine:80", faults: engine.Faults{Malformed: true}},
+		"leaving":          {address: "engine:80", faults: engine.Faults{Leaving: true}},
+		"deadline":         {address: "engine:80", deadline: 2 * time.Second},
+		"caller leaves":    {address: "engine:80", leaves: 2 * time.Second},
+		"stalls":           {address: "engine:80", faults: engine.Faults{Slow: 30}, unreachable: true},
+		"answers an error": {address: "failing:80"},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			network, e := upstreamtest.New(), engine.New(engine.Options{Fallback: &slow})
+			network.Serve(t, "engine:80", e)
+			network.Serve(t, "failing:80", http.NotFoundHandler())
+			e.SetFaults(tc.faults)
+			c, one := newClient(t, upstream.Options{Dial: network.Dial}), call("http://"+tc.address, streamBody)
+			if tc.deadline > 0 {
+				one.Deadline = time.Now().Add(tc.deadline)
+			}
+			ctx, leave := context.WithCancel(t.Context())
+			if tc.leaves > 0 {
+				time.AfterFunc(tc.leaves, leave)
+			}
+			_, err := c.Stream(ctx, one, 0, func(upstream.Part) error { return nil })
+			leave()
+			assert.Equal(t, err == nil, name == "healthy", "%s: %v", name, err)
+			assert.Equal(t, upstream.IsUnreachable(err), tc.unreachable, "%s: %v", name, err)
+			assert.Equal(t, upstream.IsLeaving(err), tc.faults.Leaving, name)
+			assert.Equal(t, c.Reach(t.Context(), "http://"+tc.address) == nil, tc.address != "none:80", name)
+		})
+	}
+}
+
 // A load report of a frozen engine must not block its caller for good.
 func TestAdminCallsEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -151,8 +151,8 @@
 		return invalid("part %d is not valid JSON", ev.id)
 	}
 	if bytes.HasPrefix(ev.data, errorPrefix) {
-		err := errkind.New(errkind.UpstreamFailed, "engine failed within the stream: %s", errorMessage(ev.data))
-		return errkind.WithRan(err, errkind.RanYes)
+		err := &AnsweredError{Status: s.res.Status, Message: errorMessage(ev.data)}
+		return errkind.WithRan(errkind.Wrap(errkind.UpstreamFailed, err), errkind.RanYes)
 	}
 	if !ev.hasID {
 		return invalid("part has no number")
