--- a/coord/fence/lease.go
+++ b/coord/fence/lease.go
@@ -111,6 +111,14 @@
 	return l.number, l.o.Clock() < l.until
 }
 
+// Remaining returns how long the lease is still held without a renewal; 0 when
+// it is not held.
+func (l *Lease) Remaining() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(0, l.until-l.o.Clock())
+}
+
 // SafeAfter returns how long to wait before a call to an upstream that ignores
 // fencing numbers. It is 0 once no earlier holder can have a call in flight.
 func (l *Lease) SafeAfter() time.Duration {
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -237,7 +237,7 @@
 		r.Leaving = refused.Leaving
 		return r
 	}
-	_, answered := errors.AsType[*upstream.StatusError](err)
+	_, answered := errors.AsType[*upstream.AnsweredError](err)
 	r.Failed = err != nil && !answered && errkind.Of(err) == errkind.UpstreamFailed
 	return r
 }
--- a/daemon/routing.go
+++ b/daemon/routing.go
@@ -311,7 +311,7 @@
 		r.guards.failed(o)
 	case errkind.UpstreamFailed:
 		r.guards.failed(o)
-		if _, answered := errors.AsType[*upstream.StatusError](o.Err); !answered {
+		if _, answered := errors.AsType[*upstream.AnsweredError](o.Err); !answered {
 			live.Failed(r.now())
 		}
 	case errkind.UpstreamRefused, errkind.UpstreamTimeout:
