--- a/operator/answer.go
+++ b/operator/answer.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 
+	"github.com/samber/oops"
+
 	"github.com/savoryshift/savoryshift/coord/changelog"
 	"github.com/savoryshift/savoryshift/coord/store"
 	"github.com/savoryshift/savoryshift/errkind"
@@ -49,9 +51,9 @@
 	}
 	switch {
 	case errors.Is(err, store.ErrUnknown):
-		return errkind.Wrap(errkind.OutcomeUnknown, err)
+		return errkind.Wrap(errkind.OutcomeUnknown, oops.Wrapf(err, "whether the change is in the log is unknown; the same id again is harmless"))
 	case errors.Is(err, store.ErrUnavailable):
-		return errkind.Wrap(errkind.Isolated, err)
+		return errkind.Wrap(errkind.Isolated, oops.Wrapf(err, "the platform can't be reached; nothing was changed"))
 	}
 	return err
 }
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -157,7 +157,7 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, f.daemon.Halts, []operator.Halt{mark})
 	_, err = editor.Drain(ctx, "e1", operator.Action{Reason: "x"})
-	assert.Equal(t, apiError(t, err).Ran, errkind.RanNo)
+	assert.Assert(t, apiError(t, err).Ran == errkind.RanNo && strings.Contains(err.Error(), "nothing was changed"), "%v", err)
 	status, err := editor.Status(ctx)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, status.Halts, []operator.Halt{{Version: "s2", Rollout: "r1"}})
