--- a/daemon/control.go
+++ b/daemon/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
 	"net/http"
 	"sync"
@@ -41,7 +40,7 @@
 	upstream *upstream.Client
 	platform *platform.Client
 	advance  func(context.Context, system.Advance) error
-	leases   func() (orders, rollouts system.Lease)
+	lease    func(now time.Time) system.Lease
 	logger   *zap.Logger
 
 	tables table.Tables
@@ -99,7 +98,7 @@
 		c.vmsAt = now
 		c.effects.Go(func() { c.readVMs(ctx) })
 	}
-	in := c.takeInputs(s)
+	in := c.takeInputs(s, now)
 	for _, e := range system.Tick(&c.tables, now, &in) {
 		c.effects.Go(func() { c.carryOut(ctx, e) })
 	}
@@ -108,7 +107,7 @@
 }
 
 // takeInputs returns what has arrived since the last tick.
-func (c *control) takeInputs(s *tree.Snapshot) system.Inputs {
+func (c *control) takeInputs(s *tree.Snapshot, now time.Time) system.Inputs {
 	c.mu.Lock()
 	in := c.inputs
 	c.inputs = system.Inputs{}
@@ -124,7 +123,8 @@
 			in.Halts = append(in.Halts, table.Halt{Version: r.To, Rollout: id})
 		}
 	}
-	in.OrderLease, in.RolloutLease = c.leases()
+	in.OrderLease = c.lease(now)
+	in.RolloutLease = in.OrderLease
 	return in
 }
 
@@ -233,12 +233,8 @@
 // callResult describes the end of a call to the health system.
 func callResult(upstreamID string, sentAt time.Time, err error) system.CallResult {
 	r := system.CallResult{Upstream: upstreamID, SentAt: sentAt}
-	if refused, ok := errors.AsType[*upstream.RefusedError](err); ok {
-		r.Leaving = refused.Leaving
-		return r
-	}
-	_, answered := errors.AsType[*upstream.AnsweredError](err)
-	r.Failed = err != nil && !answered && errkind.Of(err) == errkind.UpstreamFailed
+	r.Leaving = upstream.IsLeaving(err)
+	r.Failed = upstream.IsUnreachable(err)
 	return r
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,6 +14,7 @@
 
 	"github.com/savoryshift/savoryshift/control/system"
 	"github.com/savoryshift/savoryshift/coord/claim"
+	"github.com/savoryshift/savoryshift/coord/fence"
 	"github.com/savoryshift/savoryshift/coord/ledger"
 	"github.com/savoryshift/savoryshift/coord/member"
 	"github.com/savoryshift/savoryshift/platform"
@@ -48,6 +49,8 @@
 	guards     *guards
 	proxy      *proxy.Server
 	acceptance *acceptance
+	leadership *leadership
+	sweeper    *claim.Sweeper
 	control    *control
 	// draining is set when a planned stop begins.
 	draining atomic.Bool
@@ -97,6 +100,17 @@
 	})
 	d.upstream = upstream.New(upstream.Options{StreamIdle: s.Bounds.StreamIdleTimeoutMs.Duration()})
 	d.routing = newRouting(s.AvailabilityZone, d.guards)
+	d.leadership = &leadership{
+		lease: fence.New(fence.Options{
+			Table:    d.platform,
+			Name:     controlLease,
+			Holder:   ledgerID(d.config.members.Self()),
+			Duration: controlLeaseTime,
+			MaxCall:  system.OrderTimeout,
+		}),
+		candidate: d.config.node.Delegate,
+	}
+	d.sweeper = claim.NewSweeper(claim.SweeperOptions{Table: d.platform, Lease: d.leadership.lease})
 	d.control = &control{
 		tick:     s.Periods.TickMs.Duration(),
 		vmsEvery: s.Periods.VMListMs.Duration(),
@@ -105,7 +119,7 @@
 		upstream: d.upstream,
 		platform: d.platform,
 		advance:  d.config.advance,
-		leases:   func() (orders, rollouts system.Lease) { return system.Lease{}, system.Lease{} },
+		lease:    d.leadership.current,
 		logger:   d.logger,
 		calls:    make(chan system.CallResult, callResults),
 	}
@@ -177,6 +191,8 @@
 	d.addLedger(&g)
 	d.addLoop(&g, d.config.Run)
 	d.addLoop(&g, d.control.Run)
+	d.addLoop(&g, d.leadership.Run)
+	d.addLoop(&g, d.sweeper.Run)
 	d.addLoop(&g, d.claimer.Run)
 	d.addOperators(&g)
 	return g.Run()
--- a/daemon/routing.go
+++ b/daemon/routing.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -306,16 +305,13 @@
 
 // failed tells an upstream that cannot be reached from a version that fails.
 func (r *routing) failed(live *policy.Live, o proxy.Outcome) {
+	if upstream.IsUnreachable(o.Err) || errkind.Of(o.Err) == errkind.UpstreamRefused {
+		live.Failed(r.now())
+		return
+	}
 	switch errkind.Of(o.Err) {
-	case errkind.UpstreamInvalidAnswer:
+	case errkind.UpstreamFailed, errkind.UpstreamInvalidAnswer:
 		r.guards.failed(o)
-	case errkind.UpstreamFailed:
-		r.guards.failed(o)
-		if _, answered := errors.AsType[*upstream.AnsweredError](o.Err); !answered {
-			live.Failed(r.now())
-		}
-	case errkind.UpstreamRefused, errkind.UpstreamTimeout:
-		live.Failed(r.now())
 	}
 }
 
