operator: a finished roll-out can be aborted

A roll-out that is done keeps moving new sessions, and a roll-out back to the base is refused as a cycle while it stands. Abort was possible only for running and paused ones, so that going back took a hand-written patch. The table of savoryctl commands has the case, and saw it refused before.

--- a/operator/server.go
+++ b/operator/server.go
@@ -147,7 +147,7 @@
 	s.edit("POST /v1/rollouts/{id}/start", s.action(startRollout))
 	s.edit("POST /v1/rollouts/{id}/pause", s.action(rolloutStep(tree.RolloutPaused, tree.RolloutRunning)))
 	s.edit("POST /v1/rollouts/{id}/continue", s.action(rolloutStep(tree.RolloutRunning, tree.RolloutPaused)))
-	s.edit("POST /v1/rollouts/{id}/abort", s.action(rolloutStep(tree.RolloutAborted, tree.RolloutRunning, tree.RolloutPaused)))
+	s.edit("POST /v1/rollouts/{id}/abort", s.action(rolloutStep(tree.RolloutAborted, tree.RolloutRunning, tree.RolloutPaused, tree.RolloutDone)))
 	s.edit("POST /v1/upstreams/{id}/drain", s.action(drain))
 	s.edit("POST /v1/halts", s.postHalt)
 }
