--- a/cmd/savoryctl/standin_test.go
+++ b/cmd/savoryctl/standin_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,29 +17,51 @@
 	"github.com/savoryshift/savoryshift/upstream/upstreamtest"
 )
 
-// A stop must let a call in flight finish.
-func TestServeFinishesCallsInFlight(t *testing.T) {
+// stopInFlight stops a server half-way through a call of one second and returns
+// what the caller received.
+func stopInFlight(t *testing.T, serve func(l net.Listener, h http.Handler, stop context.Context)) (body string, err error) {
 	synctest.Test(t, func(t *testing.T) {
 		network := upstreamtest.New()
-		l := network.Listen("standin:80")
 		slow := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			time.Sleep(time.Second)
 			_, _ = io.WriteString(w, "complete")
 		})
-		ctx, stop := context.WithCancel(t.Context())
-		wait, interrupt := run.ContextHandler(ctx)
-		done := make(chan error, 1)
-		go func() { done <- serve(l, slow, wait, interrupt) }()
-		time.AfterFunc(500*time.Millisecond, stop)
+		stop, cancel := context.WithCancel(t.Context())
+		listener := network.Listen("standin:80")
+		var served sync.WaitGroup
+		served.Go(func() { serve(listener, slow, stop) })
+		time.AfterFunc(500*time.Millisecond, cancel)
 		transport := &http.Transport{DialContext: network.Dial}
-		resp, err := (&http.Client{Transport: transport}).Get("http://standin/")
-		assert.NilError(t, err)
-		body, err := io.ReadAll(resp.Body)
-		assert.NilError(t, err)
-		assert.Equal(t, string(body), "complete")
-		transport.CloseIdleConnections()
-		assert.ErrorIs(t, <-done, context.Canceled)
+		defer served.Wait()
+		defer transport.CloseIdleConnections()
+		resp, getErr := (&http.Client{Transport: transport}).Get("http://standin/")
+		if err = getErr; err != nil {
+			return
+		}
+		data, readErr := io.ReadAll(resp.Body)
+		body, err = string(data), readErr
+	})
+	return body, err
+}
+
+// A stop must let a call in flight finish.
+func TestServeFinishesCallsInFlight(t *testing.T) {
+	body, err := stopInFlight(t, func(l net.Listener, h http.Handler, stop context.Context) {
+		wait, interrupt := run.ContextHandler(stop)
+		assert.Check(t, errors.Is(serve(l, h, wait, interrupt), context.Canceled))
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, body, "complete")
+}
+
+// Twin: a server that is closed without a graceful shutdown cuts the call.
+func TestServeTwinWithoutShutdown(t *testing.T) {
+	_, err := stopInFlight(t, func(l net.Listener, h http.Handler, stop context.Context) {
+		server := &http.Server{Handler: h}
+		context.AfterFunc(stop, func() { _ = server.Close() })
+		_ = server.Serve(l)
 	})
+	assert.Assert(t, err != nil, "the check cannot fail")
 }
 
 func TestEngineOptionsFromWorkload(t *testing.T) {
