--- a/cmd/savoryctl/standin_test.go
+++ b/cmd/savoryctl/standin_test.go
@@ -23,8 +23,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		network := upstreamtest.New()
 		slow := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			time.Sleep(time.Second)
-			_, _ = io.WriteString(w, "complete")
+			select {
+			case <-time.After(time.Second):
+				_, _ = io.WriteString(w, "complete")
+			case <-r.Context().Done():
+			}
 		})
 		stop, cancel := context.WithCancel(t.Context())
 		listener := network.Listen("standin:80")
