policy: prior by cost, early second calls, bias correction

With few ratings per class the estimates of dear versions were noise: the prior now starts from the cheapest version's learned quality and adds a gain per cost.

--- a/bench/flight.go
+++ b/bench/flight.go
@@ -14,14 +14,15 @@
 	running int
 	calls   int
 	// held is the best answer at hand.
-	held        int
-	heldGood    float64
-	tokens      float64
-	tried       []int
-	released    time.Duration
-	avoid       int
-	failedLast  bool
-	lastVersion int
+	held       int
+	heldGood   float64
+	tokens     float64
+	tried      []int
+	released   time.Duration
+	avoid      int
+	failedLast bool
+	// judged is set once the rating of the first answer is known.
+	judged bool
 }
 
 func (f *flight) world() *world { return f.daemon.router.world }
@@ -53,7 +54,7 @@
 	for i := 1; i < plan.N; i++ {
 		c := plan.Calls[i]
 		f.world().after(c.StartAfter, func() {
-			if !f.q.done && f.held < 0 && f.running > 0 {
+			if !f.q.done && !f.judged && (f.running > 0 || f.held >= 0) {
 				f.launch(c, plan.Priority, true, false)
 			}
 		})
@@ -95,6 +96,7 @@
 		if hold || first == 0 {
 			first = w.now
 		}
+		f.settle(f.daemon.view.Prior(f.req.Class, c.version), true)
 		w.deliver(f.q, c.version, first, f.q.expected)
 		f.daemon.learnRating(f.q, c.version)
 	}
@@ -117,15 +119,24 @@
 			return
 		}
 		if !ok || good {
+			f.settle(f.daemon.view.Posterior(f.req.Class, c.version, true), ok)
 			w.deliver(f.q, c.version, w.now, f.q.expected)
 			return
 		}
+		f.judged = true
 		f.heldGood = f.daemon.view.Posterior(f.req.Class, c.version, false)
 		f.tried = append(f.tried, c.version)
 		f.next(false, -1)
 	})
 }
 
+// settle reports the final quality of a request to the planner.
+func (f *flight) settle(final float64, known bool) {
+	if known {
+		f.daemon.planner.ObserveSettled(f.req.Class, f.q.expected, final)
+	}
+}
+
 func (f *flight) hold(version int, good, tokens float64) {
 	if f.held < 0 || good >= f.heldGood {
 		f.held, f.heldGood = version, good
@@ -156,6 +167,7 @@
 	case plan.Refused():
 		w.refuse(f.q)
 	case plan.N == 0:
+		f.settle(f.heldGood, true)
 		w.deliver(f.q, f.held, w.now, f.q.expected)
 	default:
 		if failed {
@@ -168,6 +180,7 @@
 // fallback releases the answer at hand when the deadline is near.
 func (f *flight) fallback() {
 	if !f.q.done && f.held >= 0 && f.released == 0 {
+		f.settle(f.heldGood, true)
 		f.world().deliver(f.q, f.held, f.world().now, f.q.expected)
 	}
 }
--- a/bench/metrics.go
+++ b/bench/metrics.go
@@ -10,7 +10,10 @@
 	Name    string  `json:"name"`
 	Target  float64 `json:"target"`
 	Answers int     `json:"answers"`
-	Good    int     `json:"good"`
+	// Good counts good answers; for the oracle it is the expected number.
+	Good float64 `json:"good"`
+	// Predicted is the sum of the qualities that the router predicted.
+	Predicted float64 `json:"predicted_good"`
 	// Requests counts all requests of the class.
 	Requests int `json:"requests"`
 }
@@ -20,7 +23,7 @@
 	if c.Answers == 0 {
 		return 0
 	}
-	return float64(c.Good) / float64(c.Answers)
+	return c.Good / float64(c.Answers)
 }
 
 // Cell is the result of one router at one level under one fault, over one or
@@ -99,10 +102,15 @@
 	}
 	c.Answered++
 	k.Answers++
+	k.Predicted += q.expected
 	if feasible {
 		c.FeasibleAnswered++
 	}
-	if q.good {
+	switch {
+	case q.fractional:
+		k.Good += q.expected
+		return
+	case q.good:
 		k.Good++
 	}
 	c.firstTokens = append(c.firstTokens, q.firstToken.Seconds())
--- a/bench/report.go
+++ b/bench/report.go
@@ -26,7 +26,7 @@
 	var parts []string
 	for i := range c.Classes {
 		k := &c.Classes[i]
-		parts = append(parts, fmt.Sprintf("%s %.3f-%.2f", k.Name, k.Quality(), k.Target))
+		parts = append(parts, fmt.Sprintf("%s %.3f(%.3f)-%.2f", k.Name, k.Quality(), k.Predicted/float64(max(1, k.Answers)), k.Target))
 	}
 	return strings.Join(parts, " ")
 }
--- a/bench/world.go
+++ b/bench/world.go
@@ -38,7 +38,9 @@
 	expected   float64
 	firstToken time.Duration
 	total      time.Duration
-	state      any
+	// fractional marks a request of the oracle, whose expected quality counts
+	// in place of a drawn one.
+	fractional bool
 }
 
 // zoneState says what a zone is cut off from.
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -59,7 +59,7 @@
 	}
 	plan := w.plan(&best, mu, left)
 	plan.Priority = priorityOf(r, left, w.options[best.option].total(math.Exp(mu)))
-	t.note(r.QualityTarget + qualityMargin - plan.Quality)
+	t.note(r.QualityTarget + qualityMargin + c.bias - plan.Quality)
 	p.noteAdmitted(r, &w.options[best.option], math.Exp(mu), now)
 	return plan
 }
@@ -148,7 +148,7 @@
 
 // begin weighs all ways to begin.
 func (w *weigher) begin(c *classView, mu, sigma, left, value float64, r *Request) candidate {
-	var list [maxOptions * (maxOptions + 3)]candidate
+	var list [maxOptions * (maxOptions + 2)]candidate
 	n := 0
 	points := c.points
 	if r.OutputTokens > 0 {
@@ -205,9 +205,13 @@
 	list[1] = cascade
 	n := 2
 	for j := i + 1; j < w.n; j++ {
-		if early, ok := w.early(i, j, points, p, left); ok {
-			list[n] = early
-			n++
+		known := o.total(points[quadrature/2]) + w.delay
+		latest := left - w.options[j].total(points[quadrature-2])*timeCaution
+		for _, delay := range [...]float64{latest, 0} {
+			if delay >= 0 && delay < known {
+				list[n] = w.early(i, j, delay, points, p, left)
+				n++
+			}
 		}
 	}
 	return n
@@ -220,15 +224,10 @@
 	o.burden += x.burden / quadrature
 }
 
-// early weighs a cascade whose second call starts as late as the deadline
-// permits, before the rating of the first answer is known.
-func (w *weigher) early(i, j int, points *[quadrature]float64, p, left float64) (candidate, bool) {
+// early weighs a cascade whose second call starts after the given delay, before
+// the rating of the first answer is known.
+func (w *weigher) early(i, j int, delay float64, points *[quadrature]float64, p, left float64) candidate {
 	x, y := &w.options[i], &w.options[j]
-	slow := points[quadrature-2]
-	delay := left - y.total(slow)*timeCaution
-	if delay <= 0 || delay >= x.total(points[2])+w.delay {
-		return candidate{}, false
-	}
 	k := candidate{kind: EarlyCascade, option: i, second: j, delay: delay, onTime: p}
 	rateGood, afterGood, afterBad := w.posterior(x.quality)
 	for _, tokens := range points {
@@ -247,7 +246,7 @@
 		}
 		k.out.add(out)
 	}
-	return k, true
+	return k
 }
 
 // started is the part of the cost of a call that is spent after some time.
--- a/policy/learn.go
+++ b/policy/learn.go
@@ -19,11 +19,11 @@
 	RetryBudget float64
 }
 
-// cellKey names a version on an engine.
-type cellKey struct{ Upstream, Version string }
+// CellKey names a version on an engine.
+type CellKey struct{ Upstream, Version string }
 
-// qualityKey names a version for a class.
-type qualityKey struct{ Class, Version string }
+// QualityKey names a version for a class.
+type QualityKey struct{ Class, Version string }
 
 // Planner learns from observations and decides. All methods are safe for
 // concurrent use: decisions read an immutable View and per-class atomics, and
@@ -72,7 +72,7 @@
 func (p *Planner) ObserveServed(s Served, now time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	key := cellKey{s.Upstream, s.Version}
+	key := CellKey{s.Upstream, s.Version}
 	cell := p.own.Cells[key]
 	if s.First > 0 {
 		base := s.First.Seconds() / (1 - prefixSaving*s.CachedShare)
@@ -99,11 +99,29 @@
 // lengthMemory is the number of answers after which older lengths fade.
 const lengthMemory = 500
 
+// ObserveSettled compares the quality that a plan predicted with the quality of
+// the delivered answer as judged by its rating, so that a bias of the plans of a
+// class is corrected.
+func (p *Planner) ObserveSettled(class string, predicted, final float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := p.own.Settled[class]
+	keep := choose(b.N >= biasMemory, 1-1.0/biasMemory, 1)
+	p.own.Settled[class] = BiasStat{N: b.N*keep + 1, Sum: b.Sum*keep + predicted - final}
+}
+
+// biasMemory is the number of answers after which older ones fade, and
+// biasPrior the weight of the prior assumption of no bias.
+const (
+	biasMemory = 300
+	biasPrior  = 30
+)
+
 // ObserveRating learns the quality of a version and the delay of the rating.
 func (p *Planner) ObserveRating(class, version string, good bool, delay, now time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	key := qualityKey{class, version}
+	key := QualityKey{class, version}
 	c := p.own.Ratings[key]
 	c.add(good)
 	p.own.Ratings[key] = c
--- a/policy/learned.go
+++ b/policy/learned.go
@@ -6,10 +6,11 @@
 
 // learned is the joined knowledge of all daemons, prepared for one view.
 type learned struct {
-	cells       map[cellKey][]CellStat
-	ratings     map[qualityKey]CountStat
+	cells       map[CellKey][]CellStat
+	ratings     map[QualityKey]CountStat
 	lengths     map[string]MomentStat
 	debts       map[string]float64
+	settled     map[string]BiasStat
 	ratingDelay float64
 	versionID   []string
 	models      []string
@@ -26,8 +27,8 @@
 // joinLocked joins own and peer summaries. The planner's lock is held.
 func (p *Planner) joinLocked(in Inputs) *learned {
 	l := &learned{
-		cells: map[cellKey][]CellStat{}, ratings: map[qualityKey]CountStat{},
-		lengths: map[string]MomentStat{}, debts: map[string]float64{},
+		cells: map[CellKey][]CellStat{}, ratings: map[QualityKey]CountStat{},
+		lengths: map[string]MomentStat{}, debts: map[string]float64{}, settled: map[string]BiasStat{},
 	}
 	delays := []MeanStat{p.own.RatingDelay}
 	l.join(&p.own)
@@ -57,6 +58,10 @@
 		sum.Good += c.Good
 		l.ratings[k] = sum
 	}
+	for k, b := range s.Settled {
+		sum := l.settled[k]
+		l.settled[k] = BiasStat{N: sum.N + b.N, Sum: sum.Sum + b.Sum}
+	}
 	for k, m := range s.Lengths {
 		sum := l.lengths[k]
 		sum.N += m.N
@@ -147,7 +152,7 @@
 	if weight > 0 {
 		offset *= weight / (weight + 0.3)
 	}
-	stats := l.cells[cellKey{upstream, l.versionID[ver]}]
+	stats := l.cells[CellKey{upstream, l.versionID[ver]}]
 	x, w := pool(perTokens(stats))
 	perTokenLog := (x*w + versionPull*(l.perToken[ver]+offset)) / (w + versionPull)
 	ratio := perTokenLog - l.perToken[ver]
@@ -164,7 +169,7 @@
 		if ver == except {
 			continue
 		}
-		x, w := pool(perTokens(l.cells[cellKey{upstream, l.versionID[ver]}]))
+		x, w := pool(perTokens(l.cells[CellKey{upstream, l.versionID[ver]}]))
 		sum += w * (x - l.perToken[ver])
 		weight += w
 	}
@@ -174,13 +179,27 @@
 	return sum / weight, weight
 }
 
+// anchor is the quality of the cheapest versions for a class. They receive most
+// ratings, so they show how hard the class is.
+func (l *learned) anchor(class string, versions []VersionSpec, cheapest, accuracy float64) float64 {
+	var sum CountStat
+	for _, s := range versions {
+		if s.CostPer1kOutput <= cheapest {
+			c := l.ratings[QualityKey{class, s.ID}]
+			sum.N += c.N
+			sum.Good += c.Good
+		}
+	}
+	return qualityOf(sum, priorCheapest, anchorRatings, accuracy).mean
+}
+
 // quality estimates the quality of a version for a class. The ratings of other
 // versions of the same model serve as a prior.
 func (l *learned) quality(class string, versions []VersionSpec, i int, s VersionSpec, prior, accuracy float64) estimate {
 	var siblings CountStat
 	for j, other := range versions {
 		if j != i && other.Model == s.Model {
-			c := l.ratings[qualityKey{class, other.ID}]
+			c := l.ratings[QualityKey{class, other.ID}]
 			siblings.N += c.N
 			siblings.Good += c.Good
 		}
@@ -191,5 +210,5 @@
 		prior = e.mean
 		weight += math.Min(siblings.N, siblingRatings)
 	}
-	return qualityOf(l.ratings[qualityKey{class, s.ID}], prior, weight, accuracy)
+	return qualityOf(l.ratings[QualityKey{class, s.ID}], prior, weight, accuracy)
 }
--- a/policy/quality.go
+++ b/policy/quality.go
@@ -6,12 +6,15 @@
 const (
 	// qualityMemory is the number of ratings after which older ones fade.
 	qualityMemory = 400
-	// priorRatings is the weight of the prior, in ratings.
-	priorRatings = 4
-	// priorCheapest and priorDearest are the prior means of the cheapest and
-	// the dearest version; those between are placed by the logarithm of cost.
+	// anchorRatings is the weight of the prior of the cheapest version, in
+	// ratings, and priorRatings that of the others.
+	anchorRatings = 4
+	priorRatings  = 12
+	// priorCheapest is the prior mean of the cheapest version.
 	priorCheapest = 0.80
-	priorDearest  = 0.95
+	// priorPerCost is the prior gain in the log odds of a good answer per unit
+	// of the logarithm of cost.
+	priorPerCost = 0.87
 	// siblingRatings is the weight that the ratings of other versions of the
 	// same model have at most, in ratings.
 	siblingRatings = 12
@@ -65,13 +68,14 @@
 	return estimate{mean: corrected(share, accuracy), sd: math.Min(sd, 0.3)}
 }
 
-// priorOf is the prior mean of a version by its cost within the range of costs.
-func priorOf(cost, cheapest, dearest float64) float64 {
-	if dearest <= cheapest || cheapest <= 0 {
-		return (priorCheapest + priorDearest) / 2
+// priorOf is the prior mean of a version, judged by the quality of the cheapest
+// version for the class and by how much more it costs.
+func priorOf(anchor, cost, cheapest float64) float64 {
+	if cheapest <= 0 || cost <= cheapest {
+		return anchor
 	}
-	x := math.Log(cost/cheapest) / math.Log(dearest/cheapest)
-	return priorCheapest + (priorDearest-priorCheapest)*clamp(x, 0, 1)
+	odds := math.Log(anchor/(1-anchor)) + priorPerCost*math.Log(cost/cheapest)
+	return 1 / (1 + math.Exp(-odds))
 }
 
 func clamp(x, low, high float64) float64 { return math.Max(low, math.Min(high, x)) }
--- a/policy/summary.go
+++ b/policy/summary.go
@@ -6,18 +6,24 @@
 // join to theirs. It holds the daemon's own samples only, so a later summary of
 // a daemon replaces the earlier one and repeats do no harm.
 type Summary struct {
-	Cells       map[cellKey]CellStat
-	Ratings     map[qualityKey]CountStat
+	Cells       map[CellKey]CellStat
+	Ratings     map[QualityKey]CountStat
 	Lengths     map[string]MomentStat
 	RatingDelay MeanStat
 	// Debts holds, by class, the predicted quality that is owed to the target.
 	Debts map[string]float64
+	// Settled holds, by class, the sum of predicted less final quality.
+	Settled map[string]BiasStat
 }
 
+// BiasStat counts answers and by how much their predicted quality was above
+// the final one.
+type BiasStat struct{ N, Sum float64 }
+
 func newSummary() Summary {
 	return Summary{
-		Cells: map[cellKey]CellStat{}, Ratings: map[qualityKey]CountStat{},
-		Lengths: map[string]MomentStat{}, Debts: map[string]float64{},
+		Cells: map[CellKey]CellStat{}, Ratings: map[QualityKey]CountStat{},
+		Lengths: map[string]MomentStat{}, Debts: map[string]float64{}, Settled: map[string]BiasStat{},
 	}
 }
 
@@ -25,6 +31,7 @@
 	c := *s
 	c.Cells, c.Ratings = maps.Clone(s.Cells), maps.Clone(s.Ratings)
 	c.Lengths, c.Debts = maps.Clone(s.Lengths), maps.Clone(s.Debts)
+	c.Settled = maps.Clone(s.Settled)
 	return c
 }
 
--- a/policy/value.go
+++ b/policy/value.go
@@ -10,11 +10,12 @@
 	// quadrature is the number of answer lengths over which a plan is averaged.
 	quadrature = 5
 	// timeCaution scales predicted service times of follow-up calls.
-	timeCaution = 1.15
+	timeCaution = 1.08
 )
 
-// quadratureZ are the medians of the fifths of a normal distribution.
-var quadratureZ = [quadrature]float64{-1.2816, -0.5244, 0, 0.5244, 1.2816}
+// quadratureZ are five equally likely values with mean 0 and variance 1, in the
+// proportions of the medians of the fifths of a normal distribution.
+var quadratureZ = [quadrature]float64{-1.463, -0.599, 0, 0.599, 1.463}
 
 // outcome is the predicted result of a policy from some state on.
 type outcome struct {
--- a/policy/view.go
+++ b/policy/view.go
@@ -44,10 +44,15 @@
 	tokens    float64
 	points    [quadrature]float64
 	quality   []estimate
+	// bias is by how much plans of the class promise too much quality.
+	bias float64
 	// scale is the cost of a mean request of the class on the dearest version.
 	scale float64
 }
 
+// maxBias bounds the correction of promised quality.
+const maxBias = 0.05
+
 // hintLifetime is the age at which a cache hint is no longer used.
 const hintLifetime = 30 * time.Second
 
@@ -95,15 +100,11 @@
 	for _, s := range v.versions {
 		cheapest, dearest = math.Min(cheapest, s.CostPer1kOutput), math.Max(dearest, s.CostPer1kOutput)
 	}
-	prior := make([]float64, len(v.versions))
-	for i, s := range v.versions {
-		prior[i] = priorOf(s.CostPer1kOutput, cheapest, dearest)
-	}
-	v.unknown = newClassView(v, l, "", MomentStat{}, prior, dearest)
+	v.unknown = newClassView(v, l, "", MomentStat{}, cheapest, dearest)
 	v.classes = make(map[string]*classView, len(l.lengths))
 	total, n := 0.0, 0.0
 	for name, m := range l.lengths {
-		c := newClassView(v, l, name, m, prior, dearest)
+		c := newClassView(v, l, name, m, cheapest, dearest)
 		v.classes[name] = c
 		total += c.tokens * (m.N + 1)
 		n += m.N + 1
@@ -118,7 +119,7 @@
 // promptMarkup allows for the prompt in the cost of a mean request.
 const promptMarkup = 1.6
 
-func newClassView(v *View, l *learned, name string, m MomentStat, prior []float64, dearest float64) *classView {
+func newClassView(v *View, l *learned, name string, m MomentStat, cheapest, dearest float64) *classView {
 	c := &classView{quality: make([]estimate, len(v.versions))}
 	c.mu, c.sigma = lengthOf(m)
 	c.tokens = math.Exp(c.mu + c.sigma*c.sigma/2)
@@ -126,8 +127,12 @@
 	for i, z := range quadratureZ {
 		c.points[i] = math.Exp(c.mu + c.sigma*z)
 	}
+	b := l.settled[name]
+	c.bias = clamp(b.Sum/(b.N+biasPrior), -maxBias, maxBias)
+	anchor := l.anchor(name, v.versions, cheapest, v.accuracy)
 	for i, s := range v.versions {
-		c.quality[i] = l.quality(name, v.versions, i, s, prior[i], v.accuracy)
+		prior := priorOf(anchor, s.CostPer1kOutput, cheapest)
+		c.quality[i] = l.quality(name, v.versions, i, s, prior, v.accuracy)
 	}
 	return c
 }
