--- a/coord/changelog/follower.go
+++ b/coord/changelog/follower.go
@@ -12,14 +12,15 @@
 const defaultKeep = 512
 
 // ApplyError reports a change that is part of the chain but that Apply refuses.
-// The follower stays at the revision before.
+// The change then has no effect on the state. All nodes skip it alike, because
+// Apply is deterministic; stopping at it would isolate every node for good.
 type ApplyError struct {
 	Revision int64
 	Err      error
 }
 
 func (e *ApplyError) Error() string {
-	return fmt.Sprintf("change log revision %d cannot be applied: %v", e.Revision, e.Err)
+	return fmt.Sprintf("change log revision %d has no effect: %v", e.Revision, e.Err)
 }
 
 func (e *ApplyError) Unwrap() error { return e.Err }
@@ -36,11 +37,12 @@
 	Start Snapshot
 }
 
-// Rejections counts the batches of changes that a Follower rejected.
+// Rejections counts what a Follower rejected: batches of changes, unless said
+// otherwise.
 type Rejections struct {
 	Gaps   int64 // revisions are missing
 	Forged int64 // a hash or a link does not match, or the log forked
-	Apply  int64 // Apply returned an error
+	Apply  int64 // single changes without effect, because Apply returned an error
 }
 
 // Follower holds the highest revision that can be proved by the hash chain. It
@@ -113,8 +115,8 @@
 
 // Offer extends the chain by changes from any source and returns the head. It
 // ignores changes that are known already. A batch with a gap, a forged or a
-// forked change has no effect and returns a *ChainError. When Apply refuses a
-// change, those before it stay applied and Offer returns an *ApplyError.
+// forked change has no effect and returns a *ChainError. An *ApplyError names
+// the first change that Apply refused; the whole batch is taken nevertheless.
 func (f *Follower) Offer(changes []Change) (Head, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -145,16 +147,19 @@
 }
 
 func (f *Follower) extend(changes []Change) error {
+	var refused error
 	for _, c := range changes {
 		state, err := f.apply(f.state, c.Patch)
-		if err != nil {
-			return &ApplyError{Revision: c.Revision, Err: err}
+		if err == nil {
+			f.state = state
+		} else {
+			f.rejected.Apply++
+			refused = firstError(refused, &ApplyError{Revision: c.Revision, Err: err})
 		}
-		f.state = state
 		f.head = Head{Revision: c.Revision, Hash: c.Hash}
 		f.recent = append(f.recent, c)
 		if c.Revision%f.every == 0 {
-			f.due = &Snapshot{Head: f.head, State: state}
+			f.due = &Snapshot{Head: f.head, State: f.state}
 		}
 	}
 	if excess := len(f.recent) - f.keep; excess > 0 {
@@ -162,15 +167,18 @@
 		// out by Since intact.
 		f.recent = append(make([]Change, 0, f.keep), f.recent[excess:]...)
 	}
-	return nil
+	return refused
 }
 
-func (f *Follower) count(err error) {
-	if err == nil {
-		return
+func firstError(first, next error) error {
+	if first != nil {
+		return first
 	}
-	if _, ok := errors.AsType[*ApplyError](err); ok {
-		f.rejected.Apply++
+	return next
+}
+
+func (f *Follower) count(err error) {
+	if _, broken := errors.AsType[*ChainError](err); !broken {
 		return
 	}
 	if errors.Is(err, ErrGap) {
--- a/coord/changelog/snapshot.go
+++ b/coord/changelog/snapshot.go
@@ -62,7 +62,8 @@
 	return f, l.CatchUp(ctx, f)
 }
 
-// CatchUp offers f all changes of the log after its head.
+// CatchUp offers f all changes of the log after its head. Changes that Apply
+// refuses are counted by f and are no error.
 func (l *Log) CatchUp(ctx context.Context, f *Follower) error {
 	for {
 		changes, err := l.Changes(ctx, f.Head().Revision, pageSize)
@@ -72,7 +73,8 @@
 		if len(changes) == 0 {
 			return nil
 		}
-		if _, err := f.Offer(changes); err != nil {
+		_, err = f.Offer(changes)
+		if _, refused := errors.AsType[*ApplyError](err); err != nil && !refused {
 			return err
 		}
 	}
--- a/coord/spread/node.go
+++ b/coord/spread/node.go
@@ -77,7 +77,7 @@
 	counters Counters
 }
 
-// New returns a node that knows only itself.
+// New returns a node that knows only itself and what its follower holds.
 func New(o Options) *Node {
 	o.SyncEvery = cmp.Or(o.SyncEvery, DefaultSyncEvery)
 	o.HeadEvery = cmp.Or(o.HeadEvery, DefaultHeadEvery)
@@ -87,11 +87,13 @@
 	if o.Relevant == nil {
 		o.Relevant = func(string) bool { return true }
 	}
-	return &Node{
+	n := &Node{
 		self: o.Members.Self(), members: o.Members, follower: o.Follower, lease: o.Lease, o: o,
 		acks: make(ackTable), halts: haltSet{marks: make(map[string]Mark)}, reports: make(reportTable),
 		listed: make(map[string]bool), delisted: make(map[string]bool),
 	}
+	n.acks.merge(n.self, n.lease.Applied())
+	return n
 }
 
 // Plan is what is due at a tick.
--- /dev/null
+++ b/coord/spread/spread_test.go
@@ -0,0 +1,209 @@
+package spread_test
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryshift/savoryshift/coord/changelog"
+	"github.com/savoryshift/savoryshift/coord/evidence"
+	"github.com/savoryshift/savoryshift/coord/member"
+	"github.com/savoryshift/savoryshift/coord/memstore"
+	"github.com/savoryshift/savoryshift/coord/spread"
+)
+
+// testNode is a node at a revision of its own log.
+type testNode struct {
+	*spread.Node
+	follower *changelog.Follower
+	lease    *evidence.Lease
+	members  *member.View
+	now      time.Time
+}
+
+func newNode(t *testing.T, id string, revisions int64) *testNode {
+	t.Helper()
+	n := &testNode{now: time.Unix(1000, 0)}
+	n.follower = changelog.NewFollower(changelog.FollowerOptions{})
+	l := changelog.New(changelog.Options{Table: memstore.New(), Now: func() time.Time { return time.Unix(0, 0) }})
+	for base := range revisions {
+		c, err := l.Append(t.Context(), changelog.Change{ID: fmt.Sprint(base), Base: base, Patch: []byte("x")})
+		assert.NilError(t, err)
+		_, err = n.follower.Offer([]changelog.Change{c})
+		assert.NilError(t, err)
+	}
+	now := func() time.Time { return n.now }
+	n.lease = evidence.New(evidence.Options{})
+	n.members = member.New(member.Options{Self: member.VM{ID: id, Incarnation: 5}, Now: now})
+	n.Node = spread.New(spread.Options{Members: n.members, Follower: n.follower, Lease: n.lease, Now: now,
+		Relevant: func(key string) bool { return key != "over" }})
+	n.Applied(revisions)
+	return n
+}
+
+// pull lets a take a reply of b, which it calls by the id to.
+func pull(t *testing.T, a, b *testNode, to string) spread.Effects {
+	t.Helper()
+	c := a.SyncRequest(to)
+	reply, _, err := b.HandleSync(c.Request)
+	assert.NilError(t, err)
+	e, err := a.HandleReply(c, reply)
+	assert.NilError(t, err)
+	return e
+}
+
+// Guards against a rejected message that leaves a trace: a revision, evidence,
+// a mark, a member or an acknowledgement.
+func TestRejectedMessagesChangeNothing(t *testing.T) {
+	mark := []spread.Mark{{Key: "k"}}
+	good := spread.SyncReply{Incarnation: 5, Revision: 2, HasEvidence: true, Halts: mark}
+	_, donor := newNode(t, "a/1", 0), newNode(t, "a/9", 4)
+	chain, _ := donor.follower.Since(2, 2)
+	reply := func(spoil func(*spread.SyncReply)) func(*testNode) error {
+		return func(n *testNode) error {
+			r := good
+			spoil(&r)
+			_, err := n.HandleReply(n.SyncRequest("a/2"), r)
+			return err
+		}
+	}
+	request := func(r spread.SyncRequest) func(*testNode) error {
+		return func(n *testNode) error { _, _, err := n.HandleSync(r); return err }
+	}
+	notify := func(m spread.Notification) func(*testNode) error {
+		return func(n *testNode) error { _, err := n.HandleNotify(m); return err }
+	}
+	cases := map[string]func(*testNode) error{
+		"fork":                  reply(func(r *spread.SyncReply) { r.Check = 1 }),
+		"gap":                   reply(func(r *spread.SyncReply) { r.Revision, r.Changes = 4, chain[1:] }),
+		"forged change":         reply(func(r *spread.SyncReply) { r.Revision, r.Changes = 3, forge(chain[:1]) }),
+		"negative age":          reply(func(r *spread.SyncReply) { r.AgeMs = -1 }),
+		"overflowing age":       reply(func(r *spread.SyncReply) { r.AgeMs = 1 << 60 }),
+		"negative evidence":     reply(func(r *spread.SyncReply) { r.Ahead = -3 }),
+		"behind itself":         reply(func(r *spread.SyncReply) { r.Behind = 3 }),
+		"no incarnation":        reply(func(r *spread.SyncReply) { r.Incarnation = 0 }),
+		"too many marks":        reply(func(r *spread.SyncReply) { r.Halts = make([]spread.Mark, 1000) }),
+		"long mark":             reply(func(r *spread.SyncReply) { r.Halts = []spread.Mark{{Key: strings.Repeat("x", 1000)}} }),
+		"report without digest": reply(func(r *spread.SyncReply) { r.Zones = []spread.ZoneReport{{Zone: "b", Rows: []spread.Row{{}}}} }),
+		"odd report":            reply(func(r *spread.SyncReply) { r.Zones = []spread.ZoneReport{{Zone: "b", Late: []int64{1}}} }),
+		"too many reports":      reply(func(r *spread.SyncReply) { r.Ages = make([]int64, 1000) }),
+		"request: id":           request(spread.SyncRequest{From: "x", Incarnation: 1}),
+		"request: own id":       request(spread.SyncRequest{From: "a/1", Incarnation: 9}),
+		"request: revision":     request(spread.SyncRequest{From: "a/2", Incarnation: 1, Revision: -1}),
+		"request: incarnation":  request(spread.SyncRequest{From: "a/3", Incarnation: 1}),
+		"notify: incarnation":   notify(spread.Notification{From: "a/3", Incarnation: 1, Halts: mark}),
+		"notify: mark":          notify(spread.Notification{From: "a/2", Incarnation: 1, Halts: []spread.Mark{{}}}),
+	}
+	for name, send := range cases {
+		n := newNode(t, "a/1", 2)
+		assert.NilError(t, n.members.Hear(member.VM{ID: "a/3", Incarnation: 2}, n.now))
+		err := send(n)
+		assert.Assert(t, err != nil, name)
+		c := n.Counters()
+		assert.Equal(t, c.BadMessages+c.OldMessages+c.BadChains, int64(1), name)
+		_, _, evident := n.lease.Evidence()
+		assert.Assert(t, !evident && len(n.Halts()) == 0 && n.follower.Head().Revision == 2, name)
+		assert.Equal(t, len(n.members.Members()), 2, name)
+		assert.DeepEqual(t, n.Unacknowledged(1), []string{"a/3"})
+	}
+	n := newNode(t, "a/1", 2) // the unspoilt reply is accepted but for its check
+	_, err := n.HandleReply(n.SyncRequest("a/2"), spread.SyncReply{Incarnation: 5, Revision: 1, HasEvidence: true, Halts: mark})
+	assert.NilError(t, err)
+	assert.Assert(t, n.lease.Valid() && n.Halted("k"))
+}
+
+func forge(changes []changelog.Change) []changelog.Change {
+	forged := append([]changelog.Change{}, changes...)
+	forged[0].Patch = []byte("forged")
+	return forged
+}
+
+// Guards against marks that depend on the order of arrival, that outlive their
+// roll-out, or that more than one reply cannot carry.
+func TestHaltsMergeByOr(t *testing.T) {
+	a, b := newNode(t, "a/1", 0), newNode(t, "a/2", 0)
+	for i := range 40 {
+		_, err := a.Halt(spread.Mark{Key: fmt.Sprint("a", i), By: "a/1"})
+		assert.NilError(t, err)
+	}
+	e, err := b.Halt(spread.Mark{Key: "b", By: "a/2"})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, e.Notification.Halts, b.Halts())
+	_, err = b.Halt(spread.Mark{Key: "over"})
+	assert.NilError(t, err)
+	for range 4 {
+		pull(t, a, b, "a/2")
+		pull(t, b, a, "a/1")
+	}
+	assert.DeepEqual(t, a.Halts()[:40], b.Halts()[:40])
+	assert.Equal(t, len(a.Halts()), 41)
+	assert.Assert(t, !a.Halted("over"))
+	assert.Equal(t, a.SyncRequest("a/2").Request.Halts, a.SyncRequest("b/2").Request.Halts)
+	e, err = a.HandleNotify(spread.Notification{From: "a/2", Incarnation: 5, Halts: b.Halts()[:1]})
+	assert.NilError(t, err)
+	assert.Equal(t, len(e.Notify), 0) // known marks are not passed on again
+	b.Tick()
+	assert.Assert(t, !b.Halted("over"))
+	for i := range 300 {
+		_, err = a.Halt(spread.Mark{Key: fmt.Sprint("more", i)})
+	}
+	assert.ErrorIs(t, err, spread.ErrHaltsFull)
+}
+
+// Guards against a change that counts as accepted while an entry VM lacks it,
+// and against one that never counts because of a VM that is gone.
+func TestUnacknowledged(t *testing.T) {
+	a, b := newNode(t, "a/1", 3), newNode(t, "a/2", 2)
+	a.List([]string{"a/1", "a/2", "a/3"})
+	pull(t, a, b, "a/2")
+	assert.DeepEqual(t, a.Unacknowledged(2), []string{"a/3"})
+	assert.DeepEqual(t, a.Unacknowledged(3), []string{"a/2", "a/3"})
+	e := pull(t, b, a, "a/1")
+	assert.Assert(t, e.Advanced)
+	pull(t, a, b, "a/2") // proven, but not in force yet
+	assert.DeepEqual(t, a.Unacknowledged(3), []string{"a/2", "a/3"})
+	b.Applied(3)
+	pull(t, a, b, "a/2")
+	assert.DeepEqual(t, a.Unacknowledged(3), []string{"a/3"})
+	a.List([]string{"a/1"})
+	assert.Equal(t, len(a.Unacknowledged(3)), 0)
+	_, err := a.HandleNotify(spread.Notification{From: "a/4", Incarnation: 1}) // never listed
+	assert.NilError(t, err)
+	assert.DeepEqual(t, a.Unacknowledged(3), []string{"a/4"})
+	a.List([]string{"a/1", "a/2"})
+	_, err = a.HandleNotify(spread.Notification{From: "a/2", Incarnation: 6}) // restarted
+	assert.NilError(t, err)
+	assert.DeepEqual(t, a.Unacknowledged(1), []string{"a/2", "a/4"})
+	a.List(nil)
+	a.now = a.now.Add(time.Minute)
+	a.Tick()
+	assert.Equal(t, len(a.Unacknowledged(1)), 0)
+}
+
+// Guards against a node that fetches a refused change over and over, or that
+// is isolated for good by it.
+func TestRefusedChangeDoesNotBlock(t *testing.T) {
+	a, b := newNode(t, "a/1", 1), newNode(t, "a/2", 3)
+	refusing := changelog.NewFollower(changelog.FollowerOptions{Apply: func([]byte, []byte) ([]byte, error) {
+		return nil, errors.New("refused")
+	}})
+	a.Node = spread.New(spread.Options{Members: a.members, Follower: refusing, Lease: a.lease})
+	e := pull(t, a, b, "a/2")
+	assert.Assert(t, e.Advanced && len(e.Calls) == 0 && !e.Load)
+	assert.Equal(t, refusing.Rejected().Apply, int64(3))
+}
+
+// Guards against changes that are proven but not announced to the caller when
+// their sender does not fit into the membership view.
+func TestFullViewDoesNotHideChanges(t *testing.T) {
+	a, b := newNode(t, "a/1", 1), newNode(t, "a/2", 3)
+	for i := range member.MaxMembers {
+		assert.NilError(t, a.members.Hear(member.VM{ID: fmt.Sprint("b/", i), Incarnation: 1}, a.now))
+	}
+	e := pull(t, a, b, "a/2")
+	assert.Assert(t, e.Advanced)
+}
--- a/coord/spread/spreadtest/host.go
+++ b/coord/spread/spreadtest/host.go
@@ -99,13 +99,15 @@
 	}
 }
 
-// Thaw resumes the process. Messages that arrived meanwhile are handled then.
+// Thaw resumes the process. It is observed before it handles the messages that
+// arrived meanwhile, as it could act then.
 func (h *Host) Thaw() {
 	if !h.frozen {
 		return
 	}
 	h.frozen = false
 	h.frozenFor += h.fleet.now - h.frozenAt
+	h.fleet.Observe(h)
 	backlog := h.backlog
 	h.backlog = nil
 	for _, handle := range backlog {
--- a/coord/spread/sync.go
+++ b/coord/spread/sync.go
@@ -162,9 +162,9 @@
 		return Effects{}, err
 	}
 	now := n.o.Now()
-	if err := n.admit(vm, nil, now); err != nil {
-		return Effects{}, err
-	}
+	// Check has passed, so the only error is a full view. It must not hide the
+	// changes taken above.
+	_ = n.members.Hear(vm, now)
 	n.acks.merge(vm, r.Revision-r.Behind)
 	fresh := n.mergeHalts(r.Halts)
 	if r.HasEvidence {
@@ -175,9 +175,9 @@
 	e := n.news(before, fresh, c.To)
 	head := n.follower.Head().Revision
 	switch {
-	case len(want) > 0 || head < r.Revision && len(r.Changes) > 0:
+	case len(want) > 0 || head < r.Revision && head > before:
 		e.Calls = append(e.Calls, n.call(c.To, false, want))
-	case head < r.Revision:
+	case head < r.Revision && len(r.Changes) == 0:
 		e.Load = true // the peer no longer keeps the changes
 	}
 	return e, nil
