--- /dev/null
+++ b/peer/codec.go
@@ -0,0 +1,82 @@
+package peer
+
+import (
+	"errors"
+	"net/rpc"
+	"time"
+)
+
+// serverCodec implements rpc.ServerCodec. It bounds the requests in flight and
+// insists on growing request numbers.
+type serverCodec struct {
+	*framed
+	counters *ServerCounters
+	inFlight chan struct{}
+	seen     bool
+	last     uint64
+}
+
+// ReadRequestHeader implements rpc.ServerCodec.
+func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	c.inFlight <- struct{}{} // freed by WriteResponse
+	if err := c.conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+		return err
+	}
+	err := c.next(r)
+	if err == nil && c.seen && r.Seq <= c.last {
+		err = ErrReplayed
+	}
+	c.seen, c.last = true, r.Seq
+	c.count(err)
+	if err != nil {
+		// net/rpc answers some of these errors and reads on; a stream that
+		// broke the protocol once is not trusted further.
+		_ = c.close()
+	}
+	return err
+}
+
+func (c *serverCodec) count(err error) {
+	switch {
+	case errors.Is(err, ErrTooLarge):
+		c.counters.Oversized.Add(1)
+	case errors.Is(err, ErrReplayed):
+		c.counters.Replayed.Add(1)
+	case errors.Is(err, errMalformed):
+		c.counters.Malformed.Add(1)
+	}
+}
+
+// ReadRequestBody implements rpc.ServerCodec.
+func (c *serverCodec) ReadRequestBody(body any) error {
+	err := c.decode(body)
+	c.count(err)
+	if err != nil {
+		_ = c.close()
+	}
+	return err
+}
+
+// WriteResponse implements rpc.ServerCodec.
+func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	defer func() { <-c.inFlight }()
+	return c.write(r, body)
+}
+
+// Close implements rpc.ServerCodec.
+func (c *serverCodec) Close() error { return c.close() }
+
+// clientCodec implements rpc.ClientCodec.
+type clientCodec struct{ *framed }
+
+// WriteRequest implements rpc.ClientCodec.
+func (c clientCodec) WriteRequest(r *rpc.Request, body any) error { return c.write(r, body) }
+
+// ReadResponseHeader implements rpc.ClientCodec.
+func (c clientCodec) ReadResponseHeader(r *rpc.Response) error { return c.next(r) }
+
+// ReadResponseBody implements rpc.ClientCodec.
+func (c clientCodec) ReadResponseBody(body any) error { return c.decode(body) }
+
+// Close implements rpc.ClientCodec.
+func (c clientCodec) Close() error { return c.close() }
