--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -89,6 +89,7 @@
 	server *Server
 	client *Client
 	l      *pipeListener
+	at     atomic.Pointer[pipeListener] // where the client finds the server
 }
 
 func newRig(t *testing.T, server, client Security) *rig {
@@ -98,7 +99,9 @@
 	var err error
 	r.server, err = NewServer(ServerOptions{Node: r.node, Ledger: r.node, Security: server, MaxMessageBytes: 1 << 16, MaxConnections: 2})
 	assert.NilError(t, err)
-	r.client, err = NewClient(ClientOptions{Dial: r.l.dial, Security: client})
+	r.at.Store(r.l)
+	dial := func(ctx context.Context, id string) (net.Conn, error) { return r.at.Load().dial(ctx, id) }
+	r.client, err = NewClient(ClientOptions{Dial: dial, Security: client})
 	assert.NilError(t, err)
 	go func() { _ = r.server.Serve(r.l) }()
 	return r
@@ -282,11 +285,11 @@
 		unreached := r.client.Counters.Unreached.Value()
 		assert.Assert(t, unreached >= 10 && unreached <= 40, "%d attempts", unreached)
 		again := newRig(t, withToken(), withToken())
-		again.client.Close()
-		again.client, r.l.conns, r.l.done = r.client, again.l.conns, again.l.done
 		defer again.close(t)
+		defer r.client.Close()
+		r.at.Store(again.l)
 		time.Sleep(DefaultMaxBackoff)
-		_, err = again.sync(t)
+		_, err = r.sync(t)
 		assert.NilError(t, err)
 	})
 }
