--- a/coord/changelog/follower.go
+++ b/coord/changelog/follower.go
@@ -188,8 +188,8 @@
 	f.rejected.Forged++
 }
 
-// Adopt moves the follower to a later snapshot that Log.Load or Log.Newest has
-// proved. It returns false and does nothing when the snapshot is not later.
+// Adopt moves the follower to a later snapshot that Log.Newest or a trusted peer
+// has proved. It returns false and does nothing when the snapshot is not later.
 func (f *Follower) Adopt(s Snapshot) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/coord/spread/message.go
+++ b/coord/spread/message.go
@@ -16,6 +16,7 @@
 	maxChangeBytes = 1 << 20 // at least one change is sent, whatever its size
 	maxZones       = 64
 	maxRows        = member.MaxMembers
+	maxStateBytes  = 2 << 20 // a larger state is only read from the platform
 	maxMarks       = 16
 	// maxAgeMs is far above every lease and cannot overflow a time.Duration.
 	maxAgeMs = int64(24 * time.Hour / time.Millisecond)
@@ -54,6 +55,8 @@
 	Reports uint64
 	// Want asks for the rows of these zones.
 	Want []string
+	// Snapshot asks for the state itself when the changes are no longer kept.
+	Snapshot bool
 }
 
 // SyncReply answers a SyncRequest.
@@ -72,6 +75,8 @@
 	Halts []Mark
 	// Changes follow the requester's revision.
 	Changes []changelog.Change
+	// Snapshot is the state at Revision, when asked for.
+	Snapshot *changelog.Snapshot
 	// Zones are reports that the requester may miss.
 	Zones []ZoneReport
 	// Ages of all reports in milliseconds, by zone name, when the digests of
@@ -127,7 +132,9 @@
 	// Advanced says that the follower has a new state. The caller puts it in
 	// force and then calls Applied.
 	Advanced bool
-	// Load says that the changes up to the head must be read from the platform.
+	// Load says that the changes up to the head, or a snapshot, must be read
+	// from the platform. The node asks its peers for a snapshot at the same
+	// time, in case the platform cannot be reached.
 	Load bool
 	// Calls are to be sent now.
 	Calls []Call
--- a/coord/spread/node.go
+++ b/coord/spread/node.go
@@ -74,7 +74,9 @@
 	turn     int // selects the peer that is asked for a summary
 	pulled   int64
 	pulledAt time.Time
-	counters Counters
+	// fetchedAt is when a snapshot was last asked for.
+	fetchedAt time.Time
+	counters  Counters
 }
 
 // New returns a node that knows only itself and what its follower holds.
--- a/coord/spread/schedule_test.go
+++ b/coord/spread/schedule_test.go
@@ -1,6 +1,7 @@
 package spread_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"flag"
@@ -111,6 +112,7 @@
 	s := &schedule{cutLinks: make(map[string]bool), inForce: make(map[*spread.Node]int64)}
 	s.fleet = spreadtest.New(spreadtest.Options{
 		Nodes: scheduleNodes, Zones: scheduleZones, Seed: 1, Loss: 0.02, Hooks: hooks,
+		Keep: 2, Apply: concat, // so that snapshots between nodes are needed, too
 		Table: func(t store.Table) store.Table {
 			s.table = &hookTable{Table: t, alter: alter}
 			return s.table
@@ -121,6 +123,9 @@
 	return s
 }
 
+// concat makes the state tell which changes were applied in which order.
+func concat(state, patch []byte) ([]byte, error) { return slices.Concat(state, patch), nil }
+
 func (s *schedule) fail(format string, args ...any) {
 	if s.violation == nil {
 		s.violation = fmt.Errorf("at %v: %w", s.fleet.Now(), fmt.Errorf(format, args...))
@@ -185,7 +190,7 @@
 }
 
 func (s *schedule) newEdit(base int64) changelog.Change {
-	c := changelog.Change{ID: strconv.Itoa(len(s.edits)), Author: "operator", Base: max(0, base), Patch: []byte("patch")}
+	c := changelog.Change{ID: strconv.Itoa(len(s.edits)), Author: "operator", Base: max(0, base), Patch: fmt.Appendf(nil, "%d;", len(s.edits))}
 	s.edits = append(s.edits, c)
 	return c
 }
@@ -256,10 +261,17 @@
 		}
 	}
 	s.fleet.Run(healTime)
+	var want []byte
+	for _, c := range s.log {
+		want = append(want, c.Patch...)
+	}
 	for _, h := range s.fleet.Hosts {
 		if h.InForce != int64(len(s.log)) || !h.Lease.Valid() {
 			s.fail("%s is at revision %d of %d after healing, evidence age %v", h.ID, h.InForce, len(s.log), h.Lease.Age())
 		}
+		if _, state := h.Follower.State(); !bytes.Equal(state, want) {
+			s.fail("%s has state %q, want %q", h.ID, state, want)
+		}
 		if missing := h.Node.Unacknowledged(int64(len(s.log))); len(missing) > 0 {
 			s.fail("%s misses acknowledgements of %v after healing", h.ID, missing)
 		}
--- a/coord/spread/spread_test.go
+++ b/coord/spread/spread_test.go
@@ -207,3 +207,26 @@
 	e := pull(t, a, b, "a/2")
 	assert.Assert(t, e.Advanced)
 }
+
+// Guards against a VM that starts in a zone cut off from the platform and can
+// only reach peers that no longer keep the first changes.
+func TestSnapshotFromPeer(t *testing.T) {
+	a, b := newNode(t, "a/1", 0), newNode(t, "a/2", 3)
+	head, state := b.follower.State()
+	late := changelog.NewFollower(changelog.FollowerOptions{Start: changelog.Snapshot{Head: head, State: state}})
+	b.Node = spread.New(spread.Options{Members: b.members, Follower: late, Lease: b.lease})
+	e := pull(t, a, b, "a/2")
+	assert.Assert(t, e.Load && len(e.Calls) == 1 && a.follower.Head().Revision == 0)
+	reply, _, err := b.HandleSync(e.Calls[0].Request)
+	assert.NilError(t, err)
+	unasked := pull(t, a, b, "a/2")
+	assert.Assert(t, !unasked.Advanced && len(unasked.Calls) == 0)
+	_, err = a.HandleReply(a.SyncRequest("a/2"), reply) // not the call that asked for it
+	assert.NilError(t, err)
+	assert.Equal(t, a.follower.Head().Revision, int64(0))
+	e, err = a.HandleReply(e.Calls[0], reply)
+	assert.NilError(t, err)
+	assert.Assert(t, e.Advanced && !e.Load)
+	got, _ := a.follower.State()
+	assert.DeepEqual(t, got, head)
+}
--- a/coord/spread/spreadtest/fleet.go
+++ b/coord/spread/spreadtest/fleet.go
@@ -34,6 +34,11 @@
 	ZoneDelay, RemoteDelay time.Duration
 	// Metered counts encoded bytes, which costs most of the time of a run.
 	Metered bool
+	// Keep is the number of recent changes that a follower keeps for others;
+	// default that of package changelog.
+	Keep int
+	// Apply is the Apply function of the followers.
+	Apply func(state, patch []byte) ([]byte, error)
 	// Table wraps the table of the platform; default no wrapper.
 	Table func(store.Table) store.Table
 	// Hooks replace mechanisms, for tests that prove themselves able to fail.
--- a/coord/spread/spreadtest/host.go
+++ b/coord/spread/spreadtest/host.go
@@ -56,7 +56,7 @@
 	h.frozen, h.backlog = false, nil
 	h.InForce, h.InForceAt = 0, make(map[int64]time.Duration)
 	h.Members = member.New(member.Options{Self: member.VM{ID: h.ID, Incarnation: epoch.UnixMilli() + h.incarnation}, Now: f.WallNow})
-	h.Follower = changelog.NewFollower(changelog.FollowerOptions{})
+	h.Follower = changelog.NewFollower(changelog.FollowerOptions{Apply: f.o.Apply, Keep: f.o.Keep})
 	h.Lease = evidence.New(evidence.Options{Clock: h})
 	h.Node = spread.New(spread.Options{Members: h.Members, Follower: h.Follower, Lease: h.Lease, Now: f.WallNow})
 	h.Node.List(f.IDs())
--- a/coord/spread/sync.go
+++ b/coord/spread/sync.go
@@ -65,6 +65,7 @@
 	}
 	if r.Revision < head.Revision {
 		reply.Changes = n.missing(r.Revision)
+		reply.Snapshot = n.snapshot(r, len(reply.Changes))
 	}
 	n.addReports(&reply, r, now)
 	var e Effects
@@ -113,6 +114,16 @@
 	return changes
 }
 
+// snapshot returns the state for a requester that asks for it and cannot be
+// served with changes.
+func (n *Node) snapshot(r SyncRequest, changes int) *changelog.Snapshot {
+	head, state := n.follower.State()
+	if !r.Snapshot || changes > 0 || len(state) > maxStateBytes {
+		return nil
+	}
+	return &changelog.Snapshot{Head: head, State: state}
+}
+
 // addReports adds what the requester asked for of the zone reports.
 func (n *Node) addReports(reply *SyncReply, r SyncRequest, now time.Time) {
 	own, from := n.self.AvailabilityZone(), member.ZoneOf(r.From)
@@ -161,6 +172,7 @@
 	if err := n.prove(r.Revision, r.Check, r.Changes); err != nil {
 		return Effects{}, err
 	}
+	n.adopt(c, r)
 	now := n.o.Now()
 	// Check has passed, so the only error is a full view. It must not hide the
 	// changes taken above.
@@ -179,10 +191,33 @@
 		e.Calls = append(e.Calls, n.call(c.To, false, want))
 	case head < r.Revision && len(r.Changes) == 0:
 		e.Load = true // the peer no longer keeps the changes
+		e.Calls = append(e.Calls, n.fetch(c, now)...)
 	}
 	return e, nil
 }
 
+// fetch returns a call for a snapshot, unless one was asked for a moment ago or
+// this was the answer to one.
+func (n *Node) fetch(c Call, now time.Time) []Call {
+	if c.Request.Snapshot || now.Sub(n.fetchedAt) < n.o.SyncEvery {
+		return nil
+	}
+	n.fetchedAt = now
+	call := n.call(c.To, false, nil)
+	call.Request.Snapshot = true
+	return []Call{call}
+}
+
+// adopt takes a snapshot that was asked for. The chain from the follower's head
+// to the snapshot is not known, so this relies on the peer, which belongs to
+// the cluster, having proved it.
+func (n *Node) adopt(c Call, r SyncReply) {
+	s := r.Snapshot
+	if s != nil && c.Request.Snapshot && s.Head.Revision == r.Revision && hashStart(s.Head.Hash) == r.Check {
+		n.follower.Adopt(*s)
+	}
+}
+
 // prove offers changes to the follower and compares the head of the sender
 // with a known revision. An ApplyError is no reason to reject the sender.
 func (n *Node) prove(revision int64, check uint32, changes []changelog.Change) error {
