daemon: package peer carries the messages between daemons

Replaces the interim transport. Copies of ledger entries name the incarnation that is to hold them: a daemon that restarted under the same id would otherwise confirm a copy that the ledger believes to be with the earlier incarnation, together with copies that it no longer has. Ruled out: a check of the member view at the sender, because the restart can be unknown there.

--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -49,6 +49,9 @@
 	halted   atomic.Pointer[map[string]bool]
 	// applyMu orders the snapshots that are put in force.
 	applyMu sync.Mutex
+	// life ends with Run.
+	life context.Context
+	end  context.CancelFunc
 	// reading is set while the head is being read.
 	reading atomic.Bool
 	calls   sync.WaitGroup
@@ -81,6 +84,7 @@
 		HeadEvery: o.head,
 	})
 	c.halted.Store(&map[string]bool{})
+	c.life, c.end = context.WithCancel(context.Background())
 	return c
 }
 
@@ -115,6 +119,7 @@
 	ticker := time.NewTicker(configurationTick)
 	defer ticker.Stop()
 	defer c.calls.Wait()
+	defer c.end()
 	c.spawn(func() { c.load(ctx) })
 	for {
 		select {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,7 +5,6 @@
 	"encoding/base64"
 	"net"
 	"net/http"
-	"net/rpc"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +17,7 @@
 	"github.com/savoryshift/savoryshift/coord/fence"
 	"github.com/savoryshift/savoryshift/coord/ledger"
 	"github.com/savoryshift/savoryshift/coord/member"
+	"github.com/savoryshift/savoryshift/peer"
 	"github.com/savoryshift/savoryshift/platform"
 	"github.com/savoryshift/savoryshift/proxy"
 	"github.com/savoryshift/savoryshift/session"
@@ -35,6 +35,9 @@
 	Callers   net.Listener
 	Operators net.Listener
 	Peers     net.Listener
+	// Dial opens the connections to the platform, upstreams and other daemons;
+	// default a net.Dialer.
+	Dial DialFunc
 }
 
 // Daemon is the process that runs on an entry VM.
@@ -52,6 +55,8 @@
 	acceptance *acceptance
 	leadership *leadership
 	registry   *registry
+	peerClient *peer.Client
+	peerServer *peer.Server
 	sweeper    *claim.Sweeper
 	control    *control
 	// draining is set when a planned stop begins.
@@ -69,7 +74,14 @@
 	if err != nil {
 		return nil, err
 	}
-	d.platform = platform.New(platform.Options{URL: s.PlatformURL})
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	d.o.Dial = o.Dial
+	d.platform = platform.New(platform.Options{
+		URL:  s.PlatformURL,
+		HTTP: &http.Client{Transport: &http.Transport{DialContext: o.Dial, MaxIdleConnsPerHost: platformConns}},
+	})
 	d.config = newConfiguration(configurationOptions{
 		table:   d.platform,
 		objects: d.platform.Objects(),
@@ -88,8 +100,9 @@
 	}
 	d.registry = newRegistry(d.platform, d.config.members.Self(), address, s.SeedPeers)
 	d.config.members.Seed(d.registry.known())
-	transport := &interimPeers{registry: d.registry, clients: map[string]*rpc.Client{}}
-	d.config.peers = transport
+	if err := d.connectPeers(); err != nil {
+		return nil, err
+	}
 	d.acceptance = &acceptance{lease: s.Periods.EvidenceLeaseMs.Duration(), unacknowledged: d.config.node.Unacknowledged, now: time.Now}
 	d.config.applied = d.acceptance.note
 	d.claimer = claim.New(claim.Options{
@@ -102,12 +115,15 @@
 	d.ledger = ledger.New(ledger.Options{
 		Self:        ledger.Peer{ID: ledgerID(d.config.members.Self()), AvailabilityZone: s.AvailabilityZone},
 		Objects:     d.platform.Objects(),
-		Copier:      transport,
+		Copier:      copier{d.peerClient},
 		Peers:       d.config.ledgerPeers,
 		FlushPeriod: s.Periods.LedgerFlushMs.Duration(),
 		MaxBytes:    int(s.Bounds.LedgerBytes),
 	})
-	d.upstream = upstream.New(upstream.Options{StreamIdle: s.Bounds.StreamIdleTimeoutMs.Duration()})
+	if d.peerServer, err = d.newPeerServer(); err != nil {
+		return nil, err
+	}
+	d.upstream = upstream.New(upstream.Options{Dial: o.Dial, StreamIdle: s.Bounds.StreamIdleTimeoutMs.Duration()})
 	d.routing = newRouting(s.AvailabilityZone, d.guards)
 	d.leadership = &leadership{
 		lease: fence.New(fence.Options{
@@ -154,6 +170,36 @@
 	return d, d.listen()
 }
 
+const (
+	dialTimeout = 2 * time.Second
+	// platformConns is the number of idle connections kept to the platform.
+	platformConns = 64
+)
+
+// connectPeers builds the client for other daemons.
+func (d *Daemon) connectPeers() error {
+	security, err := peerSecurity(d.o.Settings)
+	if err != nil {
+		return err
+	}
+	d.peerClient, err = peer.NewClient(peer.ClientOptions{Dial: dialPeer(d.registry, d.o.Dial), Security: security})
+	if err != nil {
+		return oops.Wrapf(err, "peers")
+	}
+	d.config.peers = d.peerClient
+	return nil
+}
+
+// newPeerServer builds the server for other daemons.
+func (d *Daemon) newPeerServer() (*peer.Server, error) {
+	security, err := peerSecurity(d.o.Settings)
+	if err != nil {
+		return nil, err
+	}
+	self := ledgerID(d.config.members.Self())
+	return peer.NewServer(peer.ServerOptions{Node: d.config, Ledger: peerLedger{self: self, ledger: d.ledger}, Security: security})
+}
+
 func sessionRing(keys []settings.SessionKey) (*session.Ring, error) {
 	var o session.Options
 	for _, k := range keys {
@@ -198,6 +244,7 @@
 	g.Add(func() error { <-stop.Done(); return nil }, func(error) { cancel(); d.leaveBalancer() })
 	d.addCallers(&g)
 	d.addLedger(&g)
+	d.addPeers(&g)
 	d.addLoop(&g, d.config.Run)
 	d.addLoop(&g, d.registry.Run)
 	d.addLoop(&g, d.control.Run)
@@ -205,7 +252,6 @@
 	d.addLoop(&g, d.sweeper.Run)
 	d.addLoop(&g, d.claimer.Run)
 	d.addOperators(&g)
-	d.addPeers(&g)
 	return g.Run()
 }
 
--- a/peer/client.go
+++ b/peer/client.go
@@ -103,11 +103,11 @@
 // CopyEntries asks the VM to keep a copy of the owner's ledger entries. entries
 // must not be modified afterwards, also when the call has failed, because a
 // call that timed out may still be sending it.
-func (c *Client) CopyEntries(ctx context.Context, to, owner string, entries []byte) error {
+func (c *Client) CopyEntries(ctx context.Context, to, holder string, entries []byte) error {
 	if len(entries) > c.o.MaxMessageBytes {
 		return &CallError{To: to, Method: methodCopy, Err: ErrTooLarge}
 	}
-	return c.call(ctx, to, methodCopy, &CopyRequest{Owner: owner, Entries: entries}, &Nothing{})
+	return c.call(ctx, to, methodCopy, &CopyRequest{Holder: holder, Entries: entries}, &Nothing{})
 }
 
 // ReleaseEntries tells the VM that the owner's entries up to a sequence number
--- a/peer/message.go
+++ b/peer/message.go
@@ -68,7 +68,9 @@
 
 // CopyRequest asks a peer to keep a copy of ledger entries.
 type CopyRequest struct {
-	Owner   string
+	// Holder names the incarnation of the peer that is meant. A later one has
+	// lost what the earlier one held, and must not confirm in its place.
+	Holder  string
 	Entries []byte
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -23,7 +23,7 @@
 
 // Ledger keeps copies of the ledger entries of other daemons.
 type Ledger interface {
-	CopyEntries(owner string, entries []byte) error
+	CopyEntries(holder string, entries []byte) error
 	ReleaseEntries(owner string, upTo int64) error
 }
 
@@ -215,7 +215,7 @@
 
 // CopyEntries takes a copy of ledger entries.
 func (s *service) CopyEntries(r *CopyRequest, _ *Nothing) error {
-	return s.count(s.ledger.CopyEntries(r.Owner, r.Entries))
+	return s.count(s.ledger.CopyEntries(r.Holder, r.Entries))
 }
 
 // ReleaseEntries releases copies.
