tree: limits are rates; the limit on concurrency is removed

Cause: nothing enforces it. Shares divide rates among daemons by demand; a bound on requests in flight over all daemons needs another mechanism. Ruled out: keeping the field without effect. Conclusion: requests/s and tokens/s remain.

--- a/cmd/savoryctl/get.go
+++ b/cmd/savoryctl/get.go
@@ -78,7 +78,7 @@
 		}
 	}
 	for _, l := range got.Effective.Limits {
-		fmt.Fprintf(w, "%-20s %g requests/s, %g tokens/s, %d at once (0: none), for %s, from %s\n", "limits", l.RequestsPerSecond, l.TokensPerSecond, l.Concurrency, l.Node, l.Origin)
+		fmt.Fprintf(w, "%-20s %g requests/s, %g tokens/s (0: none), for %s, from %s\n", "limits", l.RequestsPerSecond, l.TokensPerSecond, l.Node, l.Origin)
 	}
 	fmt.Fprintf(w, "versions: models from %s, versions from %s\n", got.Effective.Origins["models"], got.Effective.Origins["versions"])
 	for _, v := range got.Effective.Versions {
--- a/tree/tree.go
+++ b/tree/tree.go
@@ -160,7 +160,6 @@
 type Limits struct {
 	RequestsPerSecond float64 `json:"requests_per_second,omitempty"`
 	TokensPerSecond   float64 `json:"tokens_per_second,omitempty"`
-	Concurrency       int     `json:"concurrency,omitempty"`
 }
 
 // RolloutState is the state of a roll-out.
--- a/tree/validate_nodes.go
+++ b/tree/validate_nodes.go
@@ -118,7 +118,6 @@
 	if o.Limits != nil {
 		v.between(at+"/limits/requests_per_second", o.Limits.RequestsPerSecond, 0, maxRate)
 		v.between(at+"/limits/tokens_per_second", o.Limits.TokensPerSecond, 0, maxRate)
-		v.between(at+"/limits/concurrency", float64(o.Limits.Concurrency), 0, maxRate)
 	}
 }
 
