daemon: guards of roll-outs, and an exchange of what daemons learn

Each daemon feeds the sequential test with failures, ratings and pace of the two versions of a roll-out and halts on its own evidence; counts and summaries of the policy travel to the other daemons, at most 4 KB/s per daemon, the period grows with the size. Without the exchange each of six daemons would need the full evidence itself, and a bad version would see up to six times the requests. Pace is compared per upstream, since upstreams differ more than versions. Ruled out: summaries through the change log (writes) and through Sync (its replies are bounded for 320 nodes).

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -98,6 +98,7 @@
 		c.vmsAt = now
 		c.effects.Go(func() { c.readVMs(ctx) })
 	}
+	c.routing.guards.update(s)
 	in := c.takeInputs(s, now)
 	for _, e := range system.Tick(&c.tables, now, &in) {
 		c.effects.Go(func() { c.carryOut(ctx, e) })
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -54,6 +54,7 @@
 	proxy      *proxy.Server
 	acceptance *acceptance
 	leadership *leadership
+	learning   *learning
 	registry   *registry
 	peerClient *peer.Client
 	peerServer *peer.Server
@@ -68,7 +69,8 @@
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
-	d := &Daemon{o: o, logger: o.Logger, guards: &guards{}}
+	d := &Daemon{o: o, logger: o.Logger}
+	d.guards = newGuards(d.haltCandidate)
 	s := o.Settings
 	ring, err := sessionRing(s.SessionKeys)
 	if err != nil {
@@ -120,9 +122,6 @@
 		FlushPeriod: s.Periods.LedgerFlushMs.Duration(),
 		MaxBytes:    int(s.Bounds.LedgerBytes),
 	})
-	if d.peerServer, err = d.newPeerServer(); err != nil {
-		return nil, err
-	}
 	d.upstream = upstream.New(upstream.Options{Dial: o.Dial, StreamIdle: s.Bounds.StreamIdleTimeoutMs.Duration()})
 	d.routing = newRouting(s.AvailabilityZone, d.guards)
 	d.leadership = &leadership{
@@ -149,6 +148,10 @@
 		calls:    make(chan system.CallResult, callResults),
 	}
 	d.routing.observe = d.control.observe
+	d.learning = &learning{config: d.config, routing: d.routing, client: d.peerClient}
+	if d.peerServer, err = d.newPeerServer(); err != nil {
+		return nil, err
+	}
 	d.proxy = proxy.New(proxy.Options{
 		Snapshot: d.config.Snapshot,
 		Evidence: d.config.lease,
@@ -170,6 +173,14 @@
 	return d, d.listen()
 }
 
+// haltCandidate halts the candidate of a roll-out on the guard's evidence.
+func (d *Daemon) haltCandidate(version, rollout, reason string) {
+	d.logger.Warn("candidate halted", zap.String("version", version), zap.String("rollout", rollout), zap.String("reason", reason))
+	if err := d.config.halt(d.config.life, version, rollout, reason); err != nil {
+		d.logger.Error("halt mark was not accepted", zap.String("version", version), zap.Error(err))
+	}
+}
+
 const (
 	dialTimeout = 2 * time.Second
 	// platformConns is the number of idle connections kept to the platform.
@@ -197,7 +208,7 @@
 		return nil, err
 	}
 	self := ledgerID(d.config.members.Self())
-	return peer.NewServer(peer.ServerOptions{Node: d.config, Ledger: peerLedger{self: self, ledger: d.ledger}, Security: security})
+	return peer.NewServer(peer.ServerOptions{Node: d.config, Ledger: peerLedger{self: self, ledger: d.ledger}, Learner: d.learning, Security: security})
 }
 
 func sessionRing(keys []settings.SessionKey) (*session.Ring, error) {
@@ -245,6 +256,7 @@
 	d.addCallers(&g)
 	d.addLedger(&g)
 	d.addPeers(&g)
+	d.addLearning(&g)
 	d.addLoop(&g, d.config.Run)
 	d.addLoop(&g, d.registry.Run)
 	d.addLoop(&g, d.control.Run)
--- a/daemon/routing_test.go
+++ b/daemon/routing_test.go
@@ -30,7 +30,7 @@
 	assert.NilError(t, err)
 	e, err := s.Effective("club", "brief", "")
 	assert.NilError(t, err)
-	r := newRouting("a", &guards{})
+	r := newRouting("a", newGuards(nil))
 	r.observe = func(string, time.Time, error) {}
 	r.rebuild(s, states, true)
 	return r, proxy.RouteRequest{
--- a/peer/client.go
+++ b/peer/client.go
@@ -116,6 +116,11 @@
 	return c.call(ctx, to, methodRelease, &ReleaseRequest{Owner: owner, UpTo: upTo}, &Nothing{})
 }
 
+// Learned sends what this daemon has learned.
+func (c *Client) Learned(ctx context.Context, to string, r LearnedRequest) error {
+	return c.call(ctx, to, methodLearned, &r, &Nothing{})
+}
+
 func (c *Client) call(ctx context.Context, to, method string, request, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.o.CallTimeout)
 	defer cancel()
--- a/peer/message.go
+++ b/peer/message.go
@@ -13,6 +13,7 @@
 	methodNotify  = serviceName + ".Notify"
 	methodCopy    = serviceName + ".CopyEntries"
 	methodRelease = serviceName + ".ReleaseEntries"
+	methodLearned = serviceName + ".Learned"
 )
 
 const (
@@ -81,5 +82,13 @@
 	UpTo  int64
 }
 
+// LearnedRequest carries what a daemon has learned about versions and
+// upstreams. Losing one does no harm: the next one replaces it.
+type LearnedRequest struct {
+	From        string
+	Incarnation int64
+	Data        []byte
+}
+
 // Nothing is an empty reply.
 type Nothing struct{}
--- a/peer/server.go
+++ b/peer/server.go
@@ -27,10 +27,17 @@
 	ReleaseEntries(owner string, upTo int64) error
 }
 
+// Learner takes what other daemons have learned.
+type Learner interface {
+	TakeLearned(from string, incarnation int64, data []byte) error
+}
+
 // ServerOptions configures a Server.
 type ServerOptions struct {
-	Node     Node
-	Ledger   Ledger
+	Node   Node
+	Ledger Ledger
+	// Learner is optional; without it such messages are dropped.
+	Learner  Learner
 	Security Security
 	// MaxMessageBytes and MaxConnections default to the constants of the same
 	// names.
@@ -92,7 +99,7 @@
 		o.MaxConnections = DefaultMaxConnections
 	}
 	s := &Server{o: o, rpc: rpc.NewServer(), done: make(chan struct{}), conns: make(map[net.Conn]bool)}
-	return s, s.rpc.RegisterName(serviceName, &service{node: o.Node, ledger: o.Ledger, counters: &s.Counters})
+	return s, s.rpc.RegisterName(serviceName, &service{node: o.Node, ledger: o.Ledger, learner: o.Learner, counters: &s.Counters})
 }
 
 // Serve accepts connections until Close, and then returns nil.
@@ -189,6 +196,7 @@
 type service struct {
 	node     Node
 	ledger   Ledger
+	learner  Learner
 	counters *ServerCounters
 }
 
@@ -222,3 +230,11 @@
 func (s *service) ReleaseEntries(r *ReleaseRequest, _ *Nothing) error {
 	return s.count(s.ledger.ReleaseEntries(r.Owner, r.UpTo))
 }
+
+// Learned takes what another daemon has learned.
+func (s *service) Learned(r *LearnedRequest, _ *Nothing) error {
+	if s.learner == nil {
+		return nil
+	}
+	return s.count(s.learner.TakeLearned(r.From, r.Incarnation, r.Data))
+}
