daemon: the clock of the leases can be injected

Cause: the evidence lease and the control lease read CLOCK_BOOTTIME, which does not follow virtual time, so whole daemons could not be tested with frozen VMs. Ruled out: a build tag, since the tests would then run other code. Conclusion: Options.Clock replaces both clocks in tests; the defaults are unchanged.

--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -64,14 +64,16 @@
 	lease   time.Duration
 	sync    time.Duration
 	head    time.Duration
-	logger  *zap.Logger
+	// clock defaults to evidence.SystemClock.
+	clock  evidence.Clock
+	logger *zap.Logger
 }
 
 func newConfiguration(o configurationOptions) *configuration {
 	c := &configuration{
 		log:     changelog.New(changelog.Options{Table: o.table, Objects: o.objects, Apply: tree.ApplyPatch}),
 		members: member.New(member.Options{Self: o.self}),
-		lease:   evidence.New(evidence.Options{Duration: o.lease}),
+		lease:   evidence.New(evidence.Options{Duration: o.lease, Clock: o.clock}),
 		logger:  o.logger,
 	}
 	c.follower = changelog.NewFollower(changelog.FollowerOptions{Apply: tree.ApplyPatch})
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,6 +14,7 @@
 
 	"github.com/savoryshift/savoryshift/control/system"
 	"github.com/savoryshift/savoryshift/coord/claim"
+	"github.com/savoryshift/savoryshift/coord/evidence"
 	"github.com/savoryshift/savoryshift/coord/fence"
 	"github.com/savoryshift/savoryshift/coord/ledger"
 	"github.com/savoryshift/savoryshift/coord/member"
@@ -38,6 +39,9 @@
 	// Dial opens the connections to the platform, upstreams and other daemons;
 	// default a net.Dialer.
 	Dial DialFunc
+	// Clock times the evidence lease and the control lease; default the clocks
+	// of the operating system. Tests on virtual time replace it.
+	Clock evidence.Clock
 }
 
 // Daemon is the process that runs on an entry VM.
@@ -92,6 +96,7 @@
 		lease:  s.Periods.EvidenceLeaseMs.Duration(),
 		sync:   s.Periods.PeerPullMs.Duration(),
 		head:   s.Periods.HeadReadMs.Duration(),
+		clock:  o.Clock,
 		logger: d.logger,
 	})
 	address := s.AdvertisedPeerAddress
@@ -127,11 +132,13 @@
 	d.routing = newRouting(s.AvailabilityZone, d.guards)
 	d.leadership = &leadership{
 		lease: fence.New(fence.Options{
-			Table:    d.platform,
-			Name:     controlLease,
-			Holder:   ledgerID(d.config.members.Self()),
-			Duration: controlLeaseTime,
-			MaxCall:  system.OrderTimeout,
+			Table:     d.platform,
+			Name:      controlLease,
+			Holder:    ledgerID(d.config.members.Self()),
+			Duration:  controlLeaseTime,
+			MaxCall:   system.OrderTimeout,
+			Clock:     leaseClock(o.Clock),
+			WaitClock: bootClock(o.Clock),
 		}),
 		candidate: d.config.node.Delegate,
 	}
--- a/daemon/leadership.go
+++ b/daemon/leadership.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/savoryshift/savoryshift/control/system"
+	"github.com/savoryshift/savoryshift/coord/evidence"
 	"github.com/savoryshift/savoryshift/coord/fence"
 )
 
@@ -68,3 +69,22 @@
 		PreviousCall:    system.OrderTimeout,
 	}
 }
+
+// leaseClock measures the own lease by c; nil means the default of package
+// fence.
+func leaseClock(c evidence.Clock) fence.Clock {
+	if c == nil {
+		return nil
+	}
+	start := c.Now()
+	return func() time.Duration { return c.Now().Since(start) }
+}
+
+// bootClock measures the lease of another holder by the boot clock of c, which
+// has no steps; nil means the default of package fence.
+func bootClock(c evidence.Clock) fence.Clock {
+	if c == nil {
+		return nil
+	}
+	return func() time.Duration { return c.Now().Boot }
+}
