daemon: a revision learned together with a later one is accepted like its step

Cause: acceptance skipped the step over several revisions when it was asked for one of the earlier ones, so a withdrawal that a daemon learned together with a later change was reported as in force everywhere while a cut-off daemon still ran the version. The new test failed before the change. Ruled out: asking the log for the single changes, which is not available during an outage. Conclusion: every revision of a step needs what the step needs.

--- a/daemon/acceptance.go
+++ b/daemon/acceptance.go
@@ -69,12 +69,13 @@
 	if len(a.seen) == 0 || revision < a.seen[0].revision || revision > a.seen[len(a.seen)-1].revision {
 		return revision // not known here, so it may touch anything
 	}
-	for _, s := range slices.Backward(a.seen) {
-		if s.revision > revision {
+	for i, s := range slices.Backward(a.seen) {
+		if i > 0 && a.seen[i-1].revision >= revision {
 			continue
 		}
+		// A step over several revisions counts for each of them.
 		if s.touches || a.now().Sub(s.at) <= a.lease+leaseMargin {
-			return s.revision
+			return min(s.revision, revision)
 		}
 	}
 	return 0
--- a/daemon/acceptance_test.go
+++ b/daemon/acceptance_test.go
@@ -60,3 +60,35 @@
 	zones, _ = a.Missing(0)
 	assert.Equal(t, len(zones), 0)
 }
+
+// Guards invariant 10: when a daemon learns two revisions at once, the state of
+// the earlier one is that of the step which it became part of. A trivial later
+// change must not hide that the earlier one is not yet in force everywhere.
+func TestAcceptanceOfSkippedRevision(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := &acceptance{
+		lease:          4 * time.Second,
+		now:            func() time.Time { return now },
+		unacknowledged: func(revision int64) []string { return map[bool][]string{true: {"b/vm1"}}[revision > 2] },
+	}
+	compile := func(revision int64, state tree.VersionState, cost float64) *tree.Snapshot {
+		s, err := tree.Compile(tree.Tree{Versions: map[string]tree.Version{
+			"s1": {Model: "small", State: state},
+			"s2": {Model: "small", CostPer1kOutputTokens: cost, State: tree.VersionCandidate},
+		}}, revision, "")
+		assert.NilError(t, err)
+		return s
+	}
+	first, second := compile(1, tree.VersionSettled, 1), compile(2, tree.VersionSettled, 2)
+	fourth := compile(4, tree.VersionWithdrawn, 2) // revision 3 withdrew s1
+	a.note(nil, first)
+	a.note(first, second)
+	a.note(second, fourth)
+	now = now.Add(time.Hour)
+	for _, revision := range []int64{3, 4} {
+		zones, _ := a.Missing(revision)
+		assert.DeepEqual(t, zones, []string{"b"})
+	}
+	zones, _ := a.Missing(2)
+	assert.Equal(t, len(zones), 0)
+}
