--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -194,30 +194,6 @@
 	platformConns = 64
 )
 
-// connectPeers builds the client for other daemons.
-func (d *Daemon) connectPeers() error {
-	security, err := peerSecurity(d.o.Settings)
-	if err != nil {
-		return err
-	}
-	d.peerClient, err = peer.NewClient(peer.ClientOptions{Dial: dialPeer(d.registry, d.o.Dial), Security: security})
-	if err != nil {
-		return oops.Wrapf(err, "peers")
-	}
-	d.config.peers = d.peerClient
-	return nil
-}
-
-// newPeerServer builds the server for other daemons.
-func (d *Daemon) newPeerServer() (*peer.Server, error) {
-	security, err := peerSecurity(d.o.Settings)
-	if err != nil {
-		return nil, err
-	}
-	self := ledgerID(d.config.members.Self())
-	return peer.NewServer(peer.ServerOptions{Node: d.config, Ledger: peerLedger{self: self, ledger: d.ledger}, Learner: d.learning, Security: security})
-}
-
 func sessionRing(keys []settings.SessionKey) (*session.Ring, error) {
 	var o session.Options
 	for _, k := range keys {
@@ -230,28 +206,6 @@
 	return session.New(o)
 }
 
-// listen binds the listeners that were not given.
-func (d *Daemon) listen() error {
-	for _, l := range []struct {
-		into    *net.Listener
-		address string
-	}{
-		{&d.o.Callers, d.o.Settings.Listen.Callers},
-		{&d.o.Operators, d.o.Settings.Listen.Operators},
-		{&d.o.Peers, d.o.Settings.Listen.Peers},
-	} {
-		if *l.into != nil {
-			continue
-		}
-		listener, err := net.Listen("tcp", l.address)
-		if err != nil {
-			return oops.Wrapf(err, "listener")
-		}
-		*l.into = listener
-	}
-	return nil
-}
-
 // Run starts the daemon and returns after a graceful shutdown, which begins
 // when ctx ends or an actor fails. Actors are interrupted in the order in which
 // they are added: callers first, so that requests in flight still have all
--- /dev/null
+++ b/daemon/listeners_test.go
@@ -0,0 +1,97 @@
+package daemon
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/base64"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryshift/savoryshift/settings"
+)
+
+// writeCertificate writes a certificate for 127.0.0.1 that is its own
+// authority, and returns the names of its files.
+func writeCertificate(t *testing.T) settings.TLSFiles {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		NotAfter:              time.Now().Add(time.Hour),
+		IPAddresses:           []net.IP{net.IPv4(127, 0, 0, 1)},
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+	}
+	certificate, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	assert.NilError(t, err)
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	assert.NilError(t, err)
+	files := settings.TLSFiles{
+		CertFile: filepath.Join(t.TempDir(), "cert.pem"),
+		KeyFile:  filepath.Join(t.TempDir(), "key.pem"),
+	}
+	for name, block := range map[string]*pem.Block{
+		files.CertFile: {Type: "CERTIFICATE", Bytes: certificate},
+		files.KeyFile:  {Type: "PRIVATE KEY", Bytes: private},
+	} {
+		assert.NilError(t, os.WriteFile(name, pem.EncodeToMemory(block), 0o600))
+	}
+	return files
+}
+
+// Guards against listeners that ignore their TLS settings: a plain client must
+// get no answer, one that trusts the authority must, and with ca_file only a
+// client with a certificate.
+func TestListenersUseTLS(t *testing.T) {
+	server, mutual := writeCertificate(t), writeCertificate(t)
+	mutual.CAFile = mutual.CertFile
+	s := settings.Defaults()
+	s.VM, s.AvailabilityZone, s.PlatformURL, s.ClusterToken = "vm0", "a", "http://127.0.0.1:1", "a token of the cluster"
+	s.SessionKeys = []settings.SessionKey{{ID: "k", SecretBase64: base64.StdEncoding.EncodeToString(make([]byte, 32))}}
+	s.Listen = settings.Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0"}
+	s.TLS.Callers, s.TLS.Operators = server, mutual
+	s.Periods.ReadinessDelayMs = 0
+	d, err := New(Options{Settings: s})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+
+	callers, operators := d.o.Callers.Addr().String(), d.o.Operators.Addr().String()
+	get := func(url string, trust, own settings.TLSFiles) int {
+		config := &tls.Config{RootCAs: x509.NewCertPool()}
+		if pem, err := os.ReadFile(trust.CertFile); err == nil {
+			config.RootCAs.AppendCertsFromPEM(pem)
+		}
+		if pair, err := tls.LoadX509KeyPair(own.CertFile, own.KeyFile); err == nil {
+			config.Certificates = []tls.Certificate{pair}
+		}
+		client := &http.Client{Transport: &http.Transport{TLSClientConfig: config, DisableKeepAlives: true}}
+		resp, err := client.Get(url)
+		if err != nil {
+			return 0
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode
+	}
+	none := settings.TLSFiles{}
+	assert.Equal(t, get("https://"+callers+"/v1/models", server, none), http.StatusServiceUnavailable) // no settings yet
+	assert.Equal(t, get("https://"+callers+"/v1/models", none, none), 0)
+	assert.Equal(t, get("http://"+callers+"/v1/models", none, none), http.StatusBadRequest)
+	assert.Equal(t, get("https://"+operators+"/livez", mutual, mutual), http.StatusOK)
+	assert.Equal(t, get("https://"+operators+"/livez", mutual, none), 0)
+	cancel()
+	assert.NilError(t, <-done)
+}
--- a/daemon/transport.go
+++ b/daemon/transport.go
@@ -36,6 +36,30 @@
 	return peer.Security{TLS: tls}, oops.Wrapf(err, "certificates for peers")
 }
 
+// connectPeers builds the client for other daemons.
+func (d *Daemon) connectPeers() error {
+	security, err := peerSecurity(d.o.Settings)
+	if err != nil {
+		return err
+	}
+	d.peerClient, err = peer.NewClient(peer.ClientOptions{Dial: dialPeer(d.registry, d.o.Dial), Security: security})
+	if err != nil {
+		return oops.Wrapf(err, "peers")
+	}
+	d.config.peers = d.peerClient
+	return nil
+}
+
+// newPeerServer builds the server for other daemons.
+func (d *Daemon) newPeerServer() (*peer.Server, error) {
+	security, err := peerSecurity(d.o.Settings)
+	if err != nil {
+		return nil, err
+	}
+	self := ledgerID(d.config.members.Self())
+	return peer.NewServer(peer.ServerOptions{Node: d.config, Ledger: peerLedger{self: self, ledger: d.ledger}, Learner: d.learning, Security: security})
+}
+
 // dialPeer connects to a daemon by id.
 func dialPeer(r *registry, dial DialFunc) func(ctx context.Context, id string) (net.Conn, error) {
 	return func(ctx context.Context, id string) (net.Conn, error) {
