--- a/cmd/savoryctl/bench.go
+++ b/cmd/savoryctl/bench.go
@@ -7,8 +7,6 @@
 	"strconv"
 	"strings"
 
-	"github.com/jessevdk/go-flags"
-
 	"github.com/savoryshift/savoryshift/bench"
 )
 
@@ -24,22 +22,6 @@
 	JSON     bool     `long:"json" description:"print JSON"`
 }
 
-// runBench runs the bench command and returns the exit code.
-func runBench(args []string) int {
-	var o benchOptions
-	if _, err := flags.NewParser(&o, flags.Default).ParseArgs(args); err != nil {
-		if flags.WroteHelp(err) {
-			return 0
-		}
-		return 2
-	}
-	if err := o.run(); err != nil {
-		fmt.Fprintln(os.Stderr, "savoryctl bench:", err)
-		return 1
-	}
-	return 0
-}
-
 func (o *benchOptions) run() error {
 	w, err := bench.Load(o.Workload)
 	if err != nil {
--- a/cmd/savoryctl/main.go
+++ b/cmd/savoryctl/main.go
@@ -44,10 +44,7 @@
 }
 
 // adders register commands on the parser themselves.
-var adders = []func(*flags.Parser) error{addStandinCommand, addLoadCommand, addDemoCommand}
-
-// standalone commands parse their own arguments and return an exit code.
-var standalone = map[string]func(args []string) int{"bench": runBench}
+var adders = []func(*flags.Parser) error{addStandinCommand, addLoadCommand, addDemoCommand, addBenchCommand}
 
 // commands is the list of operator commands; add new ones here.
 func commands() []command {
@@ -66,9 +63,6 @@
 
 // execute runs one command line and returns the exit code.
 func execute(ctx context.Context, args []string, out, errOut io.Writer) int {
-	if len(args) > 0 && standalone[args[0]] != nil {
-		return standalone[args[0]](args[1:])
-	}
 	e := &env{ctx: ctx, out: out, err: errOut}
 	parser := flags.NewNamedParser("savoryctl", flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Operator API", "", &e.api); err != nil {
