daemon: build the parts in four steps

The order of the steps follows who needs whom: configuration, peers, coordination, control, proxy, listeners. No behaviour changes; the tests of the package pass.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/base64"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -12,16 +11,12 @@
 	"github.com/samber/oops"
 	"go.uber.org/zap"
 
-	"github.com/savoryshift/savoryshift/control/system"
 	"github.com/savoryshift/savoryshift/coord/claim"
 	"github.com/savoryshift/savoryshift/coord/evidence"
-	"github.com/savoryshift/savoryshift/coord/fence"
 	"github.com/savoryshift/savoryshift/coord/ledger"
-	"github.com/savoryshift/savoryshift/coord/member"
 	"github.com/savoryshift/savoryshift/peer"
 	"github.com/savoryshift/savoryshift/platform"
 	"github.com/savoryshift/savoryshift/proxy"
-	"github.com/savoryshift/savoryshift/session"
 	"github.com/savoryshift/savoryshift/settings"
 	"github.com/savoryshift/savoryshift/upstream"
 )
@@ -73,110 +68,23 @@
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
-	d := &Daemon{o: o, logger: o.Logger}
-	d.guards = newGuards(d.haltCandidate)
-	s := o.Settings
-	ring, err := sessionRing(s.SessionKeys)
-	if err != nil {
-		return nil, err
-	}
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	d.o.Dial = o.Dial
-	d.platform = platform.New(platform.Options{
-		URL:  s.PlatformURL,
-		HTTP: &http.Client{Transport: &http.Transport{DialContext: o.Dial, MaxIdleConnsPerHost: platformConns}},
-	})
-	d.config = newConfiguration(configurationOptions{
-		table:   d.platform,
-		objects: d.platform.Objects(),
-		self: member.VM{
-			ID:          member.JoinID(s.AvailabilityZone, s.VM),
-			Incarnation: time.Now().UnixNano(),
-		},
-		lease:  s.Periods.EvidenceLeaseMs.Duration(),
-		sync:   s.Periods.PeerPullMs.Duration(),
-		head:   s.Periods.HeadReadMs.Duration(),
-		clock:  o.Clock,
-		logger: d.logger,
-	})
-	address := s.AdvertisedPeerAddress
-	if address == "" {
-		address = s.Listen.Peers
-	}
-	d.registry = newRegistry(d.platform, d.config.members.Self(), address, s.SeedPeers)
-	d.config.members.Seed(d.registry.known())
+	d := &Daemon{o: o, logger: o.Logger}
+	d.buildConfiguration()
 	if err := d.connectPeers(); err != nil {
 		return nil, err
 	}
-	d.acceptance = &acceptance{lease: s.Periods.EvidenceLeaseMs.Duration(), unacknowledged: d.config.node.Unacknowledged, now: time.Now}
-	d.config.applied = d.acceptance.note
-	d.claimer = claim.New(claim.Options{
-		Table:           d.platform,
-		Daemon:          d.config.members.Self().ID,
-		GroupWindow:     s.Periods.ClaimGroupMs.Duration(),
-		Ungrouped:       s.Periods.ClaimGroupMs == 0,
-		MaxOutcomeBytes: int(s.Bounds.OutcomeBytes),
-	})
-	d.ledger = ledger.New(ledger.Options{
-		Self:        ledger.Peer{ID: ledgerID(d.config.members.Self()), AvailabilityZone: s.AvailabilityZone},
-		Objects:     d.platform.Objects(),
-		Copier:      copier{d.peerClient},
-		Peers:       d.config.ledgerPeers,
-		FlushPeriod: s.Periods.LedgerFlushMs.Duration(),
-		MaxBytes:    int(s.Bounds.LedgerBytes),
-	})
-	d.upstream = upstream.New(upstream.Options{Dial: o.Dial, StreamIdle: s.Bounds.StreamIdleTimeoutMs.Duration()})
-	d.routing = newRouting(s.AvailabilityZone, d.guards)
-	d.leadership = &leadership{
-		lease: fence.New(fence.Options{
-			Table:     d.platform,
-			Name:      controlLease,
-			Holder:    ledgerID(d.config.members.Self()),
-			Duration:  controlLeaseTime,
-			MaxCall:   system.OrderTimeout,
-			Clock:     leaseClock(o.Clock),
-			WaitClock: bootClock(o.Clock),
-		}),
-		candidate: d.config.node.Delegate,
-	}
-	d.sweeper = claim.NewSweeper(claim.SweeperOptions{Table: d.platform, Lease: d.leadership.lease})
-	d.control = &control{
-		tick:     s.Periods.TickMs.Duration(),
-		vmsEvery: s.Periods.VMListMs.Duration(),
-		config:   d.config,
-		routing:  d.routing,
-		upstream: d.upstream,
-		platform: d.platform,
-		advance:  d.config.advance,
-		lease:    d.leadership.current,
-		logger:   d.logger,
-		calls:    make(chan system.CallResult, callResults),
+	d.buildCoordination()
+	d.buildControl()
+	if err := d.buildProxy(); err != nil {
+		return nil, err
 	}
-	d.routing.observe = d.control.observe
-	d.learning = &learning{config: d.config, routing: d.routing, client: d.peerClient}
+	var err error
 	if d.peerServer, err = d.newPeerServer(); err != nil {
 		return nil, err
 	}
-	d.proxy = proxy.New(proxy.Options{
-		Snapshot: d.config.Snapshot,
-		Evidence: d.config.lease,
-		Halts:    d.config,
-		Router:   d.routing,
-		Rater:    rater{platform: d.platform, failed: d.control.ratingFailed},
-		Upstream: d.upstream,
-		Sessions: proxy.RingSessions{Ring: ring},
-		Limiter:  openLimiter{},
-		Biller:   biller{d.ledger},
-		Claims:   proxy.TableClaims{Claimer: d.claimer},
-		Bounds: proxy.Bounds{
-			BodyBytes:          s.Bounds.BodyBytes,
-			ConcurrentRequests: s.Bounds.ConcurrentRequests,
-			OutcomeBytes:       s.Bounds.OutcomeBytes,
-		},
-		Log: d.logger,
-	})
 	return d, d.listen()
 }
 
@@ -188,24 +96,6 @@
 	}
 }
 
-const (
-	dialTimeout = 2 * time.Second
-	// platformConns is the number of idle connections kept to the platform.
-	platformConns = 64
-)
-
-func sessionRing(keys []settings.SessionKey) (*session.Ring, error) {
-	var o session.Options
-	for _, k := range keys {
-		secret, err := base64.StdEncoding.DecodeString(k.SecretBase64)
-		if err != nil {
-			return nil, oops.Wrapf(err, "session key %q", k.ID)
-		}
-		o.Keys = append(o.Keys, session.Key{ID: k.ID, Secret: secret})
-	}
-	return session.New(o)
-}
-
 // Run starts the daemon and returns after a graceful shutdown, which begins
 // when ctx ends or an actor fails. Actors are interrupted in the order in which
 // they are added: callers first, so that requests in flight still have all
