daemon: limits by shares, and their return from VMs that are gone

Each node of the tree with limits has a share per daemon, measured by its own demand; all limits above a request must admit it. Shares of a VM return when the holder of the control lease has seen it missing from the platform's list for five minutes: the list lags, so a new VM can be missing for a while. Ruled out: returning them when the member view loses a VM, since a VM that is cut off goes on using its share.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -12,6 +12,7 @@
 	"github.com/savoryshift/savoryshift/coord/fence"
 	"github.com/savoryshift/savoryshift/coord/ledger"
 	"github.com/savoryshift/savoryshift/coord/member"
+	"github.com/savoryshift/savoryshift/coord/share"
 	"github.com/savoryshift/savoryshift/platform"
 	"github.com/savoryshift/savoryshift/proxy"
 	"github.com/savoryshift/savoryshift/session"
@@ -90,6 +91,16 @@
 		}),
 		candidate: d.config.node.Delegate,
 	}
+	holder, incarnation := shareHolder(self)
+	d.shares = share.New(share.Options{
+		Table:       d.platform,
+		VM:          holder,
+		Incarnation: incarnation,
+		// The peer listener is bound before shares are used, so no earlier
+		// process of this VM can be running.
+		AdoptEarlier: true,
+		Holders:      d.config.expectedHolders,
+	})
 	d.sweeper = claim.NewSweeper(claim.SweeperOptions{Table: d.platform, Lease: d.leadership.lease})
 }
 
@@ -110,8 +121,10 @@
 		advance:  d.config.advance,
 		lease:    d.leadership.current,
 		logger:   d.logger,
+		limits:   limiter{d.shares},
 		calls:    make(chan system.CallResult, callResults),
 	}
+	d.reclaimer = &reclaimer{table: d.platform, shares: d.shares, held: d.leadership.lease.Held, listed: d.control.isListed}
 	d.routing.observe = d.control.observe
 	d.learning = &learning{config: d.config, routing: d.routing, client: d.peerClient}
 }
@@ -131,7 +144,7 @@
 		Rater:    rater{platform: d.platform, failed: d.control.ratingFailed},
 		Upstream: d.upstream,
 		Sessions: proxy.RingSessions{Ring: ring},
-		Limiter:  openLimiter{},
+		Limiter:  limiter{d.shares},
 		Biller:   biller{d.ledger},
 		Claims:   proxy.TableClaims{Claimer: d.claimer},
 		Bounds: proxy.Bounds{
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -46,6 +46,10 @@
 	tables table.Tables
 	known  *tree.Snapshot
 	vmsAt  time.Time
+	// entry holds the entry VMs of the platform's list, nil before the first.
+	entry atomic.Pointer[map[string]bool]
+	// limits is told of each new snapshot.
+	limits limiter
 	// ratingFailedAt is when the rating service last gave no answer, in
 	// nanoseconds of the Unix clock.
 	ratingFailedAt atomic.Int64
@@ -114,6 +118,7 @@
 	c.inputs = system.Inputs{}
 	c.mu.Unlock()
 	if s != c.known {
+		c.limits.setLimits(c.known, s)
 		c.known, in.Tree = s, s.Tree()
 	}
 	for range len(c.calls) {
@@ -228,6 +233,7 @@
 		}
 	}
 	c.config.node.List(entry)
+	c.noteEntryVMs(entry)
 	c.collect(func(in *system.Inputs) { in.VMs = vms })
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/savoryshift/savoryshift/coord/claim"
 	"github.com/savoryshift/savoryshift/coord/evidence"
 	"github.com/savoryshift/savoryshift/coord/ledger"
+	"github.com/savoryshift/savoryshift/coord/share"
 	"github.com/savoryshift/savoryshift/peer"
 	"github.com/savoryshift/savoryshift/platform"
 	"github.com/savoryshift/savoryshift/proxy"
@@ -58,6 +59,8 @@
 	peerClient *peer.Client
 	peerServer *peer.Server
 	sweeper    *claim.Sweeper
+	shares     *share.Manager
+	reclaimer  *reclaimer
 	control    *control
 	// draining is set when a planned stop begins.
 	draining atomic.Bool
@@ -113,6 +116,7 @@
 	d.addLoop(&g, d.control.Run)
 	d.addLoop(&g, d.leadership.Run)
 	d.addLoop(&g, d.sweeper.Run)
+	d.addLimits(&g)
 	d.addLoop(&g, d.claimer.Run)
 	d.addOperators(&g)
 	return g.Run()
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -120,6 +120,7 @@
 	m.Set("proxy", d.proxy.Vars())
 	m.Set("claims", expvar.Func(func() any { return d.claimer.Stats() }))
 	m.Set("ledger", expvar.Func(func() any { return d.ledger.Stats() }))
+	m.Set("shares", expvar.Func(func() any { return d.shares.Stats() }))
 	m.Set("peer_client", d.peerClient.Counters.Var())
 	m.Set("peer_server", d.peerServer.Counters.Var())
 	m.Set("control_results_dropped", &d.control.dropped)
--- a/daemon/registry.go
+++ b/daemon/registry.go
@@ -129,29 +129,38 @@
 
 // read takes the addresses of all rows.
 func (r *registry) read(ctx context.Context) error {
+	rows, err := registeredVMs(ctx, r.table)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, row := range rows {
+		var reg registration
+		if json.Unmarshal(row.Value, &reg) == nil && reg.Address != "" {
+			r.addresses[id] = reg.Address
+		}
+	}
+	return nil
+}
+
+// registeredVMs returns the rows of all registered daemons by VM.
+func registeredVMs(ctx context.Context, table store.Table) (map[string]store.Row, error) {
 	limited, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	found := make(map[string]store.Row)
 	after := ""
 	for {
-		rows, err := r.table.Scan(limited, registryPrefix, after, registryPage)
+		rows, err := table.Scan(limited, registryPrefix, after, registryPage)
 		if err != nil {
-			return err
+			return nil, err
+		}
+		for _, row := range rows {
+			found[strings.TrimPrefix(row.Key, registryPrefix)] = row
 		}
-		r.take(rows)
 		if len(rows) < registryPage {
-			return nil
+			return found, nil
 		}
 		after = rows[len(rows)-1].Key
 	}
 }
-
-func (r *registry) take(rows []store.Row) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, row := range rows {
-		var reg registration
-		if json.Unmarshal(row.Value, &reg) == nil && reg.Address != "" {
-			r.addresses[strings.TrimPrefix(row.Key, registryPrefix)] = reg.Address
-		}
-	}
-}
