guard: sequential test of a roll-out's candidate on errors, ratings and latency

A cumulative sum of likelihood ratios per signal, so that good behaviour in the past does not hide a version that turns bad.

--- a/bench/flight.go
+++ b/bench/flight.go
@@ -193,7 +193,7 @@
 		if !c.fails {
 			live.Failed(w.now)
 		} else {
-			d.guard.observeError(f.q, c.version)
+			d.guard.observeError(c)
 			d.checkGuard()
 		}
 		return
@@ -211,7 +211,7 @@
 	if len(f.tried) == 0 {
 		d.planner.ObserveLength(f.req.Class, c.req.output)
 	}
-	d.guard.observeServed(f.q, c.version, s.Streaming.Seconds()/max(1, c.req.output))
+	d.guard.observeServed(c, s.Streaming.Seconds()/max(1, c.req.output))
 }
 
 // learnRating asks for the rating of a delivered answer.
@@ -233,7 +233,7 @@
 
 // checkGuard halts the candidate when the guard says so.
 func (d *policyDaemon) checkGuard() {
-	if d.guard.halted() {
+	if halted, _ := d.guard.Halted(); halted {
 		d.router.world.halt(d.index)
 	}
 }
--- a/bench/policyrouter.go
+++ b/bench/policyrouter.go
@@ -74,11 +74,11 @@
 func (p *policyRouter) exchange() {
 	for _, from := range p.daemons {
 		s := from.planner.Export()
-		counts := from.guard.counts()
+		counts := from.guard.Counts()
 		for _, to := range p.daemons {
 			if from != to && p.world.linked(from.index, to.index) {
 				to.planner.Merge(fmt.Sprint(from.index), s)
-				to.guard.merge(fmt.Sprint(from.index), counts)
+				to.guard.Merge(fmt.Sprint(from.index), counts)
 			}
 		}
 	}
--- /dev/null
+++ b/policy/guard/counts.go
@@ -0,0 +1,58 @@
+package guard
+
+import "maps"
+
+// Signal is one kind of evidence.
+type Signal uint8
+
+// Signals. A bad event is a failed call, a badly rated answer or an answer that
+// is slower than most answers of the base.
+const (
+	Errors Signal = iota
+	Ratings
+	Latency
+	signals
+)
+
+// String returns the name of the signal.
+func (s Signal) String() string { return [...]string{"errors", "ratings", "latency"}[s] }
+
+// Stratum names one comparison.
+type Stratum struct {
+	Class  string
+	Signal Signal
+}
+
+// Tally counts events, and the bad ones among them.
+type Tally struct {
+	N, Bad uint64
+}
+
+// Counts are the cumulative counts of one daemon.
+type Counts struct {
+	Base, Candidate map[Stratum]Tally
+}
+
+func newCounts() Counts {
+	return Counts{Base: map[Stratum]Tally{}, Candidate: map[Stratum]Tally{}}
+}
+
+func (c Counts) clone() Counts {
+	return Counts{Base: maps.Clone(c.Base), Candidate: maps.Clone(c.Candidate)}
+}
+
+func (t *Tally) add(bad bool) {
+	t.N++
+	if bad {
+		t.Bad++
+	}
+}
+
+// growth is what later has more than earlier; it is empty when later is in
+// fact the older one.
+func growth(later, earlier Tally) Tally {
+	if later.N <= earlier.N || later.Bad < earlier.Bad {
+		return Tally{}
+	}
+	return Tally{N: later.N - earlier.N, Bad: later.Bad - earlier.Bad}
+}
