--- a/policy/guard/guard.go
+++ b/policy/guard/guard.go
@@ -19,7 +19,7 @@
 	maxRelief    = 1.0
 	// baseCaution is the number of standard errors by which the base rate is
 	// taken higher than observed.
-	baseCaution = 0.5
+	baseCaution = 0.9
 	// priorBad and priorCount describe a base without observations.
 	priorBad   = 0.6
 	priorCount = 3.0
@@ -32,8 +32,8 @@
 	maxBadRate = 0.97
 )
 
-// worse are the rates of additional bad events that are tested, as a part of
-// the events that are good at the base. They are averaged.
+// worse are the shares of additional bad events that are tested, as parts of
+// the events that are good at the base. Their likelihood ratios are averaged.
 var worse = [...]float64{0.25}
 
 // thresholds are the evidences, as logarithms, at which the candidate is halted
