policy: the retry budget comes with the request

Cause: retry_budget of the settings tree had no effect on model requests; the planner used one value for all organisations. Conclusion: each request adds what its organisation's settings say.

--- a/bench/policyrouter.go
+++ b/bench/policyrouter.go
@@ -8,6 +8,8 @@
 )
 
 const (
+	// retryBudget is the default of the settings tree.
+	retryBudget = 0.1
 	// mergePeriod is the period at which daemons exchange what they learned.
 	mergePeriod = time.Second
 	// fallbackMargin is how long before the deadline an answer at hand is
@@ -144,7 +146,7 @@
 		PromptTokens: q.prompt, Deadline: w.now + q.deadline - w.clientLatency(),
 		QualityTarget: class.QualityTarget, LatencyQuantile: policyQuality,
 		Weights:  policy.Weights{Cost: w.load.Weights.Cost, Latency: w.load.Weights.Latency, Exposure: w.load.Weights.Exposure},
-		Priority: baselinePriority, Share: 1,
+		Priority: baselinePriority, Share: 1, RetryBudget: retryBudget,
 		Versions: w.allowed(q), Prefix: q.prefix, PrefixShare: q.prefixShare,
 		Seed: mix(w.seed ^ uint64(q.id)),
 	}
--- a/daemon/routing.go
+++ b/daemon/routing.go
@@ -216,6 +216,7 @@
 		LatencyQuantile: e.LatencyQuantile,
 		Weights:         policy.Weights{Cost: e.Weights.Cost, Latency: e.Weights.Latency, Exposure: e.Weights.Exposure},
 		Priority:        e.Priority,
+		RetryBudget:     e.RetryBudget,
 		Share:           1,
 		Versions:        v.indices(versions),
 		Prefix:          q.PrefixHash,
--- a/policy/budget.go
+++ b/policy/budget.go
@@ -62,7 +62,7 @@
 	work := o.fixed - o.wait + o.perToken*tokens
 	b := p.budget(r.Organisation)
 	b.mu.Lock()
-	b.retries = math.Min(retryBurst, b.retries+p.opts.RetryBudget)
+	b.retries = math.Min(retryBurst, b.retries+r.RetryBudget)
 	b.usage = fade(b.usage, now-b.at) + work
 	b.at = now
 	fresh := b.share != shareOf(r)
--- a/policy/learn.go
+++ b/policy/learn.go
@@ -14,9 +14,6 @@
 	// Exploration is the share of requests that may go to a version which is
 	// not the best known one. Default: 0.02.
 	Exploration float64
-	// RetryBudget is the number of retries per request, on average, of each
-	// organisation. Default: 0.1.
-	RetryBudget float64
 }
 
 // CellKey names a version on an engine.
@@ -48,9 +45,6 @@
 	if o.Exploration == 0 {
 		o.Exploration = 0.02
 	}
-	if o.RetryBudget == 0 {
-		o.RetryBudget = 0.1
-	}
 	return &Planner{opts: o, own: newSummary(), peers: map[string]Summary{}}
 }
 
--- a/policy/types.go
+++ b/policy/types.go
@@ -30,6 +30,9 @@
 	// LatencyQuantile of the predicted time must fit the deadline.
 	LatencyQuantile float64
 	Weights         Weights
+	// RetryBudget is the number of retries that each request adds, on average,
+	// to what its organisation may use.
+	RetryBudget float64
 	// Priority of the organisation, 0 to 9.
 	Priority int
 	// Share is the weight of the organisation when capacity is short; 0 counts
