daemon: prefix cache hints from own answers and from cache events

Cause: the policy weighs hints, but the daemon gave it none. The prefix is named as the engines name it. Ruled out: trusting events alone, which come late and with gaps.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -47,6 +47,8 @@
 	pace   viewPace
 	known  *tree.Snapshot
 	vmsAt  time.Time
+	// fewEngines says that cache events are read.
+	fewEngines atomic.Bool
 	// entry holds the entry VMs of the platform's list, nil before the first.
 	entry atomic.Pointer[map[string]bool]
 	// limits is told of each new snapshot.
@@ -122,6 +124,7 @@
 	c.mu.Unlock()
 	if s != c.known {
 		c.limits.setLimits(c.known, s)
+		c.fewEngines.Store(len(s.Tree().Upstreams) <= eventUpstreams)
 		c.known, in.Tree = s, s.Tree()
 	}
 	for range len(c.calls) {
@@ -194,6 +197,9 @@
 		if err == nil {
 			result.Report = &report
 		}
+		if err == nil && c.fewEngines.Load() {
+			c.readEvents(limited, p.Upstream, p.URL)
+		}
 		result.Failed = err != nil
 		return result
 	}
--- a/daemon/routing.go
+++ b/daemon/routing.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// prefixShare is the part of a prompt that its prefix is assumed to cover.
-	prefixShare = 0.5
 	// sameZoneDistance and otherZoneDistance are assumed one-way latencies.
 	sameZoneDistance  = 250 * time.Microsecond
 	otherZoneDistance = 2 * time.Millisecond
@@ -46,6 +44,7 @@
 	zone    string
 	view    atomic.Pointer[routeView]
 	guards  *guards
+	hints   *hints
 	// observe is told of the end of each call to an upstream.
 	observe func(upstream string, sentAt time.Time, err error)
 
@@ -69,6 +68,7 @@
 		start:   time.Now(),
 		zone:    zone,
 		guards:  g,
+		hints:   newHints(),
 		live:    make(map[string]*policy.Live),
 	}
 }
@@ -124,6 +124,7 @@
 			Live:     live,
 		}
 	}
+	in.Hints = r.hints.view(v.upstreams)
 	v.View = r.planner.BuildView(in, r.now())
 	r.view.Store(v)
 }
@@ -244,7 +245,7 @@
 		Share:           1,
 		Versions:        v.indices(versions),
 		Prefix:          q.PrefixHash,
-		PrefixShare:     prefixShare,
+		PrefixShare:     q.PrefixShare,
 		Seed:            xxhash.Sum64String(q.RequestID),
 	}
 }
@@ -326,6 +327,7 @@
 	r.planner.ObserveServed(served, r.now())
 	r.planner.ObserveLength(served.Class, served.Tokens)
 	r.guards.served(o)
+	r.hints.add(o.Request.PrefixHash, o.Target.Upstream, r.now())
 }
 
 // failed tells an upstream that cannot be reached from a version that fails.
--- a/proxy/chat.go
+++ b/proxy/chat.go
@@ -1,22 +1,20 @@
 package proxy
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
 	"unicode/utf8"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/savoryshift/savoryshift/errkind"
 )
 
 const (
 	// bytesPerToken estimates the prompt length before an engine counted it.
 	bytesPerToken = 4
-	// prefixBytes is how much of the prompt identifies its prefix group.
-	prefixBytes = 512
 )
 
 // chatRequest is a decoded chat completion request.
@@ -31,6 +29,7 @@
 	includeUsage bool
 	promptTokens int
 	prefixHash   uint64
+	prefixShare  float64
 	// prompt is the text of all messages, for the rating service.
 	prompt string
 }
@@ -112,7 +111,11 @@
 	}
 	c.prompt = string(prompt)
 	c.promptTokens = max(1, len(prompt)/bytesPerToken)
-	c.prefixHash = xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)])
+	// Engines name a prefix in cache events by the first 8 bytes of the SHA-256
+	// of the first message.
+	digest := sha256.Sum256(messages[0].Content)
+	c.prefixHash = binary.BigEndian.Uint64(digest[:])
+	c.prefixShare = float64(len(messages[0].Content)) / float64(max(1, size))
 }
 
 // messageText returns the text of a message whose content is a string, and the
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -119,6 +119,7 @@
 		PromptTokens: chat.promptTokens,
 		MaxTokens:    chat.maxTokens,
 		PrefixHash:   chat.prefixHash,
+		PrefixShare:  chat.prefixShare,
 		Deadline:     deadline,
 		Stream:       chat.stream,
 	}
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -19,9 +19,12 @@
 	Versions     []string
 	PromptTokens int
 	// MaxTokens is the caller's bound on the answer; 0 when absent.
-	MaxTokens  int
-	PrefixHash uint64
-	Deadline   time.Time
+	MaxTokens int
+	// PrefixHash names the start of the prompt that other requests share, and
+	// PrefixShare is its part of the prompt.
+	PrefixHash  uint64
+	PrefixShare float64
+	Deadline    time.Time
 	// Stream says that the caller reads the answer part by part.
 	Stream bool
 }
