--- a/policy/budget.go
+++ b/policy/budget.go
@@ -46,10 +46,9 @@
 
 // priceState is the sum of the usage of all organisations.
 type priceState struct {
-	mu     sync.Mutex
-	usage  float64
-	shares float64
-	at     time.Duration
+	mu    sync.Mutex
+	usage float64
+	at    time.Duration
 }
 
 func fade(usage float64, since time.Duration) float64 {
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -17,9 +17,6 @@
 	// firstTokenPrice is the cost of one second until the first token, in units
 	// of the cost of a mean request of the class on the dearest version.
 	firstTokenPrice = 0.003
-	// exploreSD is the standard deviation of a quality above which a version is
-	// worth exploring.
-	exploreSD = 0.08
 )
 
 // candidate is one way to begin, with its predicted result.
--- a/policy/learn.go
+++ b/policy/learn.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -30,7 +29,6 @@
 	targets sync.Map // class name to *target
 	orgs    sync.Map // organisation to *budget
 	price   priceState
-	tick    atomic.Int64
 
 	mu    sync.Mutex
 	own   Summary
