share: shares of an organisation's limit

Shares are fractions of the limit in one row per organisation, so a lowered limit scales all of them at once without a write, and the sum is checked by compare-and-set. A holder lowers its share before the write and raises it after a confirmed one; a write with an unknown outcome keeps the share low while the row has the version that it expects.

Ruled out: rows that record every small change.

--- /dev/null
+++ b/coord/share/row.go
@@ -0,0 +1,89 @@
+package share
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"strings"
+
+	"github.com/savoryshift/savoryshift/coord/store"
+)
+
+const rowPrefix = "share/"
+
+// holding is the part of one holder.
+type holding struct {
+	share perResource[int64] // fractions of Whole
+	want  perResource[int64] // share that an unsatisfied holder asks for, or 0
+}
+
+// grants holds the parts of one organisation by holder.
+type grants map[string]holding
+
+// The value of a row is a JSON object from the holder to its shares, followed
+// by its wants unless both are 0.
+func (g grants) encode() ([]byte, error) {
+	flat := make(map[string][]int64, len(g))
+	for holder, h := range g {
+		flat[holder] = h.share[:]
+		if h.want != (perResource[int64]{}) {
+			flat[holder] = append(flat[holder], h.want[:]...)
+		}
+	}
+	return json.Marshal(flat)
+}
+
+func decodeGrants(row store.Row) (grants, error) {
+	g := make(grants)
+	if row.Version == 0 {
+		return g, nil
+	}
+	var flat map[string][]int64
+	if err := json.Unmarshal(row.Value, &flat); err != nil {
+		return nil, fmt.Errorf("share row %q is damaged: %w", row.Key, err)
+	}
+	for holder, values := range flat {
+		if len(values) != int(resources) && len(values) != 2*int(resources) {
+			return nil, fmt.Errorf("share row %q is damaged: %d values for %q", row.Key, len(values), holder)
+		}
+		var h holding
+		copy(h.share[:], values)
+		copy(h.want[:], values[resources:])
+		g[holder] = h
+	}
+	return g, nil
+}
+
+// free returns the part of the limit that nobody holds.
+func (g grants) free(r resource) int64 {
+	left := Whole
+	for _, h := range g {
+		left -= h.share[r]
+	}
+	return left
+}
+
+// unmet returns what the holders other than self want on top of their shares.
+func (g grants) unmet(r resource, self string) (sum int64) {
+	for holder, h := range g {
+		if holder != self {
+			sum += max(0, h.want[r]-h.share[r])
+		}
+	}
+	return sum
+}
+
+// remove deletes all holders of a VM but keep, and returns their shares.
+func (g grants) remove(vm, keep string) (freed perResource[int64], found bool) {
+	for holder, h := range maps.Clone(g) {
+		if holder == keep || !strings.HasPrefix(holder, vm+"/") {
+			continue
+		}
+		found = true
+		for r := range resources {
+			freed[r] += h.share[r]
+		}
+		delete(g, holder)
+	}
+	return freed, found
+}
--- /dev/null
+++ b/coord/share/schedule_test.go
@@ -0,0 +1,266 @@
+package share
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/savoryshift/savoryshift/coord/memstore"
+	"github.com/savoryshift/savoryshift/coord/store"
+	"github.com/savoryshift/savoryshift/coord/storetest"
+)
+
+const (
+	schedules = 1000
+	vmCount   = 4
+)
+
+type kind int
+
+const (
+	offer   kind = iota // requests arrive
+	tick                // the shares are adjusted
+	cut                 // the VM is cut off from the platform or connected again
+	restart             // the process dies and a new incarnation starts
+	replace             // the VM dies, leaves the list, and another one starts
+	limit               // the limit changes
+	leave               // planned stop and a new start
+	kinds
+)
+
+type event struct {
+	Kind   kind
+	Amount int
+	Pause  int // before the event, in units of 10 ms; long pauses stand for a freeze
+}
+
+type schedule struct {
+	Events [vmCount][]event
+	Faults [vmCount][]storetest.Fault
+	Delay  int // of each table call, in units of 10 ms
+}
+
+var anySchedule = rapid.Custom(func(t *rapid.T) schedule {
+	s := schedule{Delay: rapid.IntRange(0, 5).Draw(t, "delay")}
+	kindOf := rapid.SampledFrom([]kind{offer, offer, offer, tick, tick, tick, tick, tick, cut, restart, replace, limit, leave})
+	for i := range vmCount {
+		s.Events[i] = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) event {
+			return event{kindOf.Draw(t, "kind"), rapid.IntRange(0, 300).Draw(t, "amount"), rapid.IntRange(0, 60).Draw(t, "pause")}
+		}), 5, 40).Draw(t, "events")
+		fault := rapid.IntRange(int(storetest.None), int(storetest.Late))
+		for _, f := range rapid.SliceOfN(fault, 0, 30).Draw(t, "faults") {
+			s.Faults[i] = append(s.Faults[i], storetest.Fault(f))
+		}
+	}
+	return s
+})
+
+// vm is one VM with its running process.
+type vm struct {
+	table       store.Table
+	faults      []storetest.Fault
+	index, name int
+	incarnation int
+	node        *storetest.Node
+
+	mu      sync.Mutex
+	running *Manager
+}
+
+// start runs a new incarnation. Late commits of the earlier one still arrive.
+func (v *vm) start() {
+	v.incarnation++
+	v.node = storetest.NewNode(v.table, nil, v.faults...)
+	v.faults = nil
+	v.set(New(Options{Table: v.node, VM: fmt.Sprintf("vm%d-%d", v.index, v.name), Incarnation: fmt.Sprint(v.incarnation),
+		AdoptEarlier: true, Holders: func() int { return vmCount }}))
+	v.running.SetLimit("org", Limit{RequestsPerSecond: 100, TokensPerSecond: 1000})
+}
+
+func (v *vm) set(m *Manager) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.running = m
+}
+
+func (v *vm) share() perResource[int64] {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var s perResource[int64]
+	if v.running != nil {
+		s[requests], s[tokens] = v.running.Share("org")
+	}
+	return s
+}
+
+// twin replaces a rule by its absence.
+type twin struct {
+	wrap         func(store.Table) store.Table
+	reclaimAlive bool // a VM is reclaimed while it still runs
+}
+
+func (v *vm) play(ctx context.Context, e event, reclaimer *Manager, w twin) {
+	time.Sleep(time.Duration(e.Pause) * 10 * time.Millisecond)
+	switch e.Kind {
+	case offer:
+		for range e.Amount {
+			_ = v.running.Admit("org", 5)
+		}
+	case tick:
+		v.running.tick(ctx)
+	case cut:
+		v.node.Cut(e.Amount%2 == 0)
+	case limit:
+		v.running.SetLimit("org", Limit{RequestsPerSecond: float64(e.Amount), TokensPerSecond: 500})
+	case leave:
+		_ = v.running.Close(ctx)
+		fallthrough
+	case restart:
+		v.set(nil)
+		v.start()
+	case replace:
+		if w.reclaimAlive {
+			_, _ = reclaimer.Reclaim(ctx, v.running.o.VM)
+			return
+		}
+		gone := v.running.o.VM
+		v.set(nil)
+		_, _ = reclaimer.Reclaim(ctx, gone)
+		v.name++
+		v.start()
+	}
+}
+
+func run(t *testing.T, s schedule, w twin) (failure error) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := memstore.New()
+		mem.SetFaults(memstore.Faults{Delay: time.Duration(s.Delay) * 10 * time.Millisecond})
+		table := w.wrap(mem)
+		reclaimer := New(Options{Table: table, VM: "platform"})
+		var vms [vmCount]*vm
+		var all sync.WaitGroup
+		for i := range vms {
+			vms[i] = &vm{table: table, faults: s.Faults[i], index: i}
+			vms[i].start()
+		}
+		for i, v := range vms {
+			all.Go(func() {
+				for _, e := range s.Events[i] {
+					v.play(t.Context(), e, reclaimer, w)
+				}
+			})
+		}
+		done := make(chan struct{})
+		go func() { all.Wait(); close(done) }()
+		for running := true; running && failure == nil; {
+			select {
+			case <-done:
+				running = false
+			case <-time.After(37 * time.Millisecond):
+			}
+			synctest.Wait() // no change is half done
+			failure = sum(vms)
+		}
+		<-done
+		time.Sleep(storetest.LateBy)
+	})
+	return failure
+}
+
+func sum(vms [vmCount]*vm) error {
+	for r := range resources {
+		total := int64(0)
+		for _, v := range vms {
+			total += v.share()[r]
+		}
+		if total > Whole {
+			return fmt.Errorf("shares of resource %d sum up to %d of %d", r, total, Whole)
+		}
+	}
+	return nil
+}
+
+func asIs(t store.Table) store.Table { return t }
+
+// Guards against shares that sum up to more than the limit while holders are
+// cut off, frozen, restarted or replaced, and writes are lost or late.
+func TestSchedules(t *testing.T) {
+	for seed := range schedules {
+		s := anySchedule.Example(seed)
+		if err := run(t, s, twin{wrap: asIs}); err != nil {
+			t.Fatalf("seed %d: %v\nschedule: %+v", seed, err, s)
+		}
+	}
+}
+
+// blind ignores the conditions of all operations.
+type blind struct{ store.Table }
+
+func (b blind) Commit(ctx context.Context, ops []store.Op) error {
+	ops = slices.Clone(ops)
+	for i := range ops {
+		ops[i].Expect = store.AnyVersion
+	}
+	return b.Table.Commit(ctx, ops)
+}
+
+// The twins ignore the version of the row, and reclaim VMs that still run.
+func TestSchedulesTwins(t *testing.T) {
+	for name, w := range map[string]twin{
+		"version ignored":  {wrap: func(t store.Table) store.Table { return blind{t} }},
+		"reclaimed alive ": {wrap: asIs, reclaimAlive: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range schedules {
+				if err := run(t, anySchedule.Example(seed), w); err != nil {
+					t.Logf("broken as expected at seed %d: %v", seed, err)
+					return
+				}
+			}
+			t.Fatal("no schedule noticed the missing rule")
+		})
+	}
+}
+
+// Guards against a share that rises again while a write that lowers it can
+// still take effect: a read that shows the old row proves nothing.
+func TestOpenWriteKeepsShareLow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := memstore.New()
+		node := storetest.NewNode(mem, nil, storetest.None, storetest.Late, storetest.Late)
+		m := New(Options{Table: node, VM: "vm", Incarnation: "1"})
+		m.SetLimit("org", Limit{RequestsPerSecond: 1})
+		found, _ := m.accounts.Load("org")
+		a, row := found.(*account), store.Row{Key: rowPrefix + "org"}
+		write := func(share int64) {
+			assert.Assert(t, m.commit(t.Context(), a, row, grants{"vm/1": {share: perResource[int64]{share}}}) == nil)
+		}
+		write(500)
+		rows, err := mem.Get(t.Context(), row.Key)
+		assert.NilError(t, err)
+		row = rows[0]
+		for _, share := range []int64{100, 400} { // both can still take effect
+			write(share)
+			g, err := decodeGrants(row)
+			assert.NilError(t, err)
+			m.reconcile(a, row.Version, g)
+			usable, _ := m.Share("org")
+			assert.Equal(t, usable, int64(100))
+		}
+		time.Sleep(2 * storetest.LateBy)
+		rows, err = mem.Get(t.Context(), row.Key)
+		assert.NilError(t, err)
+		g, err := decodeGrants(rows[0])
+		assert.NilError(t, err)
+		m.reconcile(a, rows[0].Version, g)
+		usable, _ := m.Share("org")
+		assert.Equal(t, usable, g["vm/1"].share[requests])
+	})
+}
