storetest: shared runner for schedules and their twins

The four packages had the same loops over seeds and the same table without conditions. They now share one runner, which prints the seed and the schedule of a failure.

--- a/coord/claim/schedule_test.go
+++ b/coord/claim/schedule_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -17,10 +16,7 @@
 	"github.com/savoryshift/savoryshift/coord/storetest"
 )
 
-const (
-	schedules   = 1000
-	daemonCount = 3
-)
+const daemonCount = 3
 
 // call is one request of a schedule. Times are multiples of 5 ms, so that
 // deadlines, group windows and store delays coincide.
@@ -246,24 +242,7 @@
 // claim of another attempt, an answer "not run" that is false or blocks the
 // key, and a lost outcome.
 func TestSchedules(t *testing.T) {
-	for seed := range schedules {
-		s := anySchedule.Example(seed)
-		if err := run(t, s, func(t store.Table) store.Table { return t }); err != nil {
-			t.Fatalf("seed %d: %v\nschedule: %+v", seed, err, s)
-		}
-	}
-}
-
-// unconditional ignores the conditions of all operations.
-type unconditional struct{ store.Table }
-
-func (u unconditional) Commit(ctx context.Context, ops []store.Op) error {
-	blind := make([]store.Op, len(ops))
-	for i, op := range ops {
-		op.Expect = store.AnyVersion
-		blind[i] = op
-	}
-	return u.Table.Commit(ctx, blind)
+	storetest.Hold(t, anySchedule, func(s schedule) error { return run(t, s, storetest.AsIs) })
 }
 
 // deleting releases a claim by a physical delete.
@@ -283,20 +262,12 @@
 // Each twin removes one mechanism and must break its invariant in at least one
 // of the schedules, which shows that TestSchedules can fail.
 func TestSchedulesTwins(t *testing.T) {
-	twins := map[string]func(store.Table) store.Table{
-		"was dispatched twice":          func(t store.Table) store.Table { return unconditional{t} },
+	for broken, wrap := range map[string]func(store.Table) store.Table{
+		"was dispatched twice":          storetest.AsBlind,
 		"but no attempt dispatched and": func(t store.Table) store.Table { return deleting{t} },
-	}
-	for broken, wrap := range twins {
+	} {
 		t.Run(broken, func(t *testing.T) {
-			for seed := range schedules {
-				err := run(t, anySchedule.Example(seed), wrap)
-				if err != nil && strings.Contains(err.Error(), broken) {
-					t.Logf("broken as expected at seed %d: %v", seed, err)
-					return
-				}
-			}
-			t.Fatal("no schedule noticed the missing mechanism")
+			storetest.Break(t, anySchedule, broken, func(s schedule) error { return run(t, s, wrap) })
 		})
 	}
 }
--- a/coord/fence/schedule_test.go
+++ b/coord/fence/schedule_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -21,7 +19,6 @@
 )
 
 const (
-	schedules  = 1000
 	candidates = 3
 	duration   = 10 * time.Second
 	maxCall    = 20 * time.Second // of the first candidate; half for the next
@@ -184,23 +181,7 @@
 // of two holders that overlap on an upstream that ignores the number, with
 // frozen holders, lost replies, late commits and clock steps.
 func TestSchedules(t *testing.T) {
-	for seed := range schedules {
-		s := anySchedule.Example(seed)
-		if err := run(t, s, 1, func(t store.Table) store.Table { return t }); err != nil {
-			t.Fatalf("seed %d: %v\nschedule: %+v", seed, err, s)
-		}
-	}
-}
-
-// blind ignores the conditions of all operations.
-type blind struct{ store.Table }
-
-func (b blind) Commit(ctx context.Context, ops []store.Op) error {
-	ops = slices.Clone(ops)
-	for i := range ops {
-		ops[i].Expect = store.AnyVersion
-	}
-	return b.Table.Commit(ctx, ops)
+	storetest.Hold(t, anySchedule, func(s schedule) error { return run(t, s, 1, storetest.AsIs) })
 }
 
 // One twin does not wait for the earlier holder, because its clock runs ahead;
@@ -211,18 +192,11 @@
 		hurry  time.Duration
 		wrap   func(store.Table) store.Table
 	}{
-		{"overlap", 1000, func(t store.Table) store.Table { return t }},
-		{"both acted", 1, func(t store.Table) store.Table { return blind{t} }},
+		{"overlap", 1000, storetest.AsIs},
+		{"both acted", 1, storetest.AsBlind},
 	} {
 		t.Run(twin.broken, func(t *testing.T) {
-			for seed := range schedules {
-				err := run(t, anySchedule.Example(seed), twin.hurry, twin.wrap)
-				if err != nil && strings.Contains(err.Error(), twin.broken) {
-					t.Logf("broken as expected at seed %d: %v", seed, err)
-					return
-				}
-			}
-			t.Fatal("no schedule noticed the missing mechanism")
+			storetest.Break(t, anySchedule, twin.broken, func(s schedule) error { return run(t, s, twin.hurry, twin.wrap) })
 		})
 	}
 }
--- a/coord/ledger/ledger_test.go
+++ b/coord/ledger/ledger_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/savoryshift/savoryshift/coord/memstore"
+	"github.com/savoryshift/savoryshift/coord/storetest"
 )
 
 var noon = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
@@ -31,7 +32,7 @@
 // size, and damage that is read as other entries.
 func TestCodec(t *testing.T) {
 	batches := rapid.SliceOfN(anyEntry, 0, 20)
-	for seed := range schedules {
+	for seed := range storetest.Schedules {
 		entries := batches.Example(seed)
 		enc := newEncoder()
 		for _, e := range entries {
--- a/coord/ledger/schedule_test.go
+++ b/coord/ledger/schedule_test.go
@@ -17,10 +17,7 @@
 	"github.com/savoryshift/savoryshift/coord/storetest"
 )
 
-const (
-	schedules   = 1000
-	daemonCount = 5
-)
+const daemonCount = 5
 
 // request is one answered request. Times are in units of 50 ms.
 type request struct{ Daemon, Key, At int }
@@ -311,15 +308,12 @@
 // platform and a cut between the zones at the same time.
 func TestSchedules(t *testing.T) {
 	duplicates, excuses := 0, 0
-	for seed := range schedules {
-		s := anySchedule.Example(seed)
+	storetest.Hold(t, anySchedule, func(s schedule) error {
 		w, bill, err := run(t, s, false)
-		if err != nil {
-			t.Fatalf("seed %d: %v\nschedule: %+v", seed, err, s)
-		}
 		duplicates += bill.Duplicates
 		excuses += w.excuses
-	}
+		return err
+	})
 	t.Logf("%d duplicates merged, %d answers excused", duplicates, excuses)
 	// Without duplicates the schedules could not notice a missing union.
 	if duplicates == 0 {
@@ -329,11 +323,8 @@
 
 // The twin confirms copies without storing them; an entry must then be lost.
 func TestSchedulesTwin(t *testing.T) {
-	for seed := range schedules {
-		if _, _, err := run(t, anySchedule.Example(seed), true); err != nil {
-			t.Logf("broken as expected at seed %d: %v", seed, err)
-			return
-		}
-	}
-	t.Fatal("no schedule noticed the missing copies")
+	storetest.Break(t, anySchedule, "is not billed", func(s schedule) error {
+		_, _, err := run(t, s, true)
+		return err
+	})
 }
--- a/coord/share/schedule_test.go
+++ b/coord/share/schedule_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -17,10 +16,7 @@
 	"github.com/savoryshift/savoryshift/coord/storetest"
 )
 
-const (
-	schedules = 1000
-	vmCount   = 4
-)
+const vmCount = 4
 
 type kind int
 
@@ -187,44 +183,20 @@
 	return nil
 }
 
-func asIs(t store.Table) store.Table { return t }
-
 // Guards against shares that sum up to more than the limit while holders are
 // cut off, frozen, restarted or replaced, and writes are lost or late.
 func TestSchedules(t *testing.T) {
-	for seed := range schedules {
-		s := anySchedule.Example(seed)
-		if err := run(t, s, twin{wrap: asIs}); err != nil {
-			t.Fatalf("seed %d: %v\nschedule: %+v", seed, err, s)
-		}
-	}
-}
-
-// blind ignores the conditions of all operations.
-type blind struct{ store.Table }
-
-func (b blind) Commit(ctx context.Context, ops []store.Op) error {
-	ops = slices.Clone(ops)
-	for i := range ops {
-		ops[i].Expect = store.AnyVersion
-	}
-	return b.Table.Commit(ctx, ops)
+	storetest.Hold(t, anySchedule, func(s schedule) error { return run(t, s, twin{wrap: storetest.AsIs}) })
 }
 
 // The twins ignore the version of the row, and reclaim VMs that still run.
 func TestSchedulesTwins(t *testing.T) {
 	for name, w := range map[string]twin{
-		"version ignored":  {wrap: func(t store.Table) store.Table { return blind{t} }},
-		"reclaimed alive ": {wrap: asIs, reclaimAlive: true},
+		"version ignored": {wrap: storetest.AsBlind},
+		"reclaimed alive": {wrap: storetest.AsIs, reclaimAlive: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			for seed := range schedules {
-				if err := run(t, anySchedule.Example(seed), w); err != nil {
-					t.Logf("broken as expected at seed %d: %v", seed, err)
-					return
-				}
-			}
-			t.Fatal("no schedule noticed the missing rule")
+			storetest.Break(t, anySchedule, "sum up to", func(s schedule) error { return run(t, s, w) })
 		})
 	}
 }
