--- a/coord/ledger/held.go
+++ b/coord/ledger/held.go
@@ -78,6 +78,9 @@
 		return
 	}
 	l.used -= h.drop(through)
+	// Later copies go into another batch, so that the next release can drop
+	// this one although newer copies have arrived.
+	l.used += h.seal()
 	if len(h.segments) == 0 {
 		delete(l.held, owner)
 	}
--- a/coord/ledger/ledger.go
+++ b/coord/ledger/ledger.go
@@ -34,7 +34,7 @@
 	// ErrDraining reports a ledger that takes no new requests.
 	ErrDraining = errors.New("ledger draining")
 	// ErrNotCopied reports an entry that is recorded in this daemon, but whose
-	// copies were not confirmed before the context ended.
+	// copies were not confirmed before the context or Run ended.
 	ErrNotCopied = errors.New("ledger entry not copied yet")
 )
 
@@ -102,6 +102,7 @@
 	o       Options
 	stats   counters
 	wake    chan struct{} // capacity 1; signals uncopied entries
+	stopped chan struct{} // closed when Run ends
 	flights sync.WaitGroup
 	slots   chan struct{} // one per group that is being copied
 	flushMu sync.Mutex    // one flush at a time, so that batches go in order
@@ -131,14 +132,16 @@
 	return &Ledger{
 		o:        o.withDefaults(),
 		wake:     make(chan struct{}, 1),
+		stopped:  make(chan struct{}),
 		slots:    make(chan struct{}, maxCopyFlights),
 		held:     make(map[string]*heldLog),
 		released: make(map[string]uint64),
 	}
 }
 
-// Run copies and flushes until ctx ends. Call Drain before.
+// Run copies and flushes until ctx ends. Call Drain before. It is called once.
 func (l *Ledger) Run(ctx context.Context) error {
+	defer close(l.stopped)
 	var loops sync.WaitGroup
 	loops.Go(func() { l.copyLoop(ctx) })
 	loops.Go(func() { l.flushLoop(ctx) })
@@ -190,6 +193,8 @@
 	select {
 	case <-p.done:
 		return nil
+	case <-r.l.stopped:
+		return ErrNotCopied
 	case <-ctx.Done():
 		return ErrNotCopied
 	}
--- a/coord/ledger/ledger_test.go
+++ b/coord/ledger/ledger_test.go
@@ -109,6 +109,28 @@
 	assert.Equal(t, l.Stats().Bytes, 0)
 }
 
+// Guards against copies that are kept for ever, because under steady traffic
+// each release comes after the copies of newer entries.
+func TestReleaseUnderTraffic(t *testing.T) {
+	l := New(Options{})
+	for number := range uint64(1000) {
+		enc := newEncoder()
+		enc.add(Entry{Organisation: "org", RequestKey: fmt.Sprint(number), Time: noon})
+		assert.NilError(t, l.Accept(copyMessage{Owner: "o/1", First: number + 1, Batch: enc.batch()}.encode()))
+		l.AcceptRelease("o/1", number)
+	}
+	assert.Assert(t, l.Stats().HeldEntries <= 2)
+}
+
+// Guards against an Add that waits for ever when Run has ended.
+func TestAddAfterRun(t *testing.T) {
+	l := New(Options{})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.NilError(t, l.Run(ctx))
+	assert.ErrorIs(t, l.Add(t.Context(), Entry{Organisation: "org", RequestKey: "k", Time: noon}), ErrNotCopied)
+}
+
 // Guards against requests that start without room for their entry, room that
 // is not given back, and a batch that is lost when its name is taken.
 func TestBoundAndTakenName(t *testing.T) {
