claim: patience that grows with the latency of the table

With 320 daemons and 300 table writes a second one commit takes about a second. The fixed patience of 500 ms took that for a hang and put up to four groups of each daemon in the queue, so that claims missed their deadline of 2 s.

The patience is now at least twice the latency of the last commit. TestHangingCommit shows that a hanging commit delays other claims by the patience only.

--- a/coord/claim/group.go
+++ b/coord/claim/group.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/savoryshift/savoryshift/coord/store"
@@ -17,6 +18,10 @@
 // and each lost reply costs a round.
 const maxRounds = 16
 
+// patienceFactor times the usual latency is what a commit may take before it
+// counts as hanging.
+const patienceFactor = 2
+
 // write is one pending change of a row.
 type write struct {
 	key  string
@@ -84,6 +89,7 @@
 	mu      sync.Mutex
 	pending []*write
 	stopped bool
+	latency atomic.Int64 // of the last commit with a reply, in nanoseconds
 	flights sync.WaitGroup
 }
 
@@ -158,9 +164,11 @@
 
 // slot waits until a group may start. While the table is slow, one group is in
 // flight and the next one grows, so that a process does not fill the queue of
-// the table. A group that hangs is passed after the patience.
+// the table. A group that hangs is passed after the patience, which grows with
+// the latency of the table, because a slow commit does not hang.
 func (g *grouper) slot(ctx context.Context) chan struct{} {
-	timer := time.NewTimer(g.patience)
+	patience := max(g.patience, patienceFactor*time.Duration(g.latency.Load()))
+	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	select {
 	case g.turn <- struct{}{}:
@@ -242,7 +250,11 @@
 		if len(group) == 0 {
 			return
 		}
+		sent := time.Now()
 		err := g.table.Commit(ctx, ops)
+		if err == nil {
+			g.latency.Store(int64(time.Since(sent)))
+		}
 		group, err = settle(group, err)
 		if err != nil || len(group) == 0 {
 			finish(group, err)
