--- a/coord/ledger/ledger_test.go
+++ b/coord/ledger/ledger_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/savoryshift/savoryshift/coord/memstore"
+	"github.com/savoryshift/savoryshift/coord/storetest"
 )
 
 var noon = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
@@ -31,7 +32,7 @@
 // size, and damage that is read as other entries.
 func TestCodec(t *testing.T) {
 	batches := rapid.SliceOfN(anyEntry, 0, 20)
-	for seed := range schedules {
+	for seed := range storetest.Schedules {
 		entries := batches.Example(seed)
 		enc := newEncoder()
 		for _, e := range entries {
@@ -108,6 +109,28 @@
 	assert.Equal(t, l.Stats().Bytes, 0)
 }
 
+// Guards against copies that are kept for ever, because under steady traffic
+// each release comes after the copies of newer entries.
+func TestReleaseUnderTraffic(t *testing.T) {
+	l := New(Options{})
+	for number := range uint64(1000) {
+		enc := newEncoder()
+		enc.add(Entry{Organisation: "org", RequestKey: fmt.Sprint(number), Time: noon})
+		assert.NilError(t, l.Accept(copyMessage{Owner: "o/1", First: number + 1, Batch: enc.batch()}.encode()))
+		l.AcceptRelease("o/1", number)
+	}
+	assert.Assert(t, l.Stats().HeldEntries <= 2)
+}
+
+// Guards against an Add that waits for ever when Run has ended.
+func TestAddAfterRun(t *testing.T) {
+	l := New(Options{})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.NilError(t, l.Run(ctx))
+	assert.ErrorIs(t, l.Add(t.Context(), Entry{Organisation: "org", RequestKey: "k", Time: noon}), ErrNotCopied)
+}
+
 // Guards against requests that start without room for their entry, room that
 // is not given back, and a batch that is lost when its name is taken.
 func TestBoundAndTakenName(t *testing.T) {
--- a/coord/share/account.go
+++ b/coord/share/account.go
@@ -14,6 +14,11 @@
 	// expected one by more than changedDeviations standard deviations.
 	changedSmoothing  = 0.4
 	changedDeviations = 2.5
+	// A demand of more than silentArrivals per period is taken to have ended
+	// after silentPeriods without a request, and silentSmoothing applies.
+	silentPeriods   = 2
+	silentArrivals  = 2
+	silentSmoothing = 0.8
 	// startPercent of an equal share is the assumed demand of a new daemon, so
 	// that its first share is about an equal one.
 	startPercent = 80
@@ -50,6 +55,7 @@
 	buckets perResource[bucket]
 	offered perResource[float64] // since the last measurement
 	refused bool
+	silent  int                  // periods in a row without a request
 	demand  perResource[float64] // smoothed, per second
 	known   bool                 // demand was measured or assumed
 	since   time.Time
@@ -162,6 +168,11 @@
 	if math.Abs(a.offered[requests]-expected) > changedDeviations*math.Sqrt(expected) {
 		weight = changedSmoothing
 	}
+	if a.offered[requests] > 0 {
+		a.silent = 0
+	} else if a.silent++; a.silent >= silentPeriods && (expected > silentArrivals || a.silent > silentPeriods) {
+		weight = silentSmoothing
+	}
 	for r := range resources {
 		latest := a.demand[r]
 		if passed > 0 {
--- a/coord/share/decide.go
+++ b/coord/share/decide.go
@@ -104,15 +104,18 @@
 // the fair level while others are short.
 func take(g grants, self string, r resource, n need, target int64) (share, want int64) {
 	share = g[self].share[r]
-	if n.short {
-		want = target
+	if n.short || g[self].want[r] > 0 {
+		want = target // kept until the share suffices
 	}
+	level := target
 	if g.unmet(r, self) > 0 {
-		if fair := fairLevel(g, self, r, target); share-fair >= n.step(share) {
+		fair := fairLevel(g, self, r, target)
+		if share-fair >= n.step(share) {
 			return fair, want
 		}
+		level = min(target, fair)
 	}
-	grant := min(g.free(r), target-share)
+	grant := min(g.free(r), level-share)
 	if grant >= n.step(share) || n.short && grant >= n.least {
 		share += grant
 	}
--- a/coord/share/manager.go
+++ b/coord/share/manager.go
@@ -283,22 +283,12 @@
 	default:
 		m.failures.Add(1)
 		a.skip = 1
-		a.noteOpen(row.Version, usable)
+		// The usable share is at most that of an earlier open write.
+		a.open = &openWrite{version: row.Version, share: usable}
 	}
 	return nil
 }
 
-// noteOpen remembers a write with an unknown outcome. Several writes can be open
-// at one version; the lowest share counts.
-func (a *account) noteOpen(version int64, share perResource[int64]) {
-	if a.open != nil && a.open.version == version {
-		for r := range resources {
-			share[r] = min(share[r], a.open.share[r])
-		}
-	}
-	a.open = &openWrite{version: version, share: share}
-}
-
 // Close gives all shares back. Requests are refused from then on.
 func (m *Manager) Close(ctx context.Context) error {
 	m.ticks.Lock()
