--- a/coord/spread/spreadtest/fleet.go
+++ b/coord/spread/spreadtest/fleet.go
@@ -71,12 +71,10 @@
 	// Observe is called for a host after each of its ticks.
 	Observe func(*Host)
 
-	o      Options
-	rng    *rand.Rand
-	now    time.Duration
-	seq    int
-	events queue
-	byID   map[string]*Host
+	timeline
+	o    Options
+	rng  *rand.Rand
+	byID map[string]*Host
 }
 
 // New returns a fleet whose hosts all know each other's ids.
@@ -114,9 +112,6 @@
 	return f
 }
 
-// Now returns the virtual time since the start.
-func (f *Fleet) Now() time.Duration { return f.now }
-
 // WallNow returns the virtual wall-clock time.
 func (f *Fleet) WallNow() time.Time { return epoch.Add(f.now) }
 
--- a/coord/spread/spreadtest/queue.go
+++ b/coord/spread/spreadtest/queue.go
@@ -36,19 +36,29 @@
 	return e
 }
 
+// timeline runs events in the order of their virtual time.
+type timeline struct {
+	now    time.Duration
+	seq    int
+	events queue
+}
+
 // after schedules run.
-func (f *Fleet) after(delay time.Duration, run func()) {
-	f.seq++
-	heap.Push(&f.events, event{at: f.now + delay, seq: f.seq, run: run})
+func (t *timeline) after(delay time.Duration, run func()) {
+	t.seq++
+	heap.Push(&t.events, event{at: t.now + delay, seq: t.seq, run: run})
 }
 
 // Run advances the virtual time by d and runs what is due.
-func (f *Fleet) Run(d time.Duration) {
-	end := f.now + d
-	for len(f.events) > 0 && f.events[0].at <= end {
-		e := heap.Pop(&f.events).(event)
-		f.now = e.at
+func (t *timeline) Run(d time.Duration) {
+	end := t.now + d
+	for len(t.events) > 0 && t.events[0].at <= end {
+		e := heap.Pop(&t.events).(event)
+		t.now = e.at
 		e.run()
 	}
-	f.now = end
+	t.now = end
 }
+
+// Now returns the virtual time since the start.
+func (t *timeline) Now() time.Duration { return t.now }
