spread: slow networks in the schedules; connections to gone VMs end

The schedules had delays of milliseconds only, so counting the age of evidence from the receipt of a reply would have passed them. Messages now take 1.5 s more at times, and a twin that counts from the receipt breaks the lease invariant.

--- a/coord/spread/convergence_test.go
+++ b/coord/spread/convergence_test.go
@@ -51,16 +51,20 @@
 		loss float64
 		cut  bool
 	}{{0, false}, {0, true}, {0.05, true}} {
-		f, err := spreadtest.Measure(latencyPlan(fleetNodes, tc.loss, tc.cut))
-		assert.NilError(t, err)
-		t.Logf("loss %v, cut %v: %+v", tc.loss, tc.cut, f)
-		assert.Equal(t, f.Missing, 0)
-		assert.Assert(t, f.P99 <= maxInForceP99 && f.Max <= maxInForce, "%+v", f)
+		t.Run(fmt.Sprintf("loss=%v/cut=%v", tc.loss, tc.cut), func(t *testing.T) {
+			t.Parallel()
+			f, err := spreadtest.Measure(latencyPlan(fleetNodes, tc.loss, tc.cut))
+			assert.NilError(t, err)
+			t.Logf("%+v", f)
+			assert.Equal(t, f.Missing, 0)
+			assert.Assert(t, f.P99 <= maxInForceP99 && f.Max <= maxInForce, "%+v", f)
+		})
 	}
 }
 
 // Guards against messages that outgrow the network budget of the busiest node.
 func TestTrafficPerNode(t *testing.T) {
+	t.Parallel()
 	f, err := spreadtest.Measure(trafficPlan(fleetNodes, true))
 	assert.NilError(t, err)
 	t.Logf("%+v", f)
--- a/coord/spread/node.go
+++ b/coord/spread/node.go
@@ -253,6 +253,16 @@
 	return missing
 }
 
+// Peers returns the ids of all other members and of the VMs on the platform's
+// list.
+func (n *Node) Peers() []string {
+	var ids []string
+	for _, zone := range n.members.Zones() {
+		ids = append(ids, n.members.Contacts(zone)...)
+	}
+	return ids
+}
+
 // Halts returns the halt marks by key.
 func (n *Node) Halts() []Mark {
 	n.mu.Lock()
--- a/coord/spread/schedule_test.go
+++ b/coord/spread/schedule_test.go
@@ -26,6 +26,8 @@
 const (
 	scheduleNodes = 6
 	scheduleZones = 3
+	// slowDelay is the one-way delay of messages while the network is slow.
+	slowDelay = 1500 * time.Millisecond
 	// healTime is enough for every node to hold the head after all faults end.
 	healTime = 6 * time.Second
 )
@@ -41,6 +43,7 @@
 	toggleZonePlatform
 	toggleLink
 	isolateZone
+	toggleSlow
 	freeze
 	thaw
 	kill
@@ -238,6 +241,8 @@
 		for _, z := range f.Zones {
 			s.cutLinks[zone+z] = true
 		}
+	case toggleSlow:
+		f.Slow = slowDelay - f.Slow
 	case freeze:
 		h.Freeze()
 	case thaw:
@@ -252,6 +257,7 @@
 // heal ends all faults, after which every node must hold the head.
 func (s *schedule) heal() {
 	s.fleet.Store.SetFaults(memstore.Faults{})
+	s.fleet.Slow = 0
 	clear(s.cutLinks)
 	clear(s.fleet.PlatformCut)
 	for _, h := range s.fleet.Hosts {
@@ -328,6 +334,9 @@
 		{"ages of replies are ignored", "superseded", func() *schedule {
 			return newSchedule(spreadtest.Hooks{Reply: func(r *spread.SyncReply) { r.AgeMs = 0 }}, nil)
 		}},
+		{"ages count from the receipt", "superseded", func() *schedule {
+			return newSchedule(spreadtest.Hooks{CountFromReceipt: true}, nil)
+		}},
 		{"clock stops while frozen", "superseded", func() *schedule {
 			return newSchedule(spreadtest.Hooks{FrozenClockStops: true}, nil)
 		}},
--- a/coord/spread/spreadtest/fleet.go
+++ b/coord/spread/spreadtest/fleet.go
@@ -49,6 +49,9 @@
 type Hooks struct {
 	// Reply alters a reply before it is handled.
 	Reply func(*spread.SyncReply)
+	// CountFromReceipt counts the age of evidence from the arrival of a reply
+	// instead of from the sending of the request.
+	CountFromReceipt bool
 	// FrozenClockStops makes the lease's clocks stop while a host is frozen.
 	FrozenClockStops bool
 	// InForce chooses the revision put in force after a reply; the default is
@@ -68,6 +71,8 @@
 	LinkCut func(from, to string) bool
 	// PlatformCut holds the zones that cannot reach the platform.
 	PlatformCut map[string]bool
+	// Slow is added to the delay of each message.
+	Slow time.Duration
 	// Observe is called for a host after each of its ticks.
 	Observe func(*Host)
 
@@ -140,7 +145,7 @@
 		return
 	}
 	process := to.process
-	f.after(f.delay(mean), func() {
+	f.after(f.delay(mean)+f.Slow, func() {
 		// A cut also hits what is under way.
 		if from.Zone == to.Zone || !f.LinkCut(from.Zone, to.Zone) {
 			to.run(process, handle)
--- a/coord/spread/spreadtest/host.go
+++ b/coord/spread/spreadtest/host.go
@@ -190,6 +190,11 @@
 	if hooks.Reply != nil {
 		hooks.Reply(&reply)
 	}
+	if hooks.CountFromReceipt {
+		request := c.Request
+		c = h.Node.SyncRequest(c.To)
+		c.Request = request
+	}
 	e, err := h.Node.HandleReply(c, reply)
 	if err != nil {
 		return
--- a/peer/agent.go
+++ b/peer/agent.go
@@ -18,6 +18,9 @@
 	DefaultTickEvery = 100 * time.Millisecond
 	// platformTimeout bounds one read of the platform or one snapshot written.
 	platformTimeout = 5 * time.Second
+	// retainEvery is the period at which connections to VMs that are gone are
+	// closed.
+	retainEvery = time.Minute
 	// maxRead is the number of changes read from the platform at once.
 	maxRead = 256
 )
@@ -81,12 +84,16 @@
 	a.advance()
 	ticker := time.NewTicker(a.o.TickEvery)
 	defer ticker.Stop()
+	retain := time.NewTicker(retainEvery)
+	defer retain.Stop()
 	for {
 		select {
 		case <-a.ctx.Done():
 			return nil
 		case <-ticker.C:
 			a.tick()
+		case <-retain.C:
+			a.o.Client.Retain(a.o.Node.Peers())
 		}
 	}
 }
