daemon: read only the registry rows that are needed

An address that had changed was noticed only by the next scan.

The registry now reads the rows of the daemons that it is asked for, in one call, and again after nothing answered at an address, at most once a second each. A longer period for the scan was ruled out: it delays the new address of a replaced VM. A shorter scan by removing old rows was ruled out, because no daemon knows that a row is of no use to any other.

--- a/daemon/registry.go
+++ b/daemon/registry.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -16,11 +18,11 @@
 const (
 	// registryPrefix starts the table rows that hold the addresses of daemons.
 	registryPrefix = "peer/"
-	// registryPeriod is the time between two reads of all rows. A daemon that
-	// is not known yet causes a read at once, at most each registryMinimum.
-	registryPeriod  = 30 * time.Second
-	registryMinimum = time.Second
-	registryPage    = 500
+	// registryPeriod is the time between two tries to register, and between two
+	// reads of one row.
+	registryPeriod = time.Second
+	// registryPage bounds the rows read at once.
+	registryPage = 100
 )
 
 // registration is the row of one daemon.
@@ -30,20 +32,28 @@
 }
 
 // registry knows the peer addresses of other daemons: those of the settings,
-// and those that the daemons have written to the platform's table. It is safe
-// for concurrent use.
+// and those that the daemons have written to the platform's table. It reads the
+// rows of the daemons that this one talks to and no others: a scan of all rows
+// grows with each VM that was ever replaced. It is safe for concurrent use.
 type registry struct {
 	table   store.Table
 	self    member.VM
 	address string
+	wake    chan struct{} // capacity 1
 
 	mu        sync.Mutex
 	addresses map[string]string
-	unknown   bool
+	// wanted holds the daemons whose rows are to be read, askedAt when each was
+	// last asked for.
+	wanted  map[string]bool
+	askedAt map[string]time.Time
 }
 
 func newRegistry(table store.Table, self member.VM, address string, seeds []settings.SeedPeer) *registry {
-	r := &registry{table: table, self: self, address: address, addresses: make(map[string]string)}
+	r := &registry{
+		table: table, self: self, address: address, wake: make(chan struct{}, 1),
+		addresses: make(map[string]string), wanted: make(map[string]bool), askedAt: make(map[string]time.Time),
+	}
 	for _, s := range seeds {
 		r.addresses[member.JoinID(s.AvailabilityZone, s.VM)] = s.Address
 	}
@@ -63,45 +73,67 @@
 	return ids
 }
 
-// addressOf returns the peer address of a daemon. An unknown one makes Run read
-// the rows soon.
+// addressOf returns the peer address of a daemon. The row of an unknown one is
+// read soon.
 func (r *registry) addressOf(id string) (string, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	address, ok := r.addresses[id]
-	r.unknown = r.unknown || !ok
+	if !ok {
+		r.wantLocked(id)
+	}
 	return address, ok
 }
 
-// Run registers this daemon and reads the rows of the others until ctx ends.
+// unreachable notes that nothing answers at the known address of a daemon, which
+// may have moved.
+func (r *registry) unreachable(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.wantLocked(id)
+}
+
+func (r *registry) wantLocked(id string) {
+	now := time.Now()
+	if now.Sub(r.askedAt[id]) < registryPeriod || len(r.askedAt) >= member.MaxMembers {
+		return
+	}
+	r.wanted[id], r.askedAt[id] = true, now
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run registers this daemon and reads the rows of others that it needs until
+// ctx ends.
 func (r *registry) Run(ctx context.Context) error {
-	ticker := time.NewTicker(registryMinimum)
+	ticker := time.NewTicker(registryPeriod)
 	defer ticker.Stop()
 	registered := false
-	var read time.Time
 	for {
 		if !registered {
 			registered = r.register(ctx) == nil
 		}
-		if r.takeUnknown() || time.Since(read) >= registryPeriod {
-			if r.read(ctx) == nil {
-				read = time.Now()
-			}
-		}
+		r.read(ctx, r.takeWanted())
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-r.wake:
 		case <-ticker.C:
 		}
 	}
 }
 
-func (r *registry) takeUnknown() bool {
+// takeWanted returns the ids to read, and forgets when the others were asked for
+// once that is no longer needed.
+func (r *registry) takeWanted() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	unknown := r.unknown
-	r.unknown = false
-	return unknown
+	ids := slices.Sorted(maps.Keys(r.wanted))
+	clear(r.wanted)
+	maps.DeleteFunc(r.askedAt, func(_ string, at time.Time) bool { return time.Since(at) >= registryPeriod })
+	return ids
 }
 
 // errReplaced reports that a later incarnation of this VM has registered.
@@ -127,21 +159,21 @@
 	return r.table.Commit(limited, []store.Op{{Key: key, Expect: rows[0].Version, Value: value}})
 }
 
-// read takes the addresses of all rows.
-func (r *registry) read(ctx context.Context) error {
+// read takes the addresses of the given daemons. Those that a failed call leaves
+// out are asked for again by the next message to them.
+func (r *registry) read(ctx context.Context, ids []string) {
 	limited, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	after := ""
-	for {
-		rows, err := r.table.Scan(limited, registryPrefix, after, registryPage)
+	for page := range slices.Chunk(ids, registryPage) {
+		keys := make([]string, len(page))
+		for i, id := range page {
+			keys[i] = registryPrefix + id
+		}
+		rows, err := r.table.Get(limited, keys...)
 		if err != nil {
-			return err
+			return
 		}
 		r.take(rows)
-		if len(rows) < registryPage {
-			return nil
-		}
-		after = rows[len(rows)-1].Key
 	}
 }
 
@@ -150,7 +182,7 @@
 	defer r.mu.Unlock()
 	for _, row := range rows {
 		var reg registration
-		if json.Unmarshal(row.Value, &reg) == nil && reg.Address != "" {
+		if row.Version > 0 && json.Unmarshal(row.Value, &reg) == nil && reg.Address != "" {
 			r.addresses[strings.TrimPrefix(row.Key, registryPrefix)] = reg.Address
 		}
 	}
--- a/daemon/transport.go
+++ b/daemon/transport.go
@@ -43,7 +43,11 @@
 		if !ok {
 			return nil, fmt.Errorf("%w: %s", errUnknownPeer, id)
 		}
-		return dial(ctx, "tcp", address)
+		conn, err := dial(ctx, "tcp", address)
+		if err != nil {
+			r.unreachable(id)
+		}
+		return conn, err
 	}
 }
 
