policy, bench: pace of streaming calls, probes, stale load reports

Slow engines were noticed only after a whole slow answer, and failed engines were probed with callers' requests. Pace is now learned while a call streams, a control loop probes failed engines, and engines whose load reports stop receive no new work.

--- a/bench/flight.go
+++ b/bench/flight.go
@@ -70,10 +70,11 @@
 	f.running++
 	f.calls++
 	backlog := live.InFlight()
-	sent := w.send(f.q, c.Version, w.engines[c.Upstream], priority, func(*call) {
+	sent := w.send(f.q, c.Version, w.engines[c.Upstream], priority, func(c *call) {
 		if !hold && f.released == 0 {
 			f.released = w.now
 		}
+		f.watch(c, w.now)
 	}, func(done *call, ok bool) {
 		f.running--
 		f.observe(done, ok, backlog)
@@ -82,6 +83,19 @@
 	sent.release = live.End
 }
 
+// watch reports the pace of a call while it streams, so that a slow engine is
+// noticed before its first answer is whole.
+func (f *flight) watch(c *call, first time.Duration) {
+	w := f.world()
+	w.after(pacePeriod, func() {
+		if c.closed || c.state != callRunning {
+			return
+		}
+		c.engine.progress(c)
+		f.daemon.planner.ObservePace(w.load.Versions[c.version].Version, c.engine.spec.ID, w.now-first, c.tokens(), w.now)
+	})
+}
+
 // ended continues after the end of a call.
 func (f *flight) ended(c *call, ok, hold, rate bool) {
 	w := f.world()
--- a/bench/policyrouter.go
+++ b/bench/policyrouter.go
@@ -10,6 +10,13 @@
 const (
 	// mergePeriod is the period at which daemons exchange what they learned.
 	mergePeriod = time.Second
+	// probePeriod is the period at which daemons probe engines.
+	probePeriod = time.Second
+	// reportLifetime is the age of a load report above which an engine counts
+	// as unreachable.
+	reportLifetime = 3 * time.Second
+	// pacePeriod is the time of streaming after which the pace is reported.
+	pacePeriod = time.Second
 	// fallbackMargin is how long before the deadline an answer at hand is
 	// released.
 	fallbackMargin = 20 * time.Millisecond
@@ -62,6 +69,9 @@
 		}
 		d.ratingUp = p.world.platformReachable(d.index)
 	}
+	if p.ticks%int(probePeriod/tickPeriod) == 0 {
+		p.probe()
+	}
 	if p.ticks%int(mergePeriod/tickPeriod) == 0 {
 		p.exchange()
 	}
@@ -70,6 +80,24 @@
 	}
 }
 
+// probe ends the backoff of engines that answer again.
+func (p *policyRouter) probe() {
+	for _, d := range p.daemons {
+		for i, e := range p.world.engines {
+			if !e.down && p.world.reachable(d.index, e) {
+				d.live[i].Succeeded()
+			}
+		}
+	}
+}
+
+// heard reports whether the load reports of an engine still arrive.
+func (d *policyDaemon) heard(e *engine) bool {
+	r := d.report(e)
+	w := d.router.world
+	return r != nil && w.now-r.At < reportLifetime || w.now < reportLifetime
+}
+
 // exchange gives each daemon the summaries of those that it can reach.
 func (p *policyRouter) exchange() {
 	for _, from := range p.daemons {
@@ -97,7 +125,7 @@
 	for i, e := range w.engines {
 		in.Upstreams = append(in.Upstreams, policy.UpstreamSpec{
 			ID: e.spec.ID, Versions: versionsOf(w, e), Slots: e.spec.Slots,
-			Distance: w.latency(d.index, e), Usable: true, Live: d.live[i],
+			Distance: w.latency(d.index, e), Usable: d.heard(e), Live: d.live[i],
 			Report: d.report(e),
 		})
 	}
--- a/bench/world.go
+++ b/bench/world.go
@@ -350,6 +350,9 @@
 		w.noteEvidence(z)
 	}
 	for _, e := range w.engines {
+		if e.down {
+			continue
+		}
 		e.samples = append(e.samples, loadSample{at: w.now, running: len(e.running), queued: e.waiting()})
 	}
 	w.router.tick()
--- a/policy/learn.go
+++ b/policy/learn.go
@@ -84,6 +84,20 @@
 	p.own.Cells[key] = cell
 }
 
+// ObservePace learns from a call that still streams: tokens have arrived in the
+// time since the first one.
+func (p *Planner) ObservePace(version, upstream string, streaming time.Duration, tokens float64, now time.Duration) {
+	if streaming <= 0 || tokens < 1 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := CellKey{upstream, version}
+	cell := p.own.Cells[key]
+	cell.PerToken.add(math.Log(streaming.Seconds()/tokens), sampleDecay, now)
+	p.own.Cells[key] = cell
+}
+
 // ObserveLength learns the length of the answers of a class.
 func (p *Planner) ObserveLength(class string, tokens float64) {
 	if tokens <= 0 {
--- a/policy/live.go
+++ b/policy/live.go
@@ -28,8 +28,8 @@
 
 // Backoff of an upstream after failures in a row.
 const (
-	backoffBase = 250 * time.Millisecond
-	backoffMax  = 4 * time.Second
+	backoffBase = time.Second
+	backoffMax  = 30 * time.Second
 )
 
 // Begin notes that a call starts.
@@ -46,13 +46,17 @@
 func (l *Live) Failed(now time.Duration) {
 	n := l.failures.Add(1)
 	backoff := backoffMax
-	if n < 5 {
+	if n < maxDoublings {
 		backoff = min(backoffMax, backoffBase<<(n-1))
 	}
 	l.retryAt.Store(int64(now + backoff))
 }
 
-// Succeeded notes that the upstream has answered.
+// maxDoublings bounds the doublings of the backoff.
+const maxDoublings = 6
+
+// Succeeded notes that the upstream has answered, also to a probe of the control
+// loop, which ends the backoff.
 func (l *Live) Succeeded() {
 	if l.failures.Load() != 0 {
 		l.failures.Store(0)
