--- a/policy/choose.go
+++ b/policy/choose.go
@@ -88,7 +88,7 @@
 	if r.Weights.Latency <= 0 || r.Weights.Cost <= 0 {
 		return 1
 	}
-	return math.Sqrt(clamp(r.Weights.Latency/r.Weights.Cost, 0.25, 4))
+	return math.Sqrt(clamp(r.Weights.Latency/r.Weights.Cost, 1, 4))
 }
 
 // fill collects the versions to weigh, each on its best engine. It returns
--- a/policy/price.go
+++ b/policy/price.go
@@ -12,7 +12,7 @@
 	priceFull = 1.5
 	// answerValue is the worth of an answer in time, in units of the cost of a
 	// mean request on the dearest version.
-	answerValue = 4.0
+	answerValue = 12.0
 )
 
 // buildPrices sets the price of a second of a slot for each version.
