e2e: tests with real processes that are killed, paused and stopped

So far the daemons ran in one process, so no test covered signals, exit codes, requests that wait in the sockets of a stopped process, or the README's manual steps. The tests build both programs once and check at the stand-ins and the callers.

--- /dev/null
+++ b/e2e/kill_test.go
@@ -0,0 +1,146 @@
+package e2e_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryshift/savoryshift/coord/ledger"
+	"github.com/savoryshift/savoryshift/e2e"
+	"github.com/savoryshift/savoryshift/platform"
+	"github.com/savoryshift/savoryshift/standin/engine"
+	"github.com/savoryshift/savoryshift/standin/service"
+)
+
+// Guards against bookings made twice or lost, a false "not run" and answers
+// that are not billed or billed twice when a daemon is killed with calls in
+// flight. Each call has an organisation of its own, so that the totals of the
+// bill show every single request. The twin repeats the bookings under new keys.
+func TestKilledDaemon(t *testing.T) {
+	t.Parallel()
+	const calls = 60
+	s := e2e.Launch(t, e2e.Options{Binaries: binaries, Zones: threeDaemons, Organisations: 2 * calls, EngineSlots: 64, TokensPerSecond: 100})
+	first := killAmid(t, s, calls)
+
+	var again []e2e.Call
+	for _, c := range first {
+		if c.call.Booking != "" {
+			c.call.Deadline = 2 * time.Second // a claim without outcome is waited for
+			again = append(again, c.call)
+		}
+	}
+	survivor := func(i int) string { return s.Daemons[1+i%2].Callers }
+	repeats := parallel(survivor, again)
+	var bookings []sent
+	for _, c := range append(first, repeats...) {
+		if c.call.Booking != "" {
+			bookings = append(bookings, c)
+		}
+	}
+	assert.DeepEqual(t, violations(bookings, bookingsMade(s)), []string(nil))
+	for i, r := range repeats {
+		if r.answer.Whole && answeredBefore(first, r.call.Booking) {
+			assert.Assert(t, r.answer.Repeated, "repeat %d of an answered booking is not marked: %+v", i, r.answer)
+		}
+	}
+	billedOnce(t, s, append(first, repeats...))
+
+	for i := range again {
+		again[i].Booking += "-new"
+	}
+	for _, c := range parallel(survivor, again) {
+		c.call.Booking = c.call.Booking[:len(c.call.Booking)-len("-new")]
+		bookings = append(bookings, c)
+	}
+	made := make(map[string]int)
+	for key, n := range bookingsMade(s) {
+		made[key[:len("booking-00")]] += n
+	}
+	assert.Assert(t, len(violations(bookings, made)) > 0, "the checks pass without idempotency keys")
+}
+
+// killAmid sends calls through the first daemon and kills it when half of them
+// were answered and others are in flight: chats that the engine has begun, and
+// bookings that the service makes without the daemon taking the answer.
+func killAmid(t *testing.T, s *e2e.System, n int) []sent {
+	const workers, inFlight = 16, 3
+	var calls []e2e.Call
+	for i := range 2 * n {
+		c := e2e.Call{Organisation: i, Deadline: 20 * time.Second, Model: "small", Stream: i%4 == 1, Tokens: 1 + i%20}
+		if i%2 == 0 {
+			c.Booking = fmt.Sprintf("booking-%02d", i/2)
+		}
+		calls = append(calls, c)
+	}
+	queue, answers := make(chan e2e.Call, len(calls)), make(chan sent, len(calls))
+	for range workers {
+		go func() {
+			for c := range queue {
+				answers <- sent{c, e2e.Send(s.Daemons[0].Callers, c)}
+			}
+		}()
+	}
+	for _, c := range calls {
+		queue <- c
+	}
+	close(queue)
+	var all []sent
+	for len(all) < n {
+		all = append(all, <-answers)
+	}
+	s.Desk.Post("/standin/faults", service.Faults{SlowMs: 2000})
+	s.Engine.Post("/standin/faults", engine.Faults{Frozen: true})
+	e2e.Eventually(t, "chats and bookings are in flight", func() bool {
+		d := s.Daemons[0].InFlight()
+		return d[e2e.EngineID] >= inFlight && d[e2e.DeskID] >= inFlight
+	})
+	s.Daemons[0].Pause()
+	before := len(bookingsMade(s))
+	e2e.Eventually(t, "the service makes bookings of the paused daemon", func() bool { return len(bookingsMade(s)) > before })
+	s.Daemons[0].Kill()
+	s.Desk.Post("/standin/faults", service.Faults{})
+	s.Engine.Post("/standin/faults", engine.Faults{})
+	for len(all) < len(calls) {
+		all = append(all, <-answers)
+	}
+	return all
+}
+
+func answeredBefore(calls []sent, key string) bool {
+	for _, c := range calls {
+		if c.call.Booking == key && c.answer.Whole {
+			return true
+		}
+	}
+	return false
+}
+
+// billedOnce waits until every answered request is on the bill and checks that
+// none is on it twice. The entries of the killed daemon are flushed by the
+// holders of their copies.
+func billedOnce(t *testing.T, s *e2e.System, calls []sent) {
+	objects := platform.New(platform.Options{URL: s.Platform.URL}).Objects()
+	var bill ledger.Bill
+	unbilled := func() []string {
+		var missing []string
+		for _, c := range calls {
+			if id := e2e.OrganisationID(c.call.Organisation); c.answer.Whole && bill.Organisations[id].Requests == 0 {
+				missing = append(missing, id)
+			}
+		}
+		return missing
+	}
+	e2e.Eventually(t, "every answered request is billed", func() bool {
+		var err error
+		bill, err = ledger.Settle(context.Background(), objects, time.Now())
+		assert.NilError(t, err)
+		return len(unbilled()) == 0
+	})
+	for id, total := range bill.Organisations {
+		assert.Assert(t, total.Requests == 1, "%s has %d bills for one request", id, total.Requests)
+	}
+	assert.Equal(t, len(bill.Conflicts), 0, "%+v", bill.Conflicts)
+}
