control: delegates write the abort of a halted roll-out

Cause: only the holder of the control lease wrote the abort. Ruled out: an abort by every daemon, which is 320 transactions at once; the change id makes the aborts of delegates one.

--- a/control/system/rollouts.go
+++ b/control/system/rollouts.go
@@ -51,7 +51,8 @@
 			r.Pending, r.RetryAt = false, now.Add(AdvanceRetry)
 		}
 	}
-	if !in.RolloutLease.usable(now, AdvanceTimeout) {
+	leads := in.RolloutLease.usable(now, AdvanceTimeout)
+	if !leads && !in.Delegate {
 		return nil
 	}
 	var effects []Effect
@@ -64,7 +65,7 @@
 			effects = append(effects, abort(id, r.Settings, in.RolloutLease.Fencing))
 			continue
 		}
-		if !canAdvance(t, r) || now.Sub(r.SteppedAt) < stepTime(r.Settings) {
+		if !leads || !canAdvance(t, r) || now.Sub(r.SteppedAt) < stepTime(r.Settings) {
 			continue
 		}
 		r.Pending = true
--- a/control/system/system.go
+++ b/control/system/system.go
@@ -30,6 +30,8 @@
 	// roll-outs, as they are at this tick.
 	OrderLease   Lease
 	RolloutLease Lease
+	// Delegate says that this daemon is a delegate of its zone.
+	Delegate bool
 }
 
 // ProbeResult is the end of a Probe effect.
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -125,6 +125,7 @@
 	}
 	in.OrderLease = c.lease(now)
 	in.RolloutLease = in.OrderLease
+	in.Delegate = c.config.node.Delegate()
 	return in
 }
 
--- a/daemon/daemontest/network.go
+++ b/daemon/daemontest/network.go
@@ -96,6 +96,22 @@
 	n.topologyChanged()
 }
 
+// Break resets the connections between two labels; new ones can be made.
+func (n *Network) Break(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if c.local.is(a) && c.remote.is(b) {
+			c.reset()
+		}
+	}
+}
+
+// is tells whether the label means the host.
+func (h *Host) is(label string) bool {
+	return label == h.Name || label == h.Zone || label == Everyone
+}
+
 // topologyChanged wakes everything that waits for a path. n.mu is held.
 func (n *Network) topologyChanged() {
 	close(n.changed)
@@ -113,17 +129,12 @@
 	if a.frozen || b.frozen {
 		return true
 	}
-	for _, x := range []string{a.Name, a.Zone} {
-		for _, y := range []string{b.Name, b.Zone} {
-			if n.cuts[[2]string{x, y}] {
-				return true
-			}
-		}
-		if n.cuts[[2]string{x, Everyone}] {
+	for pair := range n.cuts {
+		if a.is(pair[0]) && b.is(pair[1]) {
 			return true
 		}
 	}
-	return n.cuts[[2]string{b.Name, Everyone}] || n.cuts[[2]string{b.Zone, Everyone}]
+	return false
 }
 
 // Freeze stops a host: nothing reaches it and nothing leaves it.
--- a/daemon/daemontest/observe.go
+++ b/daemon/daemontest/observe.go
@@ -61,3 +61,32 @@
 	}
 	return live
 }
+
+// StartRollout gives the percentage of new sessions to Candidate and waits until
+// that is in force everywhere.
+func (s *System) StartRollout(d *Daemon, percent float64) {
+	s.T.Helper()
+	r, err := d.Operators.Rollout(s.T.Context(), Rollout, "start", operator.Action{
+		Reason: "try " + Candidate, From: Base, To: Candidate, Percent: percent, StepPercent: 1, StepSeconds: 3600,
+	})
+	assert.NilError(s.T, err)
+	s.WaitAccepted(d, r.Revision)
+}
+
+// Withdraw withdraws a version and returns the revision.
+func (s *System) Withdraw(d *Daemon, version, successor string) int64 {
+	s.T.Helper()
+	r, err := d.Operators.Withdraw(s.T.Context(), version, operator.Action{
+		Reason: "withdraw " + version, Successor: successor, WithoutSuccessor: successor == "",
+	})
+	assert.NilError(s.T, err)
+	return r.Revision
+}
+
+// Accepted tells whether the daemon reports a revision as in force everywhere.
+func (s *System) Accepted(d *Daemon, revision int64) bool {
+	s.T.Helper()
+	status, err := d.Operators.ChangeStatus(s.T.Context(), revision)
+	assert.NilError(s.T, err)
+	return status.State == operator.Accepted
+}
--- a/daemon/daemontest/system.go
+++ b/daemon/daemontest/system.go
@@ -28,9 +28,11 @@
 	ModelService = "brief-model"
 	PlainService = "hire-desk"
 
-	// Base and Candidate are versions of the model "small".
+	// Base and Candidate are versions of the model "small", Medium is the only
+	// one of the dearer model "medium".
 	Base      = "s1"
 	Candidate = "s2"
+	Medium    = "m1"
 	// Rollout is the id of the roll-out from Base to Candidate.
 	Rollout = "s1-to-s2"
 
@@ -137,7 +139,7 @@
 func (s *System) startUpstreams(zone string) {
 	profile := engine.Profile{TokensPerSecond: tokensPerSecond, FirstToken: firstToken, Quality: 1}
 	e := engine.New(engine.Options{
-		Versions: map[string]engine.Profile{Base: profile, Candidate: profile},
+		Versions: map[string]engine.Profile{Base: profile, Candidate: profile, Medium: profile},
 		Slots:    engineSlots,
 		LoadTime: time.Second,
 	})
@@ -173,11 +175,12 @@
 		Versions: map[string]tree.Version{
 			Base:      {Model: "small", CostPer1kOutputTokens: 1, State: tree.VersionSettled},
 			Candidate: {Model: "small", CostPer1kOutputTokens: 1, State: tree.VersionCandidate},
+			Medium:    {Model: "medium", CostPer1kOutputTokens: 3, State: tree.VersionSettled},
 		},
 		Upstreams: make(map[string]tree.Upstream),
 		Defaults:  tree.Overrides{QualityTarget: &target, DeadlineMs: &deadline},
 		Organisations: map[string]tree.Organisation{Organisation: {
-			Overrides: tree.Overrides{Models: []string{"small"}},
+			Overrides: tree.Overrides{Models: []string{"small", "medium"}},
 			KeySHA256: []string{digest(callerKey)},
 			Services:  map[string]tree.OrganisationService{ModelService: {}, PlainService: {}},
 		}},
@@ -187,7 +190,7 @@
 		engines, desks = append(engines, EngineOf(zone)), append(desks, DeskOf(zone))
 		t.Upstreams[EngineOf(zone)] = tree.Upstream{
 			Kind: tree.EngineUpstream, URL: s.urlOf(EngineOf(zone)), AvailabilityZone: zone,
-			Versions: []string{Base, Candidate}, Slots: engineSlots,
+			Versions: []string{Base, Candidate, Medium}, Slots: engineSlots,
 		}
 		t.Upstreams[DeskOf(zone)] = tree.Upstream{Kind: tree.ServiceUpstream, URL: s.urlOf(DeskOf(zone)), AvailabilityZone: zone}
 	}
