proxy: a request is routed again when its version is halted before the write

Cause: a request whose version was halted or withdrawn between the decision and the write was refused with no_allowed_version and no hint to retry, although another version could run it; TestRequestDecidedBeforeAHaltIsAnswered failed on that. Ruled out: a retryable refusal, since the caller has little time left. Conclusion: the versions are chosen again once; the test passes, and the check at the write is unchanged.

--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -16,6 +16,9 @@
 	route   RouteRequest
 	chat    chatRequest
 	session pinnedSession
+	// request and model are what the versions are chosen for.
+	request *request
+	model   string
 	// usageKey is the request key of its ledger entry, room the place for it.
 	usageKey string
 	room     Reservation
@@ -46,6 +49,8 @@
 	live bool
 	// delivered is the number of the last part that was delivered.
 	delivered int
+	// rerouted says that the versions were chosen again.
+	rerouted bool
 }
 
 // run makes the calls of a plan and of those that follow it until an answer is
@@ -63,6 +68,10 @@
 		if ctx.Err() != nil || !time.Now().Before(x.m.route.Deadline.Add(-heldReleaseMargin)) && x.held != nil {
 			return x.orHeld(a, errkind.Wrap(errkind.UpstreamTimeout, errOr(err, context.DeadlineExceeded)))
 		}
+		if next, ok := x.reroute(err); ok {
+			plan = next
+			continue
+		}
 		if err != nil && !errkind.AnswerFor(errkind.Of(err)).Retry {
 			return x.orHeld(a, err)
 		}
@@ -78,6 +87,27 @@
 	}
 }
 
+// reroute chooses versions again when the one of the plan was withdrawn or
+// halted between the decision and the write.
+func (x *execution) reroute(err error) (Plan, bool) {
+	if err == nil || x.rerouted || x.delivered > 0 || errkind.Of(err) != errkind.NoAllowedVersion {
+		return Plan{}, false
+	}
+	x.rerouted = true
+	m := x.m
+	m.request.snapshot = x.s.o.Snapshot()
+	e, effErr := m.request.snapshot.Effective(m.route.Organisation, m.route.Service, m.session.name)
+	if effErr != nil {
+		return Plan{}, false
+	}
+	m.route.Effective = e
+	if x.s.chooseVersions(m) != nil {
+		return Plan{}, false
+	}
+	plan, planErr := x.s.o.Router.Plan(x.m.route)
+	return plan, planErr == nil
+}
+
 func errOr(err, other error) error {
 	if err != nil {
 		return err
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -99,14 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
-	versions, err := s.routableVersions(r, service, &session)
-	if err != nil {
-		return nil, err
-	}
-	if versions, err = ofModel(r.snapshot, versions, model); err != nil {
-		return nil, err
-	}
-	m := &modelRequest{chat: chat, session: session, usageKey: r.id}
+	m := &modelRequest{chat: chat, session: session, request: r, model: model, usageKey: r.id}
 	if key != "" {
 		m.usageKey = repeatKey(service, key, data)
 	}
@@ -115,14 +108,24 @@
 		Organisation: r.organisation,
 		Service:      service,
 		Effective:    e,
-		Versions:     versions,
 		PromptTokens: chat.promptTokens,
 		MaxTokens:    chat.maxTokens,
 		PrefixHash:   chat.prefixHash,
 		Deadline:     deadline,
 		Stream:       chat.stream,
 	}
-	return m, nil
+	return m, s.chooseVersions(m)
+}
+
+// chooseVersions sets the versions of a request by the snapshot of the request
+// and the halts and evidence of this moment.
+func (s *Server) chooseVersions(m *modelRequest) error {
+	versions, err := s.routableVersions(m.request, m.route.Service, &m.session)
+	if err != nil {
+		return err
+	}
+	m.route.Versions, err = ofModel(m.request.snapshot, versions, m.model)
+	return err
 }
 
 // repeatKey is the ledger key of a request with an idempotency key. It covers
