--- a/daemon/daemontest/system_test.go
+++ b/daemon/daemontest/system_test.go
@@ -13,6 +13,7 @@
 // run starts a system in a bubble of virtual time.
 func run(t *testing.T, o daemontest.Options, f func(t *testing.T, s *daemontest.System)) {
 	t.Helper()
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		s := daemontest.New(t, o)
 		defer s.Close()
