--- a/bench/metrics.go
+++ b/bench/metrics.go
@@ -12,6 +12,9 @@
 	Answers int     `json:"answers"`
 	// Good counts good answers; for the oracle it is the expected number.
 	Good float64 `json:"good"`
+	// Expected is the sum of the true probabilities of a good answer, given the
+	// ratings at delivery. It estimates the same as Good with less noise.
+	Expected float64 `json:"expected_good"`
 	// Predicted is the sum of the qualities that the router predicted.
 	Predicted float64 `json:"predicted_good"`
 	// Requests counts all requests of the class.
@@ -103,12 +106,14 @@
 	c.Answered++
 	k.Answers++
 	k.Predicted += q.expected
+	k.Expected += q.chance // 0 for the oracle
 	if feasible {
 		c.FeasibleAnswered++
 	}
 	switch {
 	case q.fractional:
 		k.Good += q.expected
+		k.Expected += q.expected
 		return
 	case q.good:
 		k.Good++
--- a/bench/report.go
+++ b/bench/report.go
@@ -11,7 +11,7 @@
 // request, in the unit of the workload's prices.
 func WriteTable(out io.Writer, cells []*Cell) error {
 	t := tabwriter.NewWriter(out, 2, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "level\tfault\trouter\treq\tfeasible\tin time\tfeas.%\trefused\tcost/req\tquality-target by class\tfirst p50\tp95\ttotal p50\tp95\tcalls/req\tretries\tbad calls\thalt s\tgoodput/s\t")
+	fmt.Fprintln(t, "level\tfault\trouter\treq\tfeasible\tin time\tfeas.%\trefused\tcost/req\tobserved/expected/target quality by class\tfirst p50\tp95\ttotal p50\tp95\tcalls/req\tretries\tbad calls\thalt s\tgoodput/s\t")
 	for _, c := range cells {
 		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%d\t%.2f\t%d\t%.4f\t%s\t%.2f\t%.2f\t%.2f\t%.2f\t%.3f\t%d\t%d\t%s\t%.2f\t\n",
 			c.Level, c.Fault, c.Router, c.Requests, c.Feasible, c.Answered,
@@ -26,7 +26,7 @@
 	var parts []string
 	for i := range c.Classes {
 		k := &c.Classes[i]
-		parts = append(parts, fmt.Sprintf("%s %.3f(%.3f)-%.2f", k.Name, k.Quality(), k.Predicted/float64(max(1, k.Answers)), k.Target))
+		parts = append(parts, fmt.Sprintf("%s %.3f/%.3f/%.2f", k.Name, k.Quality(), k.Expected/float64(max(1, k.Answers)), k.Target))
 	}
 	return strings.Join(parts, " ")
 }
--- a/bench/world.go
+++ b/bench/world.go
@@ -25,17 +25,23 @@
 // request is an arrival in one run, with what has happened to it.
 type request struct {
 	*arrival
-	arrived    time.Duration
-	cost       float64
-	calls      int
-	retries    int
-	open       []*call
-	done       bool
-	answered   bool
-	refused    bool
-	good       bool
-	version    int
-	expected   float64
+	arrived  time.Duration
+	cost     float64
+	calls    int
+	retries  int
+	open     []*call
+	done     bool
+	answered bool
+	refused  bool
+	good     bool
+	version  int
+	expected float64
+	// ratings holds what the rating service has said before the answer was
+	// delivered, by version.
+	ratings map[int]bool
+	// chance is the true probability, given the ratings, that the delivered
+	// answer is good.
+	chance     float64
 	firstToken time.Duration
 	total      time.Duration
 	// fractional marks a request of the oracle, whose expected quality counts
@@ -205,7 +211,16 @@
 	if uniformDraw(w.seed, 6, uint64(q.id), uint64(w.modelOf[version])) >= w.load.Rating.Accuracy {
 		good = !good
 	}
-	w.after(w.ratingDelay, func() { done(w.platformReachable(q.daemon), good) })
+	w.after(w.ratingDelay, func() {
+		ok := w.platformReachable(q.daemon)
+		if ok && !q.done {
+			if q.ratings == nil {
+				q.ratings = map[int]bool{}
+			}
+			q.ratings[version] = good
+		}
+		done(ok, good)
+	})
 }
 
 // send dispatches a call. onFirst may be nil.
@@ -305,10 +320,25 @@
 	q.firstToken = first - q.arrived
 	q.version = version
 	q.good = w.isGood(q, version)
+	q.chance = w.chance(q, version)
 	q.expected = expected
 	w.giveUp(q)
 }
 
+// chance is the true probability that the answer of a version is good, given
+// its rating if there is one. Its mean is the quality with less noise.
+func (w *world) chance(q *request, version int) float64 {
+	quality, a := w.trueQuality(version, q.class), w.load.Rating.Accuracy
+	good, rated := q.ratings[version]
+	switch {
+	case !rated:
+		return quality
+	case good:
+		return quality * a / (quality*a + (1-quality)*(1-a))
+	}
+	return quality * (1 - a) / (quality*(1-a) + (1-quality)*a)
+}
+
 func (w *world) giveUp(q *request) {
 	for _, c := range q.open {
 		w.cancel(c)
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -65,7 +65,7 @@
 }
 
 // qualityMargin is added to the quality target against errors of the estimates.
-const qualityMargin = 0.005
+const qualityMargin = 0.007
 
 func choose[T any](cond bool, a, b T) T {
 	if cond {
@@ -115,7 +115,7 @@
 
 // qualityCaution is the number of standard deviations by which a quality is
 // taken lower than estimated.
-const qualityCaution = 0.25
+const qualityCaution = 0.5
 
 // insert keeps the options in order of cost and, when there are too many,
 // drops the one that adds least quality over a cheaper one.
--- a/policy/target.go
+++ b/policy/target.go
@@ -15,7 +15,7 @@
 	// of a mean request of the class on the dearest version.
 	startValue = 1.5
 	minValue   = 0.02
-	maxValue   = 6.0
+	maxValue   = 5.0
 )
 
 // target is the state of one class. It is safe for concurrent use.
