claim, slopes: table writes per booking at three numbers of daemons

The bookings benchmark now counts writes, and a new one offers 50 to 200 bookings/s to 9, 64 and 320 daemons.

--- a/coord/claim/bench_test.go
+++ b/coord/claim/bench_test.go
@@ -39,13 +39,14 @@
 }
 
 // load offers bookings at a steady rate to several daemons for ten seconds of
-// virtual time. It returns the bookings finished per second and the latencies
-// from arrival to a won claim.
-func load(b *testing.B, daemons, perSecond int, ungrouped bool) (carried float64, wait []time.Duration) {
+// virtual time. It returns the bookings finished per second, the table writes
+// per second and the latencies from arrival to a won claim.
+func load(daemons, perSecond int, ungrouped bool) (carried, writes float64, wait []time.Duration) {
 	const seconds = 10
 	synctest.Test(&testing.T{}, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		table := &limited{Table: memstore.New()}
+		rows := memstore.New()
+		table := &limited{Table: rows}
 		var running, calls sync.WaitGroup
 		var mu sync.Mutex
 		claimers := make([]*Claimer, daemons)
@@ -75,12 +76,13 @@
 			})
 		}
 		calls.Wait()
-		carried = float64(finished) / time.Since(began).Seconds()
+		seconds := time.Since(began).Seconds()
+		carried, writes = float64(finished)/seconds, float64(rows.Counts().Writes)/seconds
 		cancel()
 		running.Wait()
 	})
 	slices.Sort(wait)
-	return carried, wait
+	return carried, writes, wait
 }
 
 // BenchmarkBookings prints the bookings per second that 300 table writes a
@@ -108,7 +110,7 @@
 	} {
 		b.Run(c.name, func(b *testing.B) {
 			for b.Loop() {
-				carried, wait := load(b, c.daemons, c.offers, c.ungrouped)
+				carried, _, wait := load(c.daemons, c.offers, c.ungrouped)
 				b.ReportMetric(carried, "bookings/s")
 				if len(wait) > 0 {
 					b.ReportMetric(float64(wait[len(wait)/2])/1e6, "p50-ms")
@@ -118,3 +120,20 @@
 		})
 	}
 }
+
+// BenchmarkBookingWrites prints the bookings and the table writes per second by
+// the bookings offered per second. Above what the table carries, the writes of
+// claims whose callers have left crowd out the others.
+func BenchmarkBookingWrites(b *testing.B) {
+	for _, daemons := range []int{9, 64, 320} {
+		for _, offers := range []int{50, 100, 140, 160, 200} {
+			b.Run(fmt.Sprintf("daemons=%d/offers=%d", daemons, offers), func(b *testing.B) {
+				for b.Loop() {
+					carried, writes, _ := load(daemons, offers, false)
+					b.ReportMetric(carried, "bookings/s")
+					b.ReportMetric(writes, "writes/s")
+				}
+			})
+		}
+	}
+}
--- a/internal/slopes/fit.go
+++ b/internal/slopes/fit.go
@@ -34,7 +34,7 @@
 }
 
 // result matches one line of `go test -bench`, with the suffix of -cpu.
-var result = regexp.MustCompile(`^Benchmark(\S+)/(\w+)=([0-9.]+)(?:-\d+)?\s+\d+\s+(.*)$`)
+var result = regexp.MustCompile(`^Benchmark(\S+)/(?:(\w+)=)?([0-9.]+)(?:-\d+)?\s+\d+\s+(.*)$`)
 
 // parse collects the series in the order in which they appear.
 func parse(r io.Reader) ([]*series, error) {
@@ -58,7 +58,7 @@
 			}
 			key := [3]string{m[1], m[2], fields[i+1]}
 			if index[key] == nil {
-				index[key] = &series{name: m[1], size: m[2], metric: fields[i+1], points: map[float64]float64{}}
+				index[key] = &series{name: m[1], size: cmp.Or(m[2], "n"), metric: fields[i+1], points: map[float64]float64{}}
 				all = append(all, index[key])
 			}
 			if old, known := index[key].points[size]; !known || value < old {
