--- a/daemon/build.go
+++ b/daemon/build.go
@@ -149,6 +149,7 @@
 		Claims:   proxy.TableClaims{Claimer: d.claimer},
 		Bounds: proxy.Bounds{
 			BodyBytes:          s.Bounds.BodyBytes,
+			BodyReadTimeout:    s.Bounds.BodyReadTimeoutMs.Duration(),
 			ConcurrentRequests: s.Bounds.ConcurrentRequests,
 			OutcomeBytes:       s.Bounds.OutcomeBytes,
 		},
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -23,6 +23,8 @@
 
 // operatorServer builds the operators' API.
 func (d *Daemon) operatorServer() http.Handler {
+	vars, counters := d.vars(), new(expvar.Map).Init()
+	vars.Set("operator", counters)
 	return operator.New(operator.Options{
 		Log:        d.config.log,
 		Acceptance: d.acceptance,
@@ -31,7 +33,8 @@
 		Snapshot:   d.config.Snapshot,
 		Ready:      d.readiness,
 		Tokens:     d.o.Settings.OperatorTokens,
-		Vars:       varsHandler(d.vars()),
+		Vars:       varsHandler(vars),
+		Counters:   counters,
 		Logger:     d.logger,
 	})
 }
--- a/proxy/chat.go
+++ b/proxy/chat.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 	"unicode/utf8"
 
 	"github.com/savoryshift/savoryshift/errkind"
@@ -39,9 +40,15 @@
 	Content json.RawMessage `json:"content"`
 }
 
-// readBody reads the body of r up to limit bytes.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+// readBody reads the body of r within the bounds, so that a slow sender does
+// not hold a request for ever.
+func readBody(w http.ResponseWriter, r *http.Request, b Bounds) ([]byte, error) {
+	limit := b.BodyBytes
+	control := http.NewResponseController(w)
+	// A server without support for deadlines falls back to its own timeout.
+	_ = control.SetReadDeadline(time.Now().Add(b.BodyReadTimeout))
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = control.SetReadDeadline(time.Time{})
 	if _, tooLarge := errors.AsType[*http.MaxBytesError](err); tooLarge {
 		return nil, errkind.New(errkind.PayloadTooLarge, "the body exceeds %d bytes", limit)
 	}
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -71,7 +71,7 @@
 
 // prepare checks a model request against the settings snapshot.
 func (s *Server) prepare(w http.ResponseWriter, r *request) (*modelRequest, error) {
-	data, err := readBody(w, r.Request, s.o.Bounds.BodyBytes)
+	data, err := readBody(w, r.Request, s.o.Bounds)
 	if err != nil {
 		return nil, err
 	}
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -14,6 +14,8 @@
 type Bounds struct {
 	// BodyBytes bounds a request body.
 	BodyBytes int64
+	// BodyReadTimeout bounds the time for reading a request body.
+	BodyReadTimeout time.Duration
 	// ConcurrentRequests bounds the requests in flight in this daemon.
 	ConcurrentRequests int64
 	// OutcomeBytes bounds the stored answer of a non-idempotent call.
@@ -23,6 +25,7 @@
 // Default bounds.
 const (
 	DefaultBodyBytes          int64 = 4 << 20
+	DefaultBodyReadTimeout          = 30 * time.Second
 	DefaultConcurrentRequests int64 = 20000
 	DefaultOutcomeBytes       int64 = 64 << 10
 )
@@ -96,6 +99,9 @@
 	if b.BodyBytes == 0 {
 		b.BodyBytes = DefaultBodyBytes
 	}
+	if b.BodyReadTimeout == 0 {
+		b.BodyReadTimeout = DefaultBodyReadTimeout
+	}
 	if b.ConcurrentRequests == 0 {
 		b.ConcurrentRequests = DefaultConcurrentRequests
 	}
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := readBody(w, r.Request, s.o.Bounds.BodyBytes)
+	body, err := readBody(w, r.Request, s.o.Bounds)
 	if err != nil {
 		return nil, err
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -123,6 +123,8 @@
 	HeaderBytes int64 `json:"header_bytes" default:"65536" min:"4096" max:"1048576" unit:"bytes"`
 	// HeaderReadTimeoutMs limits the time for reading the headers of a request.
 	HeaderReadTimeoutMs Milliseconds `json:"header_read_timeout_ms" default:"5000" min:"100" max:"60000" unit:"ms"`
+	// BodyReadTimeoutMs limits the time for reading the body of a request.
+	BodyReadTimeoutMs Milliseconds `json:"body_read_timeout_ms" default:"30000" min:"100" max:"600000" unit:"ms"`
 	// StreamIdleTimeoutMs limits the time between two parts of a stream, to
 	// the caller and from the upstream.
 	StreamIdleTimeoutMs Milliseconds `json:"stream_idle_timeout_ms" default:"30000" min:"1000" max:"600000" unit:"ms"`
