--- a/e2e/caller.go
+++ b/e2e/caller.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return Answer{Err: err}
 	}
-	req.Header.Set("Authorization", "Bearer "+callerKey(c.Organisation))
+	req.Header.Set("Authorization", "Bearer "+CallerKey(c.Organisation))
 	req.Header.Set(proxy.HeaderDeadline, strconv.FormatInt(c.Deadline.Milliseconds(), 10))
 	if c.Booking != "" {
 		req.Header.Set(proxy.HeaderIdempotencyKey, c.Booking)
--- a/e2e/system.go
+++ b/e2e/system.go
@@ -196,7 +196,7 @@
 	for i := range max(1, s.o.Organisations) {
 		t.Organisations[OrganisationID(i)] = tree.Organisation{
 			Overrides: tree.Overrides{Models: []string{"small", "medium"}},
-			KeySHA256: []string{digest(callerKey(i))},
+			KeySHA256: []string{digest(CallerKey(i))},
 			Services:  map[string]tree.OrganisationService{modelService: {}, plainService: {}},
 		}
 	}
@@ -223,7 +223,8 @@
 // OrganisationID names an organisation.
 func OrganisationID(i int) string { return fmt.Sprintf("club-%d", i) }
 
-func callerKey(i int) string { return fmt.Sprintf("e2e key of club %d", i) }
+// CallerKey is the API key of an organisation.
+func CallerKey(i int) string { return fmt.Sprintf("e2e key of club %d", i) }
 
 func digest(secret string) string {
 	sum := sha256.Sum256([]byte(secret))
