--- a/daemon/control_bench_test.go
+++ b/daemon/control_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -60,3 +61,35 @@
 		})
 	}
 }
+
+// zonePeers is the number of other daemons in a zone of 21.
+const zonePeers = 20
+
+// BenchmarkHeap prints the heap of the control state: settings, tables, two
+// views, and what this daemon and the others of its zone have learned.
+func BenchmarkHeap(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				before := heapBytes()
+				c := benchControl(b, n)
+				for i := range zonePeers {
+					c.routing.planner.Merge(fmt.Sprint("peer", i), c.routing.planner.Export())
+				}
+				c.routing.rebuild(c.known, c.states(), true)
+				old := c.routing.view.Load()
+				c.routing.rebuild(c.known, c.states(), true)
+				b.ReportMetric(float64(heapBytes()-before), "heap-bytes")
+				runtime.KeepAlive(old)
+				runtime.KeepAlive(c)
+			}
+		})
+	}
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/policy/view_bench_test.go
+++ b/policy/view_bench_test.go
@@ -82,3 +82,30 @@
 		})
 	}
 }
+
+// BenchmarkChoose measures one decision by the number of upstreams, among one
+// version (the choice of an upstream), one per model, and all.
+func BenchmarkChoose(b *testing.B) {
+	for _, versions := range []int{1, 10, benchVersions} {
+		for _, n := range []int{330, 825, 1650, 3300} {
+			b.Run(fmt.Sprintf("versions=%d/upstreams=%d", versions, n), func(b *testing.B) {
+				p := learnedPlanner(n)
+				v := p.BuildView(benchInputs(n), 2*time.Second)
+				r := policy.Request{
+					Organisation: "org", Class: "class1", PromptTokens: 300, Deadline: 30 * time.Second,
+					QualityTarget: 0.8, LatencyQuantile: 0.95, Weights: policy.Weights{Cost: 1, Latency: 1, Exposure: 1}, Share: 1,
+				}
+				for i := range versions {
+					r.Versions = append(r.Versions, i*benchVersions/versions)
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					r.Seed++
+					if plan := p.Choose(v, &r, 2*time.Second); plan.Refused() {
+						b.Fatal(plan.Refusal)
+					}
+				}
+			})
+		}
+	}
+}
