spread, member: a zone finds its way when all delegates die at once

With both delegates of every zone dead, a zone cut off from the platform never got a change again (48 of 48 missing in TestChangeWhileDelegatesDie, seen failing): its new delegates only knew the dead ones of the other zones, whose VMs all fell silent for it, and the choice among silent VMs always named the same two. A failed call now makes its peer suspected, whatever others report, and the next VM is called at once; among silent VMs the choice rotates. A shorter suspicion time alone was ruled out, as the choice would still not move.

--- a/coord/member/view.go
+++ b/coord/member/view.go
@@ -18,6 +18,10 @@
 	// DefaultForeignSuspectAfter is the same for other zones, whose VMs are
 	// mostly heard of through two further periods of 1 s.
 	DefaultForeignSuspectAfter = 6 * time.Second
+	// failureHold is how long a failed call makes a VM suspected, unless it is
+	// heard before. Reports of other VMs do not count, because the VM may be
+	// unreachable from here only.
+	failureHold = 3 * time.Second
 	// DefaultRemoveAfter is the silence after which a VM is removed.
 	DefaultRemoveAfter = 15 * time.Second
 	// MaxMembers bounds the view, and also the list of seeds.
@@ -49,6 +53,7 @@
 	vm        VM
 	zone      string // of the id, kept because every walk over the view needs it
 	heard     time.Time
+	failed    time.Time // of the last call, zero when a message came since
 	suspected bool
 }
 
@@ -61,6 +66,7 @@
 	entries  map[string]*entry
 	removed  map[string]int64 // incarnations of removed VMs
 	seeds    map[string]bool
+	turn     int // rotates the choice among VMs of which none is live
 	counters Counters
 }
 
@@ -157,6 +163,28 @@
 	return nil
 }
 
+// HearDirect records a message of vm itself.
+func (v *View) HearDirect(vm VM) error {
+	if err := v.Hear(vm, v.o.Now()); err != nil {
+		return err
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if e, ok := v.entries[vm.ID]; ok {
+		e.failed = time.Time{}
+	}
+	return nil
+}
+
+// Fail records that a call to a VM failed, which makes it suspected at once.
+func (v *View) Fail(id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if e, ok := v.entries[id]; ok {
+		e.failed = v.o.Now()
+	}
+}
+
 // Sweep suspects and removes VMs that have been silent for too long, and
 // returns the ids of those removed.
 func (v *View) Sweep() []string {
@@ -185,6 +213,9 @@
 }
 
 func (v *View) silent(e *entry, now time.Time) bool {
+	if !e.failed.IsZero() && now.Sub(e.failed) < failureHold {
+		return true
+	}
 	limit := v.o.ForeignSuspectAfter
 	if e.zone == v.home {
 		limit = v.o.SuspectAfter
@@ -275,7 +306,8 @@
 
 // Delegates returns up to n VMs of a zone by rendezvous hashing over the live
 // ones, so that a change of the view moves few choices. When none of the zone
-// is live, as after a long partition, the choice falls on suspects and seeds.
+// is live, as after a long partition, the choice falls on suspects and seeds,
+// and on other ones with each call, since any of them may be gone.
 func (v *View) Delegates(zone string, n int) []string {
 	live := v.LiveIn(zone)
 	ids := make([]string, len(live))
@@ -283,7 +315,7 @@
 		ids[i] = vm.ID
 	}
 	if len(ids) == 0 {
-		ids = v.Contacts(zone)
+		return v.rotate(v.Contacts(zone), n)
 	}
 	slices.SortFunc(ids, func(a, b string) int {
 		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a, b))
@@ -291,6 +323,18 @@
 	return ids[:min(n, len(ids))]
 }
 
+func (v *View) rotate(ids []string, n int) []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	n = min(n, len(ids))
+	chosen := make([]string, n)
+	for i := range chosen {
+		chosen[i] = ids[v.turn%len(ids)]
+		v.turn++
+	}
+	return chosen
+}
+
 // weight is the rendezvous weight of a VM for its zone. The id carries the zone.
 func weight(id string) uint64 { return xxhash.Sum64String(id) }
 
--- a/coord/member/view_test.go
+++ b/coord/member/view_test.go
@@ -56,6 +56,29 @@
 	assert.DeepEqual(t, v.Zones(), []string{"a", "b"})
 	assert.DeepEqual(t, v.Delegates("b", 2), []string{"b/1"})
 	assert.DeepEqual(t, v.Contacts("a"), []string{"a/2"})
+	v.Seed([]string{"b/1", "b/2", "b/3", "b/4"})
+	chosen := slices.Concat(v.Delegates("b", 2), v.Delegates("b", 2))
+	slices.Sort(chosen)
+	assert.DeepEqual(t, chosen, []string{"b/1", "b/2", "b/3", "b/4"})
+}
+
+// Guards against a delegate that is chosen again and again though calls to it
+// fail, because others still report it.
+func TestFailedCallSuspects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := member.New(member.Options{Self: member.VM{ID: "a/1", Incarnation: 1}})
+		other := member.VM{ID: "b/1", Incarnation: 1}
+		report := func() { assert.NilError(t, v.Hear(other, time.Now())) }
+		report()
+		v.Fail("b/1")
+		report()
+		assert.Equal(t, len(v.Live()), 1)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, len(v.Live()), 2)
+		v.Fail("b/1")
+		assert.NilError(t, v.HearDirect(other))
+		assert.Equal(t, len(v.Live()), 2)
+	})
 }
 
 // Guards against a choice that moves when an unrelated VM leaves, and against
--- a/coord/spread/convergence_test.go
+++ b/coord/spread/convergence_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/savoryshift/savoryshift/coord/spread"
 	"github.com/savoryshift/savoryshift/coord/spread/spreadtest"
 )
 
@@ -62,6 +63,21 @@
 	}
 }
 
+// Guards against zones that wait for their dead delegates, among them one that
+// is cut off from the platform.
+func TestChangeWhileDelegatesDie(t *testing.T) {
+	t.Parallel()
+	p := latencyPlan(fleetNodes, 0, true)
+	// A zone must keep some nodes.
+	p.Changes = min(3, fleetNodes/fleetZones/spread.DelegatesPerZone-1)
+	p.Every, p.KillDelegates = 20*time.Second, true
+	f, err := spreadtest.Measure(p)
+	assert.NilError(t, err)
+	t.Logf("%+v", f)
+	assert.Equal(t, f.Missing, 0)
+	assert.Assert(t, f.Max <= maxInForce, "%+v", f)
+}
+
 // Guards against messages that outgrow the network budget of the busiest node.
 func TestTrafficPerNode(t *testing.T) {
 	t.Parallel()
--- a/coord/spread/message.go
+++ b/coord/spread/message.go
@@ -118,13 +118,15 @@
 }
 
 // Call is a SyncRequest to one peer. The reply goes to HandleReply together
-// with the call.
+// with the call, and a call that fails goes to HandleFailure.
 type Call struct {
 	To      string
 	Request SyncRequest
 	// sentAt and sent were read before the request was sent.
 	sentAt evidence.Instant
 	sent   time.Time
+	// replaces says that the call was made in place of one that failed.
+	replaces bool
 }
 
 // Effects are what the caller must do after an event.
--- a/coord/spread/spreadtest/host.go
+++ b/coord/spread/spreadtest/host.go
@@ -13,6 +13,9 @@
 // maxRead is the number of changes that a host reads from the platform at once.
 const maxRead = 256
 
+// callTimeout is the time after which a call without a reply has failed.
+const callTimeout = time.Second
+
 // Host is one VM with the process that runs on it.
 type Host struct {
 	ID, Zone string
@@ -172,6 +175,14 @@
 func (h *Host) call(c spread.Call) {
 	f, to, process := h.fleet, h.fleet.byID[c.To], h.process
 	h.count(to, "Peer.Sync", c.Request)
+	answered := false
+	f.after(callTimeout, func() {
+		h.run(process, func() {
+			if !answered {
+				h.act(h.Node.HandleFailure(c), 0)
+			}
+		})
+	})
 	f.deliver(h, to, func() {
 		reply, e, err := to.Node.HandleSync(c.Request)
 		if err != nil {
@@ -180,7 +191,10 @@
 		to.act(e, to.Follower.Head().Revision)
 		to.count(h, "", reply)
 		f.deliver(to, h, func() {
-			h.run(process, func() { h.handleReply(c, reply) })
+			h.run(process, func() {
+				answered = true
+				h.handleReply(c, reply)
+			})
 		})
 	})
 }
--- a/coord/spread/spreadtest/measure.go
+++ b/coord/spread/spreadtest/measure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"slices"
@@ -22,6 +23,8 @@
 	PatchBytes int
 	// CutZone cuts the first zone off from the platform.
 	CutZone bool
+	// KillDelegates ends both delegates of each zone right before each change.
+	KillDelegates bool
 }
 
 // Figures are the results of an experiment.
@@ -57,6 +60,9 @@
 	reads := f.Store.Counts().Reads
 	committed := make([]time.Duration, p.Changes)
 	for i := range p.Changes {
+		if p.KillDelegates {
+			f.killDelegates()
+		}
 		c := changelog.Change{ID: fmt.Sprint("change-", i), Author: "operator", Base: int64(i), Patch: make([]byte, p.PatchBytes)}
 		if _, err := f.Log.Append(context.Background(), c); err != nil {
 			return Figures{}, err
@@ -66,6 +72,9 @@
 		f.Run(p.Every + time.Duration(f.rng.Int64N(int64(time.Second))))
 	}
 	f.Run(settle)
+	if !slices.ContainsFunc(f.Hosts, (*Host).Running) {
+		return Figures{}, errors.New("no node is left")
+	}
 	figures := f.figures(committed)
 	elapsed := (f.now - p.Warmup).Seconds()
 	figures.HeadReadsPerSecond = float64(f.Store.Counts().Reads-reads) / elapsed
@@ -73,12 +82,27 @@
 	return figures, nil
 }
 
+func (f *Fleet) killDelegates() {
+	var delegates []*Host
+	for _, h := range f.Hosts {
+		if h.Running() && h.Node.Delegate() {
+			delegates = append(delegates, h)
+		}
+	}
+	for _, h := range delegates {
+		h.Kill()
+	}
+}
+
 func (f *Fleet) figures(committed []time.Duration) Figures {
 	var figures Figures
 	var last, all []time.Duration
 	for i, at := range committed {
 		var slowest time.Duration
 		for _, h := range f.Hosts {
+			if h.process == 0 {
+				continue
+			}
 			inForce, ok := h.InForceAt[int64(i)+1]
 			if !ok {
 				figures.Missing++
--- a/coord/spread/sync.go
+++ b/coord/spread/sync.go
@@ -48,7 +48,7 @@
 	defer n.mu.Unlock()
 	vm := member.VM{ID: r.From, Incarnation: r.Incarnation}
 	now := n.o.Now()
-	if err := n.admit(vm, r.check(), now); err != nil {
+	if err := n.admit(vm, r.check()); err != nil {
 		return SyncReply{}, Effects{}, err
 	}
 	n.acks.merge(vm, r.Revision-r.Behind)
@@ -86,12 +86,12 @@
 }
 
 // admit checks the sender of a message and records that it lives.
-func (n *Node) admit(vm member.VM, malformed error, now time.Time) error {
+func (n *Node) admit(vm member.VM, malformed error) error {
 	if malformed != nil {
 		n.counters.BadMessages++
 		return malformed
 	}
-	err := n.members.Hear(vm, now)
+	err := n.members.HearDirect(vm)
 	if vm.ID == n.self.ID {
 		err = fmt.Errorf("%w: sender has the id of this VM, %s", ErrBadMessage, vm.ID)
 	}
@@ -114,16 +114,6 @@
 	return changes
 }
 
-// snapshot returns the state for a requester that asks for it and cannot be
-// served with changes.
-func (n *Node) snapshot(r SyncRequest, changes int) *changelog.Snapshot {
-	head, state := n.follower.State()
-	if !r.Snapshot || changes > 0 || len(state) > maxStateBytes {
-		return nil
-	}
-	return &changelog.Snapshot{Head: head, State: state}
-}
-
 // addReports adds what the requester asked for of the zone reports.
 func (n *Node) addReports(reply *SyncReply, r SyncRequest, now time.Time) {
 	own, from := n.self.AvailabilityZone(), member.ZoneOf(r.From)
@@ -176,7 +166,7 @@
 	now := n.o.Now()
 	// Check has passed, so the only error is a full view. It must not hide the
 	// changes taken above.
-	_ = n.members.Hear(vm, now)
+	_ = n.members.HearDirect(vm)
 	n.acks.merge(vm, r.Revision-r.Behind)
 	fresh := n.mergeHalts(r.Halts)
 	if r.HasEvidence {
@@ -196,28 +186,6 @@
 	return e, nil
 }
 
-// fetch returns a call for a snapshot, unless one was asked for a moment ago or
-// this was the answer to one.
-func (n *Node) fetch(c Call, now time.Time) []Call {
-	if c.Request.Snapshot || now.Sub(n.fetchedAt) < n.o.SyncEvery {
-		return nil
-	}
-	n.fetchedAt = now
-	call := n.call(c.To, false, nil)
-	call.Request.Snapshot = true
-	return []Call{call}
-}
-
-// adopt takes a snapshot that was asked for. The chain from the follower's head
-// to the snapshot is not known, so this relies on the peer, which belongs to
-// the cluster, having proved it.
-func (n *Node) adopt(c Call, r SyncReply) {
-	s := r.Snapshot
-	if s != nil && c.Request.Snapshot && s.Head.Revision == r.Revision && hashStart(s.Head.Hash) == r.Check {
-		n.follower.Adopt(*s)
-	}
-}
-
 // prove offers changes to the follower and compares the head of the sender
 // with a known revision. An ApplyError is no reason to reject the sender.
 func (n *Node) prove(revision int64, check uint32, changes []changelog.Change) error {
@@ -281,7 +249,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.o.Now()
-	if err := n.admit(member.VM{ID: m.From, Incarnation: m.Incarnation}, m.check(), now); err != nil {
+	if err := n.admit(member.VM{ID: m.From, Incarnation: m.Incarnation}, m.check()); err != nil {
 		return Effects{}, err
 	}
 	revision := n.follower.Head().Revision
@@ -292,17 +260,6 @@
 	return e, nil
 }
 
-// pull returns a call to a peer that knows a later revision, unless a pull of
-// that revision was started a moment ago.
-func (n *Node) pull(from string, revision int64, now time.Time) []Call {
-	if revision <= n.pulled && now.Sub(n.pulledAt) < pullRetryAfter {
-		return nil
-	}
-	n.pulled, n.pulledAt = revision, now
-	n.counters.Pulls++
-	return []Call{n.call(from, false, nil)}
-}
-
 // HandleHead takes the head of the log as read from the platform by a request
 // sent at sentAt (from the lease's clock), and the changes after the follower's
 // head. changes may be empty or stop short of the head.
--- a/peer/agent.go
+++ b/peer/agent.go
@@ -149,6 +149,9 @@
 
 func (a *Agent) call(c spread.Call) {
 	reply, err := a.o.Client.Sync(a.ctx, c.To, c.Request)
+	if err != nil && a.ctx.Err() == nil {
+		a.act(a.o.Node.HandleFailure(c))
+	}
 	if err != nil {
 		return // counted by the client
 	}
