peer: report failed calls to the node; end the pause of a peer that calls

The node needs failed calls to replace dead delegates of other zones. The pause between attempts to connect grows to 5 s, so a VM that had come back would have been called, and thereby suspected, only by its pause; its own message now ends the pause. Treating a call skipped in a pause as no failure was ruled out, because a dead delegate would then be chosen again between two attempts. An answer with an error does not count as a failure.

--- a/peer/agent.go
+++ b/peer/agent.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"expvar"
 	"sync"
 	"sync/atomic"
@@ -129,6 +130,9 @@
 // HandleSync implements Node.
 func (a *Agent) HandleSync(r spread.SyncRequest) (spread.SyncReply, error) {
 	reply, e, err := a.o.Node.HandleSync(r)
+	if err == nil {
+		a.o.Client.Reached(r.From)
+	}
 	a.act(e)
 	return reply, err
 }
@@ -136,6 +140,9 @@
 // HandleNotify implements Node.
 func (a *Agent) HandleNotify(n spread.Notification) error {
 	e, err := a.o.Node.HandleNotify(n)
+	if err == nil {
+		a.o.Client.Reached(n.From)
+	}
 	a.act(e)
 	return err
 }
@@ -149,16 +156,23 @@
 
 func (a *Agent) call(c spread.Call) {
 	reply, err := a.o.Client.Sync(a.ctx, c.To, c.Request)
-	if err != nil && a.ctx.Err() == nil {
-		a.act(a.o.Node.HandleFailure(c))
-	}
 	if err != nil {
-		return // counted by the client
+		a.failed(c, err)
+		return
 	}
 	e, err := a.o.Node.HandleReply(c, reply)
 	a.took(e, err)
 }
 
+// failed reports a call without an answer to the node. A peer that answers with
+// an error is reachable, and a call that was cut short by Close says nothing.
+func (a *Agent) failed(c spread.Call, err error) {
+	call, ok := errors.AsType[*CallError](err)
+	if a.ctx.Err() == nil && !(ok && call.Remote) {
+		a.act(a.o.Node.HandleFailure(c))
+	}
+}
+
 // took carries out the effects of an answer, or counts that it was rejected.
 func (a *Agent) took(e spread.Effects, err error) {
 	if err != nil {
--- a/peer/client.go
+++ b/peer/client.go
@@ -165,6 +165,17 @@
 	return l, nil
 }
 
+// Reached says that the VM has sent a message by itself, so that the next call
+// need not wait for the end of a pause.
+func (c *Client) Reached(id string) {
+	c.mu.Lock()
+	l := c.links[id]
+	c.mu.Unlock()
+	if l != nil {
+		l.reached()
+	}
+}
+
 // Retain closes the connections to all VMs but the given ones.
 func (c *Client) Retain(ids []string) {
 	c.mu.Lock()
--- a/peer/link.go
+++ b/peer/link.go
@@ -156,6 +156,13 @@
 	l.failures = 0
 }
 
+// reached ends the current pause.
+func (l *link) reached() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.retryAt = time.Time{}
+}
+
 func (l *link) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -287,8 +287,13 @@
 		again := newRig(t, withToken(), withToken())
 		defer again.close(t)
 		defer r.client.Close()
+		for _, err = r.sync(t); errors.Is(err, ErrBackoff); _, err = r.sync(t) {
+			time.Sleep(100 * time.Millisecond) // until right after a failed attempt
+		}
 		r.at.Store(again.l)
-		time.Sleep(DefaultMaxBackoff)
+		_, err = r.sync(t)
+		assert.ErrorIs(t, err, ErrBackoff)
+		r.client.Reached("a/1")
 		_, err = r.sync(t)
 		assert.NilError(t, err)
 	})
