--- a/bench/baseline.go
+++ b/bench/baseline.go
@@ -10,9 +10,19 @@
 	routerCascade       = "fixed-cascade"
 	routerRoundRobin    = "round-robin"
 	routerLeastRequests = "least-outstanding"
+	// routerPlansLeast makes the plans of package policy and sends each call to
+	// the engine with the least outstanding requests of the daemon.
+	routerPlansLeast = "policy-plans-least-outstanding"
+	// routerInformed is package policy with the true qualities, speeds and
+	// length distributions. It shows what learning costs, and what cannot be
+	// reached without knowing the length of each answer.
+	routerInformed = "policy-informed"
 )
 
-// RouterNames lists all routers in the order of the tables.
+// comparators lists the routers that are run only when they are asked for.
+func comparators() []string { return []string{routerPlansLeast, routerInformed, routerOracle} }
+
+// RouterNames lists the policy and its baselines in the order of the tables.
 func RouterNames() []string {
 	return []string{routerPolicy, routerBest, routerCheapest, routerCascade, routerRoundRobin, routerLeastRequests}
 }
--- a/bench/flight.go
+++ b/bench/flight.go
@@ -65,6 +65,9 @@
 // only after its rating.
 func (f *flight) launch(c policy.Call, priority int, hold, rate bool) {
 	w, d := f.world(), f.daemon
+	if d.router.leastOutstanding {
+		c.Upstream = d.leastOutstanding(c)
+	}
 	live := d.live[c.Upstream]
 	live.Begin()
 	f.running++
--- a/bench/metrics.go
+++ b/bench/metrics.go
@@ -53,16 +53,20 @@
 	Classes          []ClassResult `json:"classes"`
 	SimulatedS       float64       `json:"simulated_s"`
 
-	firstTokens, totals []float64
-	Summary             Quantiles `json:"quantiles"`
+	firstTokens, totals, callFirst []float64
+	Summary                        Quantiles `json:"quantiles"`
 }
 
 // Quantiles of the answers in time, in seconds.
 type Quantiles struct {
 	FirstP50 float64 `json:"first_token_p50_s"`
 	FirstP95 float64 `json:"first_token_p95_s"`
-	TotalP50 float64 `json:"total_p50_s"`
-	TotalP95 float64 `json:"total_p95_s"`
+	// CallFirstP50 and CallFirstP95 are per call: from sending it to its first
+	// token at the daemon.
+	CallFirstP50 float64 `json:"call_first_token_p50_s"`
+	CallFirstP95 float64 `json:"call_first_token_p95_s"`
+	TotalP50     float64 `json:"total_p50_s"`
+	TotalP95     float64 `json:"total_p95_s"`
 }
 
 func newCell(w *Workload, router, level, fault string) *Cell {
@@ -81,6 +85,9 @@
 	if w.firstHalt >= 0 {
 		c.HaltS = append(c.HaltS, w.firstHalt.Seconds())
 	}
+	for _, t := range w.firstTokens {
+		c.callFirst = append(c.callFirst, t.Seconds())
+	}
 	for _, q := range w.requests {
 		c.addRequest(w, q)
 	}
@@ -142,6 +149,7 @@
 func (c *Cell) finish() {
 	c.Summary = Quantiles{
 		FirstP50: quantile(c.firstTokens, 0.5), FirstP95: quantile(c.firstTokens, 0.95),
+		CallFirstP50: quantile(c.callFirst, 0.5), CallFirstP95: quantile(c.callFirst, 0.95),
 		TotalP50: quantile(c.totals, 0.5), TotalP95: quantile(c.totals, 0.95),
 	}
 }
--- a/bench/policyrouter.go
+++ b/bench/policyrouter.go
@@ -31,6 +31,8 @@
 	world   *world
 	daemons []*policyDaemon
 	ticks   int
+	// leastOutstanding replaces the planner's choice of engine.
+	leastOutstanding bool
 }
 
 // policyDaemon is the decision state of one daemon.
--- a/bench/run.go
+++ b/bench/run.go
@@ -83,7 +83,7 @@
 }
 
 func knownRouter(name string) bool {
-	return name == routerOracle || contains(RouterNames(), name)
+	return contains(RouterNames(), name) || contains(comparators(), name)
 }
 
 // levelNames lists the levels from the lowest rate to the highest.
@@ -122,8 +122,17 @@
 }
 
 func (w *world) newRouter(name string) router {
-	if name == routerPolicy {
+	switch name {
+	case routerPolicy:
 		return newPolicyRouter(w)
+	case routerPlansLeast:
+		p := newPolicyRouter(w)
+		p.leastOutstanding = true
+		return p
+	case routerInformed:
+		p := newPolicyRouter(w)
+		p.inform()
+		return p
 	}
 	return newBaseline(w, name)
 }
--- a/bench/world.go
+++ b/bench/world.go
@@ -77,7 +77,10 @@
 	bad          []time.Duration
 	badCalls     int
 	callSeq      int
-	caches       []cacheHint
+	// firstTokens holds the times from sending a call to its first token at the
+	// daemon.
+	firstTokens []time.Duration
+	caches      []cacheHint
 }
 
 // haltMark is the halt of the candidate as one daemon knows it.
@@ -243,7 +246,11 @@
 }
 
 func (w *world) firstToken(c *call) {
-	if !c.closed && c.onFirst != nil && w.reachable(c.req.daemon, c.engine) {
+	if c.closed || !w.reachable(c.req.daemon, c.engine) {
+		return
+	}
+	w.firstTokens = append(w.firstTokens, w.now-c.sent)
+	if c.onFirst != nil {
 		c.onFirst(c)
 	}
 }
