--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -22,6 +22,9 @@
 	// exchangeTimeout bounds one exchange; later replies carry no useful
 	// evidence.
 	exchangeTimeout = 2 * time.Second
+	// retainPeriod is the time between two looks for connections to daemons that
+	// are gone.
+	retainPeriod = time.Minute
 	// changesPerRead bounds the changes read at once.
 	changesPerRead = 256
 )
@@ -30,6 +33,8 @@
 type peers interface {
 	Sync(ctx context.Context, to string, r spread.SyncRequest) (spread.SyncReply, error)
 	Notify(ctx context.Context, to string, n spread.Notification) error
+	// Retain closes the connections to all daemons but these.
+	Retain(ids []string)
 }
 
 // configuration keeps the settings tree in force. Its snapshot and halt marks
@@ -120,6 +125,8 @@
 func (c *configuration) Run(ctx context.Context) error {
 	ticker := time.NewTicker(configurationTick)
 	defer ticker.Stop()
+	retain := time.NewTicker(retainPeriod)
+	defer retain.Stop()
 	defer c.calls.Wait()
 	defer c.end()
 	c.spawn(func() { c.load(ctx) })
@@ -127,6 +134,9 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-retain.C:
+			c.peers.Retain(c.node.Peers())
+			continue
 		case <-ticker.C:
 		}
 		plan := c.node.Tick()
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -191,7 +191,7 @@
 	if s.o.Halts.Halted(version, rollout) {
 		return false
 	}
-	return s.o.Evidence.Valid() || snapshot.UsableInIsolation(version)
+	return s.o.Evidence.Covers(snapshot.Revision()) || snapshot.UsableInIsolation(version)
 }
 
 // allowedVersions returns the versions that may run a request of the node, by
@@ -209,15 +209,15 @@
 		}
 	}
 	if len(versions) == 0 {
-		return nil, s.noVersion(e)
+		return nil, s.noVersion(snapshot, e)
 	}
 	return versions, nil
 }
 
 // noVersion tells a caller why no version can be used: the settings allow
 // none, or isolation rules out all.
-func (s *Server) noVersion(e *tree.Effective) error {
-	if len(e.Versions) > 0 && !s.o.Evidence.Valid() {
+func (s *Server) noVersion(snapshot *tree.Snapshot, e *tree.Effective) error {
+	if len(e.Versions) > 0 && !s.o.Evidence.Covers(snapshot.Revision()) {
 		return errkind.New(errkind.Isolated, "this daemon is cut off and may use none of the allowed versions")
 	}
 	return errkind.New(errkind.NoAllowedVersion, "the organisation allows no version that is in use")
@@ -269,7 +269,7 @@
 		}
 	}
 	if len(versions) == 0 {
-		return nil, s.noVersion(e)
+		return nil, s.noVersion(r.snapshot, e)
 	}
 	return versions, nil
 }
--- a/proxy/proxytest/fakes.go
+++ b/proxy/proxytest/fakes.go
@@ -100,8 +100,8 @@
 // Evidence is a proxy.Evidence that can lapse.
 type Evidence struct{ Lapsed atomic.Bool }
 
-// Valid implements proxy.Evidence.
-func (e *Evidence) Valid() bool { return !e.Lapsed.Load() }
+// Covers implements proxy.Evidence.
+func (e *Evidence) Covers(int64) bool { return !e.Lapsed.Load() }
 
 // Halts is a proxy.Halts with marks on versions.
 type Halts struct{ versions sync.Map }
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -172,7 +172,9 @@
 
 // Evidence tells whether the daemon's configuration is known to be fresh.
 type Evidence interface {
-	Valid() bool
+	// Covers reports whether a decision by the given revision may be carried
+	// out: the evidence is fresh and no later revision is in force.
+	Covers(revision int64) bool
 }
 
 // Halts tells which candidates are halted. A halt mark belongs to a version
