policy: spread load before fast engines queue

Engines were chosen by predicted time alone, so the fast ones queued while slow ones idled. A burden for later calls and a penalty for times after the deadline are added.

--- a/policy/selection.go
+++ b/policy/selection.go
@@ -11,6 +11,17 @@
 	// prefixSaving is the part of the time to first token that a cached prompt
 	// is expected to save.
 	prefixSaving = 0.5
+	// backlogDoubt is the number of standard deviations, taken as the square
+	// root of the backlog, by which the backlog is taken higher than known.
+	backlogDoubt = 0.5
+	// crowdedFrom is the utilisation above which a call counts as a burden for
+	// later ones, and crowdingGain the burden at full use, in service times.
+	crowdedFrom  = 0.4
+	crowdingGain = 1.5
+	// lateQuantile scales the predicted time to one that is rarely exceeded;
+	// latePenalty weighs what of it lies after the deadline.
+	lateQuantile = 1.6
+	latePenalty  = 3
 	// waitCaution scales predicted waiting times, because load reports lag.
 	waitCaution = 1.3
 )
@@ -45,6 +56,7 @@
 // given version. It examines at most maxExamined engines and those that may
 // hold the prefix, whatever the number of engines.
 func (v *View) selectUpstream(r *Request, ver int, tokens float64, avoid int, now time.Duration) (option, bool) {
+	left := (r.Deadline - now).Seconds()
 	list := v.holders[ver]
 	best := option{version: ver, upstream: -1}
 	bestScore := math.Inf(1)
@@ -54,7 +66,12 @@
 			return
 		}
 		fixed, wait, ok := v.timeOn(h, r, hints, now)
-		if score := fixed + h.perToken*tokens; ok && score < bestScore {
+		if !ok {
+			return
+		}
+		total := fixed + h.perToken*tokens
+		score := total + v.crowding(h) + latePenalty*math.Max(0, total*lateQuantile-left)
+		if score < bestScore {
 			bestScore = score
 			best.upstream, best.fixed, best.wait, best.perToken = int(h.upstream), fixed, wait, h.perToken
 		}
@@ -77,23 +94,41 @@
 	return best, best.upstream >= 0
 }
 
+// backlog is the number of calls at an engine, as far as known.
+func (v *View) backlog(upstream int32) int64 {
+	n := v.others[upstream]
+	if l := v.upstreams[upstream].Live; l != nil {
+		n += l.inflight.Load()
+	}
+	return n
+}
+
+// crowding is the time in seconds that a call is expected to cost later calls
+// on the same engine. It spreads load over slower engines before the faster
+// ones queue.
+func (v *View) crowding(h *holder) float64 {
+	use := float64(v.backlog(h.upstream)+1) / float64(h.slots)
+	if use <= crowdedFrom {
+		return 0
+	}
+	return crowdingGain * (use - crowdedFrom) * (h.first + h.perToken*v.meanTokens)
+}
+
 // timeOn predicts the time to first token on an engine, with waiting.
 func (v *View) timeOn(h *holder, r *Request, hints []int32, now time.Duration) (fixed, wait float64, ok bool) {
 	u := &v.upstreams[h.upstream]
-	backlog := v.others[h.upstream]
-	if u.Live != nil {
-		if !u.Live.usable(now) {
-			return 0, 0, false
-		}
-		backlog += u.Live.inflight.Load()
+	if u.Live != nil && !u.Live.usable(now) {
+		return 0, 0, false
 	}
+	backlog := v.backlog(h.upstream)
 	first := h.first
 	for _, hinted := range hints {
 		if hinted == h.upstream {
 			first *= 1 - prefixSaving*r.PrefixShare
 		}
 	}
-	if ahead := float64(backlog + 1 - int64(h.slots)); ahead > 0 {
+	ahead := float64(backlog+1-int64(h.slots)) + backlogDoubt*math.Sqrt(float64(backlog))
+	if ahead > 0 {
 		service := h.first + h.perToken*v.meanTokens
 		wait = waitCaution * ahead / float64(h.slots) * service
 	}
--- a/policy/view.go
+++ b/policy/view.go
@@ -207,12 +207,7 @@
 // Idle reports whether an upstream had free slots when it was last heard of,
 // so that a call sent then did not wait.
 func (v *View) Idle(upstream int) bool {
-	u := &v.upstreams[upstream]
-	backlog := v.others[upstream]
-	if u.Live != nil {
-		backlog += u.Live.inflight.Load()
-	}
-	return float64(backlog) < idleShare*float64(u.Slots)
+	return float64(v.backlog(int32(upstream))) < idleShare*float64(v.upstreams[upstream].Slots)
 }
 
 // idleShare is the utilisation below which an engine counts as idle.
