ledger: copies leave at once and form groups only under load

Each answer waited 3 ms for the copy window before its entry was sent, which was most of what a daemon adds. A shorter window was ruled out: it costs the same wait at low rates, where there is nothing to group. The new test failed before: one entry took 4 ms with a round trip of 1 ms.

--- a/coord/ledger/copy.go
+++ b/coord/ledger/copy.go
@@ -8,7 +8,9 @@
 	"time"
 )
 
-// copyLoop groups uncopied entries and sends each group to two peers.
+// copyLoop sends uncopied entries to two peers. The caller waits for this, so a
+// group is sent as soon as there is a slot; entries that arrive while all slots
+// are taken form the next group.
 func (l *Ledger) copyLoop(ctx context.Context) {
 	for {
 		select {
@@ -16,23 +18,31 @@
 			return
 		case <-l.wake:
 		}
-		if !sleep(ctx, l.o.CopyWindow) {
-			return
-		}
-		for group := l.takeUncopied(); len(group) > 0; group = l.takeUncopied() {
-			select {
-			case l.slots <- struct{}{}:
-			case <-ctx.Done():
-				return
-			}
-			l.flights.Go(func() {
-				defer func() { <-l.slots }()
-				l.copyGroup(ctx, group)
-			})
+		for l.copyNext(ctx) {
 		}
 	}
 }
 
+// copyNext waits for a slot and then sends the entries that have arrived by
+// then. It reports false when there are none left.
+func (l *Ledger) copyNext(ctx context.Context) bool {
+	select {
+	case l.slots <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	group := l.takeUncopied()
+	if len(group) == 0 {
+		<-l.slots
+		return false
+	}
+	l.flights.Go(func() {
+		defer func() { <-l.slots }()
+		l.copyGroup(ctx, group)
+	})
+	return true
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- /dev/null
+++ b/coord/ledger/group_test.go
@@ -0,0 +1,62 @@
+package ledger
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryshift/savoryshift/coord/memstore"
+)
+
+// slowCopier confirms each message after a round trip.
+type slowCopier struct{ messages atomic.Int64 }
+
+const roundTrip = time.Millisecond
+
+func (c *slowCopier) CopyEntries(context.Context, string, []byte) error {
+	c.messages.Add(1)
+	time.Sleep(roundTrip)
+	return nil
+}
+
+func (*slowCopier) ReleaseEntries(context.Context, string, string, uint64) error { return nil }
+
+// Guards against answers that wait for more than the round trip of their own
+// copies, and against a message for each entry when many end at a time.
+func TestCopiesWaitForNothingAndAreGrouped(t *testing.T) {
+	for _, tc := range []struct {
+		entries  int
+		longest  time.Duration
+		messages int64
+	}{
+		{1, roundTrip, copies},
+		{1000, 3 * roundTrip, copies * (2*maxCopyFlights + 1000/maxCopyGroup)},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			c := &slowCopier{}
+			l := New(Options{Self: Peer{ID: "vm0/1"}, Objects: memstore.New().Objects(), Copier: c,
+				Peers: func() []Peer { return []Peer{{ID: "vm1/1"}, {ID: "vm2/1", AvailabilityZone: "b"}} }})
+			var all sync.WaitGroup
+			all.Go(func() { _ = l.Run(ctx) })
+			synctest.Wait()
+			r, began := rand.New(rand.NewPCG(1, 1)), time.Now()
+			var adds sync.WaitGroup
+			for i := range tc.entries {
+				e := typical(r, i)
+				adds.Go(func() { assert.Check(t, l.Add(ctx, e)) })
+			}
+			adds.Wait()
+			assert.Check(t, time.Since(began) <= tc.longest, "%d entries took %s", tc.entries, time.Since(began))
+			assert.Check(t, c.messages.Load() <= tc.messages, "%d messages for %d entries", c.messages.Load(), tc.entries)
+			cancel()
+			all.Wait()
+		})
+	}
+}
--- a/coord/ledger/ledger.go
+++ b/coord/ledger/ledger.go
@@ -14,7 +14,6 @@
 // Defaults of Options.
 const (
 	DefaultFlushPeriod  = 5 * time.Second
-	DefaultCopyWindow   = 3 * time.Millisecond
 	DefaultCopyTimeout  = 250 * time.Millisecond
 	DefaultPutTimeout   = 2 * time.Second
 	DefaultOwnerTimeout = 15 * time.Second
@@ -63,8 +62,6 @@
 	Peers func() []Peer
 	// FlushPeriod is the time between flushes.
 	FlushPeriod time.Duration
-	// CopyWindow is the time for which entries are collected into one message.
-	CopyWindow time.Duration
 	// CopyTimeout bounds one call to a peer, PutTimeout one call to the object
 	// store.
 	CopyTimeout, PutTimeout time.Duration
@@ -83,7 +80,6 @@
 
 func (o Options) withDefaults() Options {
 	o.FlushPeriod = cmp.Or(o.FlushPeriod, DefaultFlushPeriod)
-	o.CopyWindow = cmp.Or(o.CopyWindow, DefaultCopyWindow)
 	o.CopyTimeout = cmp.Or(o.CopyTimeout, DefaultCopyTimeout)
 	o.PutTimeout = cmp.Or(o.PutTimeout, DefaultPutTimeout)
 	o.OwnerTimeout = cmp.Or(o.OwnerTimeout, DefaultOwnerTimeout)
