--- a/internal/slopes/fit.go
+++ b/internal/slopes/fit.go
@@ -33,8 +33,27 @@
 	residual float64
 }
 
-// result matches one line of `go test -bench`, with the suffix of -cpu.
-var result = regexp.MustCompile(`^Benchmark(\S+)/(?:(\w+)=)?([0-9.]+)(?:-\d+)?\s+\d+\s+(.*)$`)
+// result matches one line of `go test -bench`, with the suffix of -cpu; size
+// matches a part of the name that is a size.
+var (
+	result = regexp.MustCompile(`^Benchmark(\S+?)(?:-\d+)?\s+\d+\s+(.*)$`)
+	size   = regexp.MustCompile(`^(?:(\w+)=)?([0-9.]+)$`)
+)
+
+// split returns a name without its last size, and the name and value of that;
+// false when there is none.
+func split(name string) (rest, unit string, value float64, ok bool) {
+	parts := strings.Split(name, "/")
+	for i, part := range slices.Backward(parts) {
+		m := size.FindStringSubmatch(part)
+		if m == nil {
+			continue
+		}
+		value, err := strconv.ParseFloat(m[2], 64)
+		return strings.Join(slices.Delete(parts, i, i+1), "/"), cmp.Or(m[1], "n"), value, err == nil
+	}
+	return "", "", 0, false
+}
 
 // parse collects the series in the order in which they appear.
 func parse(r io.Reader) ([]*series, error) {
@@ -46,23 +65,23 @@
 		if m == nil {
 			continue
 		}
-		size, err := strconv.ParseFloat(m[3], 64)
-		if err != nil {
-			return nil, fmt.Errorf("size in %q: %w", lines.Text(), err)
+		name, unit, at, ok := split(m[1])
+		if !ok {
+			continue
 		}
-		fields := strings.Fields(m[4])
+		fields := strings.Fields(m[2])
 		for i := 0; i+1 < len(fields); i += 2 {
 			value, err := strconv.ParseFloat(fields[i], 64)
 			if err != nil {
 				return nil, fmt.Errorf("value in %q: %w", lines.Text(), err)
 			}
-			key := [3]string{m[1], m[2], fields[i+1]}
+			key := [3]string{name, unit, fields[i+1]}
 			if index[key] == nil {
-				index[key] = &series{name: m[1], size: cmp.Or(m[2], "n"), metric: fields[i+1], points: map[float64]float64{}}
+				index[key] = &series{name: name, size: unit, metric: fields[i+1], points: map[float64]float64{}}
 				all = append(all, index[key])
 			}
-			if old, known := index[key].points[size]; !known || value < old {
-				index[key].points[size] = value
+			if old, known := index[key].points[at]; !known || value < old {
+				index[key].points[at] = value
 			}
 		}
 	}
