daemon: guard counts and summaries travel apart, 1 KiB/s each

The counts of the guards are small and decide how many requests a bad version sees; they were sent as rarely as the summaries, whose size sets the period. Ruled out: dropping the summaries beyond some size.

--- a/daemon/learning.go
+++ b/daemon/learning.go
@@ -18,10 +18,10 @@
 const (
 	// learningPeriod is the shortest time between two messages to a peer.
 	learningPeriod = time.Second
-	// learningBytesPerSecond bounds what a daemon spends on these messages; with
-	// more peers or more to say the period grows. A node may spend 13 KB/s on
-	// control in all.
-	learningBytesPerSecond = 4 << 10
+	// learningBytesPerSecond bounds what a daemon sends of each kind of message;
+	// with more peers or more to say the period grows. A node may spend 13 KB/s
+	// on control in all, and receives as much as it sends.
+	learningBytesPerSecond = 1 << 10
 	// everybody is the number of daemons up to which all exchange; beyond it
 	// only the daemons of a zone do.
 	everybody = 16
@@ -29,11 +29,12 @@
 	maxLearnedBytes = 1 << 20
 )
 
-// learned is the content of a message between daemons.
+// learned is the content of a message between daemons: a summary of the policy,
+// or the counts of the guards by roll-out. The counts are small and sent often,
+// because they decide how many requests a bad version sees.
 type learned struct {
-	Summary policy.Summary
-	// Guards holds the counts of the guards by roll-out.
-	Guards map[string]guard.Counts
+	Summary *policy.Summary
+	Guards  map[string]guard.Counts
 }
 
 // learning exchanges what the daemons learn about versions and upstreams.
@@ -47,32 +48,46 @@
 
 // Run sends messages until ctx ends.
 func (l *learning) Run(ctx context.Context) error {
-	period := learningPeriod
+	ticker := time.NewTicker(learningPeriod)
+	defer ticker.Stop()
+	var nextSummary, nextGuards time.Time
 	for {
-		timer := time.NewTimer(period)
 		select {
 		case <-ctx.Done():
-			timer.Stop()
 			return nil
-		case <-timer.C:
+		case <-ticker.C:
 		}
 		peers := l.peers()
 		l.forget(peers)
-		data, err := l.encode()
-		if err != nil || len(peers) == 0 {
-			continue
+		now := time.Now()
+		if !now.Before(nextSummary) {
+			summary := l.routing.planner.Export()
+			nextSummary = now.Add(l.send(ctx, peers, learned{Summary: &summary}))
 		}
-		self := l.config.members.Self()
-		for _, vm := range peers {
-			limited, cancel := context.WithTimeout(ctx, exchangeTimeout)
-			// A lost message is replaced by the next one.
-			_ = l.client.Learned(limited, vm.ID, peer.LearnedRequest{From: self.ID, Incarnation: self.Incarnation, Data: data})
-			cancel()
+		if counts := l.routing.guards.counts(); len(counts) > 0 && !now.Before(nextGuards) {
+			nextGuards = now.Add(l.send(ctx, peers, learned{Guards: counts}))
 		}
-		period = max(learningPeriod, time.Duration(len(data)*len(peers))*time.Second/learningBytesPerSecond)
 	}
 }
 
+// send sends a message to the peers and returns how long to wait before the
+// next one of its kind.
+func (l *learning) send(ctx context.Context, peers []member.VM, m learned) time.Duration {
+	var buf bytes.Buffer
+	if err := gob.NewEncoder(&buf).Encode(m); err != nil {
+		return learningPeriod
+	}
+	self := l.config.members.Self()
+	request := peer.LearnedRequest{From: self.ID, Incarnation: self.Incarnation, Data: buf.Bytes()}
+	for _, vm := range peers {
+		limited, cancel := context.WithTimeout(ctx, exchangeTimeout)
+		// A lost message is replaced by the next one.
+		_ = l.client.Learned(limited, vm.ID, request)
+		cancel()
+	}
+	return time.Duration(buf.Len()*len(peers)) * time.Second / learningBytesPerSecond
+}
+
 // peers lists the daemons to exchange with.
 func (l *learning) peers() []member.VM {
 	self := l.config.members.Self()
@@ -101,12 +116,6 @@
 	l.known = live
 }
 
-func (l *learning) encode() ([]byte, error) {
-	var buf bytes.Buffer
-	err := gob.NewEncoder(&buf).Encode(learned{Summary: l.routing.planner.Export(), Guards: l.routing.guards.counts()})
-	return buf.Bytes(), err
-}
-
 // TakeLearned implements peer.Learner.
 func (l *learning) TakeLearned(from string, incarnation int64, data []byte) error {
 	if err := l.config.members.Check(member.VM{ID: from, Incarnation: incarnation}); err != nil {
@@ -119,7 +128,9 @@
 	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&message); err != nil {
 		return oops.Wrapf(err, "message from %s", from)
 	}
-	l.routing.planner.Merge(from, message.Summary)
+	if message.Summary != nil {
+		l.routing.planner.Merge(from, *message.Summary)
+	}
 	l.routing.guards.merge(from, message.Guards)
 	return nil
 }
