operator: kinds for refused changes; races on the real change log

A reused id with other content and a change that cannot be stored were answered as internal errors. The race test of two and five operators now also runs on coord/changelog over a table that loses three replies. Conclusion: the tallies are those of the fake; nothing is lost.

--- a/operator/answer.go
+++ b/operator/answer.go
@@ -49,6 +49,12 @@
 	if _, ok := errors.AsType[tree.Problems](err); ok {
 		return errkind.Wrap(errkind.BadRequest, err)
 	}
+	if _, ok := errors.AsType[*changelog.IDReusedError](err); ok {
+		return errkind.Wrap(errkind.BadRequest, err)
+	}
+	if _, ok := errors.AsType[*changelog.InvalidChangeError](err); ok {
+		return errkind.Wrap(errkind.BadRequest, err)
+	}
 	switch {
 	case errors.Is(err, store.ErrUnknown):
 		return errkind.Wrap(errkind.OutcomeUnknown, oops.Wrapf(err, "whether the change is in the log is unknown; the same id again is harmless"))
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/savoryshift/savoryshift/coord/changelog"
+	"github.com/savoryshift/savoryshift/coord/memstore"
 	"github.com/savoryshift/savoryshift/coord/store"
 	"github.com/savoryshift/savoryshift/errkind"
 	"github.com/savoryshift/savoryshift/operator"
@@ -46,6 +47,13 @@
 
 func plain(l operator.ChangeLog) operator.ChangeLog { return l }
 
+// lossy is the real log on a table that loses the replies of some writes.
+func lossy(operator.ChangeLog) operator.ChangeLog {
+	table := memstore.New()
+	table.SetFaults(memstore.Faults{LoseReplies: 3})
+	return changelog.New(changelog.Options{Table: table})
+}
+
 func (f *fixture) client(token string) *operator.Client {
 	return operator.NewClient(operator.ClientOptions{URL: "http://daemon", Token: token, HTTP: &http.Client{Transport: operatortest.Transport{Handler: f.server}}})
 }
@@ -280,6 +288,7 @@
 	for _, editors := range []int{2, 5} {
 		got := race(t, editors, plain)
 		assert.Equal(t, got, tally{values: editors, conflicts: editors * (editors - 1) / 2})
+		assert.Equal(t, race(t, editors, lossy), got)
 		// Twin: without the check of the base, updates are lost.
 		blind := race(t, editors, func(l operator.ChangeLog) operator.ChangeLog { return blindLog{l} })
 		assert.Assert(t, blind.values < editors, "%+v", blind)
