ledger: waiting for a flush ends with its context

Cause: the lock for flushes was held during calls to the object store, and a waiting flush could not be cancelled; a whole daemon with a cut path to the platform blocked the virtual clock on it. Ruled out: releasing the lock during the call, since batches must go in order. Conclusion: a channel with one place replaces the mutex; the ledger's schedules pass.

--- a/coord/ledger/flush.go
+++ b/coord/ledger/flush.go
@@ -47,8 +47,10 @@
 // always a prefix of the sequence. While batches wait, the open one is left to
 // grow, which keeps the number of objects after an outage small.
 func (l *Ledger) flush(ctx context.Context) error {
-	l.flushMu.Lock()
-	defer l.flushMu.Unlock()
+	if err := l.beginFlush(ctx); err != nil {
+		return err
+	}
+	defer l.endFlush()
 	for {
 		waiting, last := l.sealedOwn()
 		for _, s := range waiting {
@@ -145,10 +147,24 @@
 	return gone
 }
 
+// beginFlush waits until no other flush runs or ctx ends.
+func (l *Ledger) beginFlush(ctx context.Context) error {
+	select {
+	case l.flushes <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (l *Ledger) endFlush() { <-l.flushes }
+
 // flushHeld stores the copies of owners that are gone under names of its own.
 func (l *Ledger) flushHeld(ctx context.Context, owners []string) error {
-	l.flushMu.Lock()
-	defer l.flushMu.Unlock()
+	if err := l.beginFlush(ctx); err != nil {
+		return err
+	}
+	defer l.endFlush()
 	for _, owner := range owners {
 		for _, s := range l.sealHeld(owner) {
 			if err := l.put(ctx, s); err != nil {
--- a/coord/ledger/ledger.go
+++ b/coord/ledger/ledger.go
@@ -104,7 +104,7 @@
 	wake    chan struct{} // capacity 1; signals uncopied entries
 	flights sync.WaitGroup
 	slots   chan struct{} // one per group that is being copied
-	flushMu sync.Mutex    // one flush at a time, so that batches go in order
+	flushes chan struct{} // capacity 1; one flush at a time, so that batches go in order
 
 	mu       sync.Mutex
 	draining bool
@@ -131,6 +131,7 @@
 	return &Ledger{
 		o:        o.withDefaults(),
 		wake:     make(chan struct{}, 1),
+		flushes:  make(chan struct{}, 1),
 		slots:    make(chan struct{}, maxCopyFlights),
 		held:     make(map[string]*heldLog),
 		released: make(map[string]uint64),
