daemon: a rating is bounded to 2 s

Cause: an answer that was to be rated waited for the rating service until 20 ms before its deadline, and then for the copies of its ledger entry, so that the first request after a cut from the platform reached its caller after it had left. TestFirstRequestAfterACutIsAnswered failed on that. The end of the deadline also hid from the router that the service is down. Ruled out: a bound by share of the deadline, because an early failure is what the router needs. Conclusion: the request is answered in time; the test passes.

--- a/daemon/adapters.go
+++ b/daemon/adapters.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/savoryshift/savoryshift/platform"
 	"github.com/savoryshift/savoryshift/proxy"
 )
 
+// ratingTimeout bounds one rating. An answer at hand must not wait for a service
+// that cannot be reached until its deadline has passed.
+const ratingTimeout = 2 * time.Second
+
 // rater implements proxy.Rater on the platform's rating service.
 type rater struct {
 	platform *platform.Client
@@ -16,7 +21,9 @@
 
 // Rate implements proxy.Rater.
 func (r rater) Rate(ctx context.Context, j proxy.Judgement) (bool, error) {
-	reply, err := r.platform.Rate(ctx, platform.RatingRequest{
+	limited, cancel := context.WithTimeout(ctx, ratingTimeout)
+	defer cancel()
+	reply, err := r.platform.Rate(limited, platform.RatingRequest{
 		RequestID: j.RequestID,
 		Model:     j.Model,
 		Version:   j.Version,
--- a/daemon/daemontest/reroute_test.go
+++ b/daemon/daemontest/reroute_test.go
@@ -32,3 +32,17 @@
 		assert.Equal(t, len(s.Runs(daemontest.Candidate, halted)), 0)
 	})
 }
+
+// Guards against an answer that waits for a rating until the caller has left,
+// when the rating service has just become unreachable.
+func TestFirstRequestAfterACutIsAnswered(t *testing.T) {
+	run(t, daemontest.Options{}, func(t *testing.T, s *daemontest.System) {
+		d := s.Daemons[0]
+		s.Net.Cut(d.Host.Name, daemontest.PlatformHost)
+		for _, other := range s.Daemons[1:] {
+			s.Net.Cut(d.Host.Name, other.Host.Name)
+		}
+		a := d.Chat(daemontest.Chat{Prompt: "briefing"})
+		assert.Assert(t, a.Whole, "%+v", a)
+	})
+}
