--- a/daemon/daemontest/daemons.go
+++ b/daemon/daemontest/daemons.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -31,11 +32,14 @@
 	err error
 }
 
-// StartDaemon adds a daemon on a new host. A daemon with the same zone and VM
-// must have ended.
+// StartDaemon adds a daemon on a new host.
 func (s *System) StartDaemon(zone, vm string) *Daemon {
 	s.T.Helper()
-	h := s.Net.NewHost(zone+"/"+vm, zone)
+	return s.startDaemon(s.Net.NewHost(zone+"/"+vm, zone), zone, vm)
+}
+
+func (s *System) startDaemon(h *Host, zone, vm string) *Daemon {
+	s.T.Helper()
 	d := &Daemon{
 		ID: zone + "/" + vm, Zone: zone, Host: h, system: s, url: "http://" + h.IP + ":1",
 		clock: &clock{stops: s.o.ClockStopsWhileFrozen, start: time.Now()},
@@ -78,10 +82,12 @@
 	d.cancel()
 }
 
-// Restart starts a new incarnation of a killed daemon on a new host.
+// Restart starts a new incarnation of a killed daemon at the same address. The
+// goroutines of the old one may still run; nothing of them leaves its host.
 func (d *Daemon) Restart() *Daemon {
-	<-d.done
-	return d.system.StartDaemon(d.Zone, d.ID[len(d.Zone)+1:])
+	d.system.T.Helper()
+	d.system.ended = append(d.system.ended, d)
+	return d.system.startDaemon(d.system.Net.Replace(d.Host), d.Zone, strings.TrimPrefix(d.ID, d.Zone+"/"))
 }
 
 // Stop makes a planned stop and returns what Run returned.
--- a/daemon/daemontest/network.go
+++ b/daemon/daemontest/network.go
@@ -70,6 +70,15 @@
 	return h
 }
 
+// Replace adds a host with the name, zone and address of a dead one.
+func (n *Network) Replace(old *Host) *Host {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h := &Host{Name: old.Name, Zone: old.Zone, IP: old.IP, network: n}
+	n.hosts[h.IP] = h
+	return h
+}
+
 // Cut stops the traffic between two labels: names of hosts, zones, or Everyone.
 func (n *Network) Cut(a, b string) { n.setCut(a, b, true) }
 
@@ -231,6 +240,10 @@
 		h.frozen = false
 		n.kill(h)
 	}
+	// Connections can be left of hosts that were replaced.
+	for c := range n.conns {
+		c.reset()
+	}
 }
 
 // Dial connects h to a listener; it has the type of net.Dialer.DialContext.
--- a/daemon/daemontest/system.go
+++ b/daemon/daemontest/system.go
@@ -78,7 +78,9 @@
 	// VMs is the platform's list; call Platform.SetVMs after a change.
 	VMs []platform.VM
 
-	o        Options
+	o Options
+	// ended holds the killed incarnations of restarted daemons.
+	ended    []*Daemon
 	platform *Host
 	clients  *Host
 	hosts    map[string]*Host // of upstreams
@@ -252,7 +254,7 @@
 	for _, e := range s.Engines {
 		e.SetFaults(engine.Faults{})
 	}
-	for _, d := range s.Daemons {
+	for _, d := range append(s.ended, s.Daemons...) {
 		<-d.done
 	}
 }
