--- a/coord/ledger/ledger.go
+++ b/coord/ledger/ledger.go
@@ -101,7 +101,7 @@
 	stopped chan struct{} // closed when Run ends
 	flights sync.WaitGroup
 	slots   chan struct{} // one per group that is being copied
-	flushMu sync.Mutex    // one flush at a time, so that batches go in order
+	flushes chan struct{} // capacity 1; one flush at a time, so that batches go in order
 
 	mu       sync.Mutex
 	draining bool
@@ -129,6 +129,7 @@
 		o:        o.withDefaults(),
 		wake:     make(chan struct{}, 1),
 		stopped:  make(chan struct{}),
+		flushes:  make(chan struct{}, 1),
 		slots:    make(chan struct{}, maxCopyFlights),
 		held:     make(map[string]*heldLog),
 		released: make(map[string]uint64),
