spread: a delegate asks one delegate of each other zone per period

Each delegate exchanged messages with both delegates of all other zones each second. At 320 daemons in 15 zones that made the busiest daemon reach 13.0 KB/s, the whole budget for control, before probes and the list of VMs.

A delegate now takes the two in turn, so that each zone is still asked each second by both delegates of each other zone, with half of the messages. Changes and halts do not wait for it, because notifications still go to all delegates. A longer period was ruled out: evidence would reach a zone that is cut off from the platform later.

The schedule and convergence tests pass.

--- a/coord/spread/node.go
+++ b/coord/spread/node.go
@@ -154,12 +154,12 @@
 	zone := n.self.AvailabilityZone()
 	peers := n.members.Contacts(zone)
 	ask := slices.DeleteFunc(n.members.Delegates(zone, DelegatesPerZone), func(id string) bool { return id == n.self.ID })
+	n.turn++
 	if delegate {
-		foreign := n.foreignDelegates()
+		foreign := n.foreignInTurn()
 		peers = append(peers, foreign...)
 		ask = append(ask, foreign...)
 	}
-	n.turn++
 	calls := make([]Call, len(peers))
 	for i, id := range peers {
 		summary := len(ask) > 0 && id == ask[n.turn%len(ask)]
@@ -168,6 +168,21 @@
 	return calls
 }
 
+// foreignInTurn returns one delegate of each other zone, in turn. Each zone is
+// still asked in each period, by half of the messages.
+func (n *Node) foreignInTurn() []string {
+	var ids []string
+	for i, zone := range n.members.Zones() {
+		if zone == n.self.AvailabilityZone() {
+			continue
+		}
+		if delegates := n.members.Delegates(zone, DelegatesPerZone); len(delegates) > 0 {
+			ids = append(ids, delegates[(n.turn+i)%len(delegates)])
+		}
+	}
+	return ids
+}
+
 func (n *Node) foreignDelegates() []string {
 	var ids []string
 	for _, zone := range n.members.Zones() {
