proxy: calls that were given up are cancelled at the engine

The connection of a superseded call was closed, which an engine need not take as a request to stop; the protocol has a cancel for it. It is sent in the background, once, for at most a second, and failures are counted.

--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -266,9 +266,28 @@
 	a.result, err = s.o.Upstream.Complete(ctx, call)
 	a.text = string(a.result.Body)
 	s.finished(ctx, m, target, a.result, err)
+	s.cancelLeft(ctx, call, err)
 	return a, err
 }
 
+// cancelTimeout bounds the message that ends a call which is not needed.
+const cancelTimeout = time.Second
+
+// cancelLeft tells the engine to stop a call that was given up, because an
+// engine may go on generating after its connection is closed.
+func (s *Server) cancelLeft(ctx context.Context, call upstream.Call, err error) {
+	if err == nil || ctx.Err() == nil {
+		return
+	}
+	go func() {
+		limited, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		if s.o.Upstream.Cancel(limited, call.URL, call.AttemptID) != nil {
+			s.counters.cancelsFailed.Add(1)
+		}
+	}()
+}
+
 // newCall prepares a call to an engine. The check right before the write makes
 // a daemon that was paused between the plan and the write refuse to send.
 func (s *Server) newCall(m *modelRequest, target Target, priority int, stream bool) (upstream.Call, error) {
--- a/proxy/live.go
+++ b/proxy/live.go
@@ -82,6 +82,7 @@
 	})
 	a.text = text.String()
 	x.s.finished(ctx, x.m, a.target, a.result, err)
+	x.s.cancelLeft(ctx, call, err)
 	return a, err
 }
 
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -34,6 +34,7 @@
 	callersLeft    expvar.Int
 	repeated       expvar.Int
 	ratingErrors   expvar.Int
+	cancelsFailed  expvar.Int
 	ratingsDropped expvar.Int
 	plans          expvar.Map
 	errors         expvar.Map
@@ -68,6 +69,7 @@
 	m.Set("answered", &s.counters.answered)
 	m.Set("retries", &s.counters.retries)
 	m.Set("retries_refused", &s.counters.retriesRefused)
+	m.Set("cancels_failed", &s.counters.cancelsFailed)
 	m.Set("rating_errors", &s.counters.ratingErrors)
 	m.Set("ratings_dropped", &s.counters.ratingsDropped)
 	m.Set("callers_left", &s.counters.callersLeft)
