--- a/bench/arrivals.go
+++ b/bench/arrivals.go
@@ -73,13 +73,13 @@
 }
 
 // generate returns the Poisson arrivals of one run in order of time.
-func generate(w *Workload, rate float64, duration time.Duration, daemons int, seed uint64) []*arrival {
+func generate(w *Workload, rate func(time.Duration) float64, duration time.Duration, daemons int, seed uint64) []*arrival {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	open := make([][]*session, len(w.Classes))
 	var list []*arrival
 	sessions := 0
 	for at := time.Duration(0); ; {
-		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		at += time.Duration(rng.ExpFloat64() / rate(at) * float64(time.Second))
 		if at >= duration {
 			return list
 		}
--- a/bench/metrics.go
+++ b/bench/metrics.go
@@ -52,6 +52,12 @@
 	HaltS            []float64     `json:"halt_s"`
 	Classes          []ClassResult `json:"classes"`
 	SimulatedS       float64       `json:"simulated_s"`
+	// SurgeAnswered counts the answers to requests that arrived in a surge, and
+	// AfterFeasible and AfterAnswered the feasible requests, and those of them
+	// answered in time, that arrived more than five seconds after it.
+	SurgeAnswered int `json:"surge_answered"`
+	AfterFeasible int `json:"after_surge_feasible"`
+	AfterAnswered int `json:"after_surge_answered"`
 
 	firstTokens, totals, callFirst []float64
 	Summary                        Quantiles `json:"quantiles"`
@@ -93,6 +99,23 @@
 	}
 }
 
+func (c *Cell) addSurge(w *world, s Surge) {
+	if s.Factor <= 0 {
+		return
+	}
+	for _, q := range w.requests {
+		if s.during(q.at) && q.answered {
+			c.SurgeAnswered++
+		}
+		if q.at >= s.end() && w.feasible(q) {
+			c.AfterFeasible++
+			if q.answered {
+				c.AfterAnswered++
+			}
+		}
+	}
+}
+
 func (c *Cell) addRequest(w *world, q *request) {
 	k := &c.Classes[q.class]
 	feasible := w.feasible(q)
--- a/bench/run.go
+++ b/bench/run.go
@@ -15,11 +15,28 @@
 	Seeds                   []uint64
 	// Rate replaces the arrivals per second of the level when above 0.
 	Rate float64
+	// Surge raises the rate for a time when its factor is above 0.
+	Surge Surge
 	// Workers bounds the simulations that run at once. Default: half of the
 	// processors.
 	Workers int
 }
 
+// Surge multiplies the rate by Factor from FromS on, for ForS.
+type Surge struct {
+	Factor, FromS, ForS float64
+}
+
+// recovery is the time after a surge within which service must be normal again.
+const recovery = 5 * time.Second
+
+// end is the time from which service must be normal again.
+func (s Surge) end() time.Duration { return seconds(s.FromS+s.ForS) + recovery }
+
+func (s Surge) during(at time.Duration) bool {
+	return s.Factor > 0 && at >= seconds(s.FromS) && at < seconds(s.FromS+s.ForS)
+}
+
 // drain is the time after the last arrival in which answers still count.
 const drain = 60 * time.Second
 
@@ -108,15 +125,22 @@
 		rate = o.Rate
 	}
 	duration := seconds(o.Workload.DurationS)
+	profile := func(at time.Duration) float64 {
+		if o.Surge.during(at) {
+			return rate * o.Surge.Factor
+		}
+		return rate
+	}
 	for _, seed := range o.Seeds {
 		w := newWorld(o.Workload, fault, seed)
-		arrivals := generate(o.Workload, rate, duration, w.daemons(), seed)
+		arrivals := generate(o.Workload, profile, duration, w.daemons(), seed)
 		if c.Router == routerOracle {
 			w.solveOracle(arrivals)
 		} else {
 			w.run(arrivals, w.newRouter(c.Router), duration+drain)
 		}
 		c.add(w, duration)
+		c.addSurge(w, o.Surge)
 	}
 	c.finish()
 }
--- a/cmd/savoryctl/bench.go
+++ b/cmd/savoryctl/bench.go
@@ -21,6 +21,9 @@
 	Faults   []string `long:"fault" description:"name of a fault; repeat for several (default: all)"`
 	Routers  []string `long:"router" description:"router; repeat for several (default: all)"`
 	Rate     float64  `long:"rate" description:"arrivals per second in place of the level's"`
+	Surge    float64  `long:"surge" description:"factor on the arrivals per second during a surge"`
+	SurgeAt  float64  `long:"surge-at" default:"40" description:"start of the surge in seconds"`
+	SurgeFor float64  `long:"surge-for" default:"30" description:"length of the surge in seconds"`
 	JSON     bool     `long:"json" description:"print JSON"`
 }
 
@@ -51,6 +54,7 @@
 	}
 	cells, err := bench.Run(bench.Options{
 		Workload: w, Routers: o.Routers, Levels: o.Levels, Faults: o.Faults, Seeds: seeds, Rate: o.Rate,
+		Surge: bench.Surge{Factor: o.Surge, FromS: o.SurgeAt, ForS: o.SurgeFor},
 	})
 	if err != nil {
 		return err
--- a/policy/budget.go
+++ b/policy/budget.go
@@ -44,39 +44,65 @@
 	return true
 }
 
-// priceState is the sum of the usage of all organisations.
-type priceState struct {
-	mu     sync.Mutex
-	usage  float64
-	shares float64
-	at     time.Duration
-}
-
 func fade(usage float64, since time.Duration) float64 {
-	return usage * math.Exp2(-since.Seconds()/usageHalfLife.Seconds())
+	return usage * math.Exp2(-max(0, since).Seconds()/usageHalfLife.Seconds())
 }
 
 // noteAdmitted books the engine time of an admitted request to its
 // organisation, and adds to its retry budget.
 func (p *Planner) noteAdmitted(r *Request, o *option, tokens float64, now time.Duration) {
-	work := o.fixed - o.wait + o.perToken*tokens
 	b := p.budget(r.Organisation)
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.retries = math.Min(retryBurst, b.retries+p.opts.RetryBudget)
-	b.usage = fade(b.usage, now-b.at) + work
+	b.usage = fade(b.usage, now-b.at) + o.fixed - o.wait + o.perToken*tokens
 	b.at = now
-	fresh := b.share != shareOf(r)
 	b.share = shareOf(r)
-	b.mu.Unlock()
-	_ = fresh
-	p.price.mu.Lock()
-	p.price.usage = fade(p.price.usage, now-p.price.at) + work
-	p.price.at = now
-	p.price.mu.Unlock()
 }
 
 func shareOf(r *Request) float64 { return choose(r.Share > 0, r.Share, 1) }
 
+// buildShares notes in the view how the use of each organisation compares with
+// its share of what all organisations use.
+func (p *Planner) buildShares(v *View, now time.Duration) {
+	used := map[string]float64{}
+	shares := map[string]float64{}
+	total, all := 0.0, 0.0
+	p.orgs.Range(func(name, state any) bool {
+		b := state.(*budget)
+		b.mu.Lock()
+		usage, share := fade(b.usage, now-b.at), b.share
+		b.mu.Unlock()
+		if usage > idleUsage {
+			used[name.(string)], shares[name.(string)] = usage, share
+			total += usage
+			all += share
+		}
+		return true
+	})
+	v.excess = make(map[string]float64, len(used))
+	for name, usage := range used {
+		v.excess[name] = (usage / total) / (shares[name] / all)
+	}
+}
+
+// idleUsage is the use, in seconds of a slot, below which an organisation does
+// not take part in sharing.
+const idleUsage = 0.05
+
 // shareFactor lowers the worth of an answer for an organisation that has used
-// more than its share of late, and raises it for one that has used less.
-func (p *Planner) shareFactor(r *Request) float64 { return 1 }
+// more than its share of late, so that it is refused first when capacity is
+// short. Without a shortage engine time has no price and nothing is refused.
+func (v *View) shareFactor(r *Request) float64 {
+	excess, ok := v.excess[r.Organisation]
+	if !ok {
+		return 1
+	}
+	return clamp(1/excess, minShareFactor, maxShareFactor)
+}
+
+// minShareFactor and maxShareFactor bound the effect of the shares.
+const (
+	minShareFactor = 0.4
+	maxShareFactor = 2.5
+)
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -49,7 +49,7 @@
 	}
 	w.lambda = t.value() * c.scale
 	mu, sigma := lengthFor(r, c)
-	value := answerValue * v.scale * p.shareFactor(r) * latencyFactor(r)
+	value := answerValue * v.scale * v.shareFactor(r) * latencyFactor(r)
 	best := w.begin(c, mu, sigma, left, value, r)
 	if best.onTime < refuseBelow {
 		return Plan{Refusal: errkind.DeadlineTooShort}
@@ -92,7 +92,8 @@
 }
 
 // fill collects the versions to weigh, each on its best engine. It returns
-// whether any allowed version exists.
+// whether any allowed version exists. Versions are shortlisted by cost and
+// quality first, so that engines are looked at for few of them.
 func (w *weigher) fill(v *View, r *Request, c *classView, avoid int, now time.Duration) bool {
 	w.prompt, w.accuracy, w.delay, w.rating = r.PromptTokens, v.accuracy, v.ratingDelay, v.ratingOK
 	found := false
@@ -101,18 +102,50 @@
 			continue
 		}
 		found = true
-		o, ok := v.selectUpstream(r, ver, c.tokens, avoid, now)
-		if !ok {
-			continue
+		w.insert(v.option(c, ver))
+	}
+	w.place(v, r, c, avoid, now)
+	if w.n > 0 || len(r.Versions) <= maxOptions {
+		return found
+	}
+	for _, ver := range r.Versions {
+		if w.n < maxOptions && ver >= 0 && ver < len(v.versions) && v.versions[ver].Usable {
+			w.insert(v.option(c, ver))
+			w.place(v, r, c, avoid, now)
 		}
-		o.tokenCost = v.versions[ver].CostPer1kOutput / 1000
-		o.price = v.price[ver]
-		o.quality = clamp(c.quality[ver].mean-qualityCaution*c.quality[ver].sd, minQuality, maxQuality)
-		w.insert(o)
 	}
 	return found
 }
 
+// option is a version without an engine.
+func (v *View) option(c *classView, ver int) option {
+	q := &c.quality[ver]
+	return option{
+		version: ver, upstream: -1, price: v.price[ver],
+		tokenCost: v.versions[ver].CostPer1kOutput / 1000,
+		quality:   clamp(q.mean-qualityCaution*q.sd, minQuality, maxQuality),
+	}
+}
+
+// place finds an engine for each option and drops those without one.
+func (w *weigher) place(v *View, r *Request, c *classView, avoid int, now time.Duration) {
+	n := 0
+	for i := range w.n {
+		o := w.options[i]
+		if o.upstream < 0 {
+			s, ok := v.selectUpstream(r, o.version, c.tokens, avoid, now)
+			w.examined += s.examined
+			if !ok {
+				continue
+			}
+			o.upstream, o.fixed, o.wait, o.perToken = s.upstream, s.fixed, s.wait, s.perToken
+		}
+		w.options[n] = o
+		n++
+	}
+	w.n = n
+}
+
 // qualityCaution is the number of standard deviations by which a quality is
 // taken lower than estimated.
 const qualityCaution = 0.5
--- a/policy/learn.go
+++ b/policy/learn.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -32,8 +31,6 @@
 	opts    Options
 	targets sync.Map // class name to *target
 	orgs    sync.Map // organisation to *budget
-	price   priceState
-	tick    atomic.Int64
 
 	mu    sync.Mutex
 	own   Summary
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,269 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/savoryshift/savoryshift/errkind"
+)
+
+// fleet returns inputs with the given number of engines and versions; engine i
+// holds version i modulo versions.
+func fleet(engines, versions int) Inputs {
+	in := Inputs{RatingAvailable: true}
+	for i := range versions {
+		in.Versions = append(in.Versions, VersionSpec{
+			ID: fmt.Sprint("v", i), Model: fmt.Sprint("m", i), CostPer1kOutput: float64(1 + i), Usable: true,
+		})
+	}
+	for i := range engines {
+		in.Upstreams = append(in.Upstreams, UpstreamSpec{
+			ID: fmt.Sprint("u", i), Versions: []int{i % versions}, Slots: 16, Usable: true, Live: &Live{},
+		})
+	}
+	return in
+}
+
+func allVersions(n int) []int {
+	list := make([]int, n)
+	for i := range list {
+		list[i] = i
+	}
+	return list
+}
+
+func ask(versions int) Request {
+	return Request{
+		Organisation: "o", Class: "c", PromptTokens: 200, Deadline: 30 * time.Second, QualityTarget: 0.9,
+		LatencyQuantile: 0.9, Weights: Weights{Cost: 1, Latency: 1, Exposure: 1}, Priority: 5, Versions: allVersions(versions), Seed: 1,
+	}
+}
+
+// Guards against decisions whose cost grows with the number of engines: the
+// allocations and the engines examined are bounded.
+func TestDecisionWorkIsBounded(t *testing.T) {
+	for _, engines := range []int{330, 3300} {
+		p := New(Options{})
+		v := p.BuildView(fleet(engines, 30), 0)
+		r := ask(30)
+		p.Choose(v, &r, 0)
+		allocations := testing.AllocsPerRun(200, func() {
+			r.Seed++
+			p.Choose(v, &r, 0)
+		})
+		assert.Assert(t, allocations <= 2, "%v allocations with %d engines", allocations, engines)
+		var w weigher
+		w.fill(v, &r, v.class(r.Class), -1, 0)
+		assert.Assert(t, w.examined > 0 && w.examined <= maxOptions*maxExamined, "%d of %d engines examined", w.examined, engines)
+	}
+}
+
+// Guards against work on versions that a request may not use or that are
+// withdrawn, for any mix of rights, failures and times.
+func TestPlansUseOnlyAllowedAndUsableVersions(t *testing.T) {
+	rapid.Check(t, checkAllowed)
+}
+
+// Guards against a check above that cannot fail: without the rights in the
+// request it finds a version that is not allowed.
+func TestAllowedVersionsCheckCanFail(t *testing.T) {
+	failed := false
+	for seed := range 200 {
+		r := ask(6)
+		p := New(Options{})
+		plan := p.Choose(p.BuildView(fleet(12, 6), 0), &r, 0)
+		r.Versions = []int{1 + seed%5}
+		failed = failed || !allowedBy(&r, &plan)
+	}
+	assert.Assert(t, failed)
+}
+
+func allowedBy(r *Request, plan *Plan) bool {
+	for _, c := range plan.Calls[:plan.N] {
+		ok := false
+		for _, v := range r.Versions {
+			ok = ok || v == c.Version
+		}
+		if !ok {
+			return false
+		}
+	}
+	return true
+}
+
+func checkAllowed(t *rapid.T) {
+	in := fleet(12, 6)
+	for i := range in.Versions {
+		in.Versions[i].Usable = rapid.Bool().Draw(t, "usable")
+	}
+	in.RatingAvailable = rapid.Bool().Draw(t, "rating")
+	p := New(Options{})
+	r := ask(6)
+	r.Versions = rapid.SliceOfNDistinct(rapid.IntRange(0, 5), 0, 6, rapid.ID[int]).Draw(t, "allowed")
+	r.Deadline = time.Duration(rapid.IntRange(-1, 60).Draw(t, "deadline")) * time.Second
+	v := p.BuildView(in, 0)
+	plans := []Plan{p.Choose(v, &r, 0)}
+	plans = append(plans, p.Next(v, &r, Progress{Held: 0.4, Tokens: 100, Tried: r.Versions[:min(1, len(r.Versions))], Calls: 1}, time.Second))
+	plans = append(plans, p.Next(v, &r, Progress{Failed: true, Avoid: 3, Calls: 1}, time.Second))
+	for _, plan := range plans {
+		assert.Assert(t, allowedBy(&r, &plan))
+		for _, c := range plan.Calls[:plan.N] {
+			assert.Assert(t, in.Versions[c.Version].Usable)
+		}
+		assert.Assert(t, !plan.Refused() || plan.N == 0, "a refusal must not carry calls")
+	}
+}
+
+// Guards against refusals of the wrong kind: each cause has its own, and all of
+// them say that nothing has run.
+func TestRefusalsNameTheirCause(t *testing.T) {
+	down := fleet(2, 1)
+	for i := range down.Upstreams {
+		down.Upstreams[i].Usable = false
+	}
+	for _, c := range []struct {
+		name   string
+		in     Inputs
+		change func(*Request)
+		want   errkind.Kind
+	}{
+		{"passed", fleet(2, 1), func(r *Request) { r.Deadline = 0 }, errkind.DeadlinePassed},
+		{"too short", fleet(2, 1), func(r *Request) { r.Deadline = 10 * time.Millisecond }, errkind.DeadlineTooShort},
+		{"no version", fleet(2, 1), func(r *Request) { r.Versions = nil }, errkind.NoAllowedVersion},
+		{"engines down", down, func(*Request) {}, errkind.NoCapacity},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := New(Options{})
+			r := ask(1)
+			c.change(&r)
+			plan := p.Choose(p.BuildView(c.in, 0), &r, 0)
+			assert.Equal(t, plan.Refusal, c.want)
+			assert.Equal(t, errkind.AnswerFor(plan.Refusal).Ran, errkind.RanNo)
+		})
+	}
+}
+
+// Guards against retry storms: an organisation gets its saved retries and then
+// the budgeted share of its requests.
+func TestRetriesStayWithinBudget(t *testing.T) {
+	p := New(Options{RetryBudget: 0.1})
+	v := p.BuildView(fleet(4, 1), 0)
+	retries := 0
+	for range 1000 {
+		r := ask(1)
+		p.Choose(v, &r, 0)
+		for range 3 {
+			if plan := p.Next(v, &r, Progress{Failed: true, Calls: 1}, 0); !plan.Refused() {
+				retries++
+			}
+		}
+	}
+	assert.Assert(t, retries <= 100+retryStart, "%d retries", retries)
+	assert.Assert(t, retries >= 95, "%d retries", retries)
+}
+
+// Guards against a class that misses its target although dearer versions would
+// meet it, and against paying for the dearest version only.
+func TestMixMeetsTargetBelowTheCostOfTheBest(t *testing.T) {
+	const accuracy = 0.9
+	truth := []float64{0.7, 0.86, 0.96}
+	p := New(Options{RatingAccuracy: accuracy})
+	rng := rand.New(rand.NewPCG(3, 1))
+	for range 3000 {
+		i := rng.IntN(3)
+		good := rng.Float64() < truth[i]*accuracy+(1-truth[i])*(1-accuracy)
+		p.ObserveRating("c", fmt.Sprint("v", i), good, 300*time.Millisecond, 0)
+	}
+	in := fleet(3, 3)
+	in.Versions[1].CostPer1kOutput, in.Versions[2].CostPer1kOutput = 3, 10
+	v := p.BuildView(in, 0)
+	quality, cost, best := 0.0, 0.0, 0.0
+	const n = 400
+	for range n {
+		r := ask(3)
+		r.Deadline = time.Minute
+		plan := p.Choose(v, &r, 0)
+		quality += plan.Quality / n
+		cost += plan.Cost / n
+		best += 10 * (v.class("c").tokens + r.PromptTokens/5) / 1000 / n
+	}
+	t.Logf("quality %.3f, cost %.3f of %.3f", quality, cost, best)
+	assert.Assert(t, quality >= 0.9-0.01 && cost < 0.4*best)
+}
+
+// Guards against ratings taken at face value: the estimate must approach the
+// true quality for each accuracy of the rating service.
+func TestQualityIsCorrectedForRatingErrors(t *testing.T) {
+	for _, accuracy := range []float64{0.7, 0.9, 1} {
+		p := New(Options{RatingAccuracy: accuracy})
+		rng := rand.New(rand.NewPCG(9, 1))
+		for range 5000 {
+			good := rng.Float64() < 0.8
+			p.ObserveRating("c", "v0", good == (rng.Float64() < accuracy), time.Second, 0)
+		}
+		got := p.BuildView(fleet(1, 1), 0).Prior("c", 0)
+		assert.Assert(t, math.Abs(got-0.8) < 0.08, "accuracy %v: quality %v", accuracy, got)
+	}
+}
+
+// Guards against data races: decisions, learning, views and merges run at once.
+func TestConcurrentUse(t *testing.T) {
+	p, in := New(Options{}), fleet(20, 4)
+	v := p.BuildView(in, 0)
+	var wg sync.WaitGroup
+	for g := range 4 {
+		wg.Go(func() {
+			for i := range 200 {
+				now := time.Duration(i) * time.Millisecond
+				r := ask(4)
+				plan := p.Choose(v, &r, now)
+				live := v.Live(plan.Calls[0].Upstream)
+				live.Begin()
+				p.ObserveRating("c", "v0", i%2 == 0, time.Second, now)
+				p.ObserveServed(Served{Class: "c", Version: "v0", Upstream: "u0", Streaming: time.Second, Tokens: 50}, now)
+				live.Sample(now)
+				live.End()
+				if i%20 == 0 {
+					p.Merge(fmt.Sprint(g), p.Export())
+					p.BuildView(in, now)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func benchmarkChoose(b *testing.B, engines int) {
+	p := New(Options{})
+	v := p.BuildView(fleet(engines, 30), 0)
+	r := ask(30)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Seed++
+		p.Choose(v, &r, 0)
+	}
+}
+
+func BenchmarkChoose330(b *testing.B)  { benchmarkChoose(b, 330) }
+func BenchmarkChoose3300(b *testing.B) { benchmarkChoose(b, 3300) }
+
+func benchmarkSelect(b *testing.B, engines int) {
+	p := New(Options{})
+	v := p.BuildView(fleet(engines, 30), 0)
+	r := ask(30)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Seed++
+		v.selectUpstream(&r, int(r.Seed%30), 150, -1, 0)
+	}
+}
+
+func BenchmarkSelectUpstream330(b *testing.B)  { benchmarkSelect(b, 330) }
+func BenchmarkSelectUpstream3300(b *testing.B) { benchmarkSelect(b, 3300) }
--- a/policy/price.go
+++ b/policy/price.go
@@ -6,7 +6,7 @@
 // a slot has a price, so that work which adds little gives way.
 const (
 	// priceFrom is the utilisation at which a price begins.
-	priceFrom = 0.8
+	priceFrom = 0.75
 	// priceFull is the utilisation at which serving one mean request costs as
 	// much as an answer is worth.
 	priceFull = 1.5
--- a/policy/selection.go
+++ b/policy/selection.go
@@ -6,8 +6,10 @@
 )
 
 const (
-	// maxExamined bounds the engines that are looked at for one version.
+	// maxExamined bounds the engines that are looked at for one version; where
+	// there are more, sampled of them are drawn.
 	maxExamined = 16
+	sampled     = 8
 	// prefixSaving is the part of the time to first token that a cached prompt
 	// is expected to save.
 	prefixSaving = 0.5
@@ -16,12 +18,16 @@
 	backlogDoubt = 0.5
 	// crowdedFrom is the utilisation above which a call counts as a burden for
 	// later ones, and crowdingGain the burden at full use, in service times.
-	crowdedFrom  = 0.4
+	crowdedFrom  = 0.75
 	crowdingGain = 1.5
 	// lateQuantile scales the predicted time to one that is rarely exceeded;
 	// latePenalty weighs what of it lies after the deadline.
-	lateQuantile = 1.6
+	lateQuantile = 2.0
 	latePenalty  = 3
+	// ownTrust is the weight of the calls of this daemon, taken as those of a
+	// typical daemon, against the load report. Reports lag, so daemons that
+	// only follow them all choose the same engine at once.
+	ownTrust = 0.4
 	// waitCaution scales predicted waiting times, because load reports lag.
 	waitCaution = 1.3
 )
@@ -39,6 +45,8 @@
 	// price of a second of a slot.
 	price   float64
 	quality float64
+	// examined counts the engines that were looked at.
+	examined int
 }
 
 // total is the time to the whole answer of the given length.
@@ -62,6 +70,7 @@
 	bestScore := math.Inf(1)
 	hints := v.hints[r.Prefix]
 	consider := func(h *holder) {
+		best.examined++
 		if int(h.upstream) == avoid {
 			return
 		}
@@ -83,7 +92,7 @@
 		return best, best.upstream >= 0
 	}
 	x := r.Seed
-	for i := range maxExamined {
+	for i := range sampled {
 		x = scramble(x + uint64(ver))
 		span := len(list)
 		if i%2 == 0 {
@@ -96,11 +105,13 @@
 
 // backlog is the number of calls at an engine, as far as known.
 func (v *View) backlog(upstream int32) int64 {
-	n := v.others[upstream]
-	if l := v.upstreams[upstream].Live; l != nil {
-		n += l.inflight.Load()
+	l := v.upstreams[upstream].Live
+	if l == nil {
+		return v.others[upstream]
 	}
-	return n
+	own := l.inflight.Load()
+	reported := v.others[upstream] + own
+	return reported + int64(ownTrust*float64(own*v.daemons-reported))
 }
 
 // crowding is the time in seconds that a call is expected to cost later calls
--- a/policy/value.go
+++ b/policy/value.go
@@ -4,7 +4,7 @@
 
 const (
 	// maxOptions bounds the versions that are weighed for one request.
-	maxOptions = 6
+	maxOptions = 5
 	// maxCalls bounds the calls of one cascade.
 	maxCalls = 3
 	// quadrature is the number of answer lengths over which a plan is averaged.
@@ -34,6 +34,8 @@
 	accuracy float64
 	delay    float64
 	rating   bool
+	// examined counts the engines that were looked at.
+	examined int
 }
 
 // posterior returns the probability of a good rating, and the probability of a
--- a/policy/view.go
+++ b/policy/view.go
@@ -10,19 +10,23 @@
 // learned. Decisions read it without locks; only the Live counters inside
 // change.
 type View struct {
-	at          time.Duration
-	versions    []VersionSpec
-	upstreams   []UpstreamSpec
-	others      []int64
-	holders     [][]holder
-	price       []float64
-	hints       map[uint64][]int32
-	classes     map[string]*classView
-	unknown     *classView
-	ratingOK    bool
+	at        time.Duration
+	versions  []VersionSpec
+	upstreams []UpstreamSpec
+	others    []int64
+	holders   [][]holder
+	price     []float64
+	hints     map[uint64][]int32
+	classes   map[string]*classView
+	unknown   *classView
+	ratingOK  bool
+	// daemons is the number of daemons that share the engines.
+	daemons     int64
 	ratingDelay float64
 	accuracy    float64
 	meanTokens  float64
+	// excess is, by organisation, the use of capacity over the share.
+	excess map[string]float64
 	// scale is the cost of a mean request on the dearest version; values are
 	// expressed in it.
 	scale float64
@@ -72,6 +76,7 @@
 	}
 	p.mu.Lock()
 	l := p.joinLocked(in)
+	v.daemons = int64(len(p.peers) + 1)
 	p.mu.Unlock()
 	v.ratingDelay = l.ratingDelay
 	v.buildClasses(l)
@@ -79,6 +84,7 @@
 	v.buildPrices()
 	v.buildHints(in.Hints, now)
 	p.shareDebts(l)
+	p.buildShares(v, now)
 	return v
 }
 
