--- a/policy/learn.go
+++ b/policy/learn.go
@@ -28,7 +28,6 @@
 	opts    Options
 	targets sync.Map // class name to *target
 	orgs    sync.Map // organisation to *budget
-	price   priceState
 
 	mu    sync.Mutex
 	own   Summary
