fence: sound check for two holders at one moment

The check read the candidates one after the other, so a holder could release the lease and another one acquire it between two reads. It now reads twice and counts the candidates that held the same number both times: one that did held the lease during the whole first read of the others.

The cause was not seen directly.

--- a/coord/fence/schedule_test.go
+++ b/coord/fence/schedule_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -79,15 +80,25 @@
 func (e *engines) checkHolders() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	holders := 0
+	// A candidate that holds the same number before and after another one was
+	// seen to hold the lease held it at that moment too. One pass does not show
+	// this: the first holder can release the lease while the pass goes on.
+	first := e.holders()
+	both := e.holders()
+	maps.DeleteFunc(both, func(l *Lease, number int64) bool { return first[l] != number })
+	if len(both) > 1 {
+		e.failure = errors.Join(e.failure, fmt.Errorf("%d holders at one moment", len(both)))
+	}
+}
+
+func (e *engines) holders() map[*Lease]int64 {
+	held := map[*Lease]int64{}
 	for _, l := range e.leases {
-		if l.Held() {
-			holders++
+		if number, ok := l.Number(); ok {
+			held[l] = number
 		}
 	}
-	if holders > 1 {
-		e.failure = errors.Join(e.failure, fmt.Errorf("%d holders at one moment", holders))
-	}
+	return held
 }
 
 func (e *engines) fenced(candidate int, number int64) {
