daemontest: a paused daemon sends nothing on old evidence

Guards invariants 2 and 10: a daemon is paused between the decision and the write of a request, its version is withdrawn, and the daemon wakes before any new evidence reaches it. Ruled out: a pause of 10 s of virtual time, because the goroutines of the daemon run on and see failed probes, which a paused process does not.

--- a/daemon/daemontest/daemons.go
+++ b/daemon/daemontest/daemons.go
@@ -42,7 +42,7 @@
 	s.T.Helper()
 	d := &Daemon{
 		ID: zone + "/" + vm, Zone: zone, Host: h, system: s, url: "http://" + h.IP + ":1",
-		clock: &clock{stops: s.o.ClockStopsWhileFrozen, start: time.Now()},
+		clock: &clock{start: time.Now()},
 		done:  make(chan struct{}),
 	}
 	d.Operators = operator.NewClient(operator.ClientOptions{
@@ -97,52 +97,35 @@
 	return d.err
 }
 
-// Freeze pauses the process of the daemon.
-func (d *Daemon) Freeze() {
-	d.system.Net.Freeze(d.Host)
-	d.clock.freeze()
-}
+// Freeze pauses the process of the daemon: nothing reaches it and nothing leaves
+// it. Its goroutines still run, so the pause should be short in virtual time.
+func (d *Daemon) Freeze() { d.system.Net.Freeze(d.Host) }
 
-// Thaw resumes it.
-func (d *Daemon) Thaw() {
-	d.clock.thaw()
+// Thaw resumes it. Its clocks, which count through a pause, show that the pause
+// took longer by the given time than the virtual clock says.
+func (d *Daemon) Thaw(longer time.Duration) {
+	d.clock.advance(longer)
 	d.system.Net.Thaw(d.Host)
 }
 
 // clock implements evidence.Clock on virtual time.
 type clock struct {
 	start time.Time
-	// stops makes the clock stand still while the process is frozen.
-	stops bool
 
-	mu     sync.Mutex
-	frozen time.Time
-	lost   time.Duration
+	mu    sync.Mutex
+	ahead time.Duration
 }
 
 // Now implements evidence.Clock.
 func (c *clock) Now() evidence.Instant {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
-	if c.stops && !c.frozen.IsZero() {
-		now = c.frozen
-	}
-	elapsed := now.Sub(c.start) - c.lost
+	elapsed := time.Since(c.start) + c.ahead
 	return evidence.Instant{Boot: elapsed, Wall: elapsed}
 }
 
-func (c *clock) freeze() {
+func (c *clock) advance(d time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.frozen = time.Now()
-}
-
-func (c *clock) thaw() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.stops {
-		c.lost += time.Since(c.frozen)
-	}
-	c.frozen = time.Time{}
+	c.ahead += d
 }
--- a/daemon/daemontest/network.go
+++ b/daemon/daemontest/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
@@ -247,16 +248,17 @@
 }
 
 // Dial connects h to a listener; it has the type of net.Dialer.DialContext.
-// While the path is cut it waits, at most dialTimeout.
+// While the path is cut it waits, at most dialTimeout. The time of a frozen host
+// does not count, because its timers expire only after the thaw.
 func (h *Host) Dial(ctx context.Context, _, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
 	n := h.network
+	timeout := time.NewTimer(dialTimeout)
+	defer timeout.Stop()
 	for {
 		n.mu.Lock()
 		l, target := n.listeners[address], n.targetOf(address)
 		open := target == nil || !n.blocked(h, target)
-		changed := n.changed
+		frozen, changed := h.frozen, n.changed
 		if open && (h.dead || l == nil) {
 			n.mu.Unlock()
 			return nil, dialError(fmt.Errorf("connection to %s refused", address))
@@ -267,8 +269,14 @@
 			return l.offer(ctx, client, server)
 		}
 		n.mu.Unlock()
+		expired := timeout.C
+		if frozen {
+			expired = nil
+		}
 		select {
 		case <-changed:
+		case <-expired:
+			return nil, dialError(os.ErrDeadlineExceeded)
 		case <-ctx.Done():
 			return nil, dialError(ctx.Err())
 		}
--- a/daemon/daemontest/system.go
+++ b/daemon/daemontest/system.go
@@ -61,9 +61,6 @@
 	Settings func(*settings.Settings)
 	// Platform wraps the platform stand-in.
 	Platform func(http.Handler) http.Handler
-	// ClockStopsWhileFrozen makes the clocks of the daemons those of a kernel
-	// that does not count a suspend.
-	ClockStopsWhileFrozen bool
 }
 
 // System is a platform, engines, plain services and daemons in three zones. It
