--- a/daemon/daemontest/daemons.go
+++ b/daemon/daemontest/daemons.go
@@ -28,6 +28,8 @@
 	url    string
 	cancel context.CancelFunc
 	done   chan struct{}
+	// retired daemons get no more callers.
+	retired bool
 	// err is what Run returned, valid once done is closed.
 	err error
 }
--- a/daemon/daemontest/observe.go
+++ b/daemon/daemontest/observe.go
@@ -1,12 +1,14 @@
 package daemontest
 
 import (
+	"slices"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/savoryshift/savoryshift/coord/ledger"
 	"github.com/savoryshift/savoryshift/operator"
+	"github.com/savoryshift/savoryshift/platform"
 	"github.com/savoryshift/savoryshift/standin/engine"
 )
 
@@ -51,11 +53,11 @@
 	assert.Equal(s.T, status.State, operator.Accepted)
 }
 
-// Live returns the daemons of a zone; the zone "" means all.
+// Live returns the daemons that a balancer sends callers to in a zone; the zone "" means all.
 func (s *System) Live(zone string) []*Daemon {
 	var live []*Daemon
 	for _, d := range s.Daemons {
-		if (zone == "" || d.Zone == zone) && !d.Host.dead {
+		if (zone == "" || d.Zone == zone) && !d.Host.dead && !d.retired {
 			live = append(live, d)
 		}
 	}
@@ -90,3 +92,30 @@
 	assert.NilError(s.T, err)
 	return status.State == operator.Accepted
 }
+
+// Restore brings an engine back after a kill, a freeze or a cut.
+func (s *System) Restore(id string) {
+	s.Engines[id].SetFaults(engine.Faults{})
+	s.Net.HealAll()
+	if h := s.hosts[id]; h.dead {
+		s.hosts[id] = s.Net.Replace(h)
+		s.serve(s.hosts[id], s.Engines[id])
+	}
+}
+
+// Retire takes a daemon out of the balancer and off the platform's list.
+func (s *System) Retire(d *Daemon) {
+	d.retired = true
+	s.VMs = slices.DeleteFunc(slices.Clone(s.VMs), func(vm platform.VM) bool {
+		return vm.AvailabilityZone+"/"+vm.ID == d.ID
+	})
+	s.Platform.SetVMs(s.VMs)
+}
+
+// Join adds a new VM with a daemon.
+func (s *System) Join(zone, vm string) *Daemon {
+	s.T.Helper()
+	s.list(vm, zone, platform.EntryVM)
+	s.Platform.SetVMs(s.VMs)
+	return s.StartDaemon(zone, vm)
+}
