--- a/cmd/savoryctl/bench.go
+++ b/cmd/savoryctl/bench.go
@@ -25,6 +25,7 @@
 	SurgeAt  float64  `long:"surge-at" default:"40" description:"start of the surge in seconds"`
 	SurgeFor float64  `long:"surge-for" default:"30" description:"length of the surge in seconds"`
 	JSON     bool     `long:"json" description:"print JSON"`
+	Plot     string   `long:"plot" description:"also write a plot to this file, for example results.svg"`
 }
 
 // runBench runs the bench command and returns the exit code.
@@ -59,6 +60,11 @@
 	if err != nil {
 		return err
 	}
+	if o.Plot != "" {
+		if err := bench.WritePlot(o.Plot, cells); err != nil {
+			return err
+		}
+	}
 	if o.JSON {
 		enc := json.NewEncoder(os.Stdout)
 		enc.SetIndent("", " ")
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -148,7 +148,7 @@
 
 // qualityCaution is the number of standard deviations by which a quality is
 // taken lower than estimated.
-const qualityCaution = 0.5
+const qualityCaution = 0.75
 
 // insert keeps the options in order of cost and, when there are too many,
 // drops the one that adds least quality over a cheaper one.
--- a/policy/learn.go
+++ b/policy/learn.go
@@ -32,9 +32,15 @@
 	targets sync.Map // class name to *target
 	orgs    sync.Map // organisation to *budget
 
+	// building serialises BuildView.
+	building sync.Mutex
+
 	mu    sync.Mutex
 	own   Summary
 	peers map[string]Summary
+	// joined is the joined knowledge of the last view; it is dropped when
+	// something has been learned since.
+	joined *learned
 }
 
 // New returns a planner that knows nothing yet.
@@ -69,6 +75,7 @@
 func (p *Planner) ObserveServed(s Served, now time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.joined = nil
 	key := CellKey{s.Upstream, s.Version}
 	cell := p.own.Cells[key]
 	if s.First > 0 {
@@ -89,6 +96,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.joined = nil
 	key := CellKey{upstream, version}
 	cell := p.own.Cells[key]
 	cell.PerToken.add(math.Log(streaming.Seconds()/tokens), sampleDecay, now)
@@ -102,6 +110,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.joined = nil
 	m := p.own.Lengths[class]
 	m.add(math.Log(tokens), lengthMemory)
 	p.own.Lengths[class] = m
@@ -116,6 +125,7 @@
 func (p *Planner) ObserveSettled(class string, predicted, final float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.joined = nil
 	b := p.own.Settled[class]
 	keep := choose(b.N >= biasMemory, 1-1.0/biasMemory, 1)
 	p.own.Settled[class] = BiasStat{N: b.N*keep + 1, Sum: b.Sum*keep + predicted - final}
@@ -132,6 +142,7 @@
 func (p *Planner) ObserveRating(class, version string, good bool, delay, now time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.joined = nil
 	key := QualityKey{class, version}
 	c := p.own.Ratings[key]
 	c.add(good)
--- a/policy/learned.go
+++ b/policy/learned.go
@@ -19,6 +19,8 @@
 	// typical engine, with their weights.
 	first, perToken []float64
 	known           []bool
+	// predicted keeps the results of times.
+	predicted map[CellKey][2]float64
 }
 
 // defaultRatingDelay is used before the first rating, in seconds.
@@ -26,9 +28,13 @@
 
 // joinLocked joins own and peer summaries. The planner's lock is held.
 func (p *Planner) joinLocked(in Inputs) *learned {
+	if p.joined != nil && p.joined.describes(in) {
+		return p.joined
+	}
 	l := &learned{
 		cells: map[CellKey][]CellStat{}, ratings: map[QualityKey]CountStat{},
 		lengths: map[string]MomentStat{}, debts: map[string]float64{}, settled: map[string]BiasStat{},
+		predicted: map[CellKey][2]float64{},
 	}
 	delays := []MeanStat{p.own.RatingDelay}
 	l.join(&p.own)
@@ -45,9 +51,23 @@
 		l.ratingDelay = math.Exp(mean)
 	}
 	l.prepare(in)
+	p.joined = l
 	return l
 }
 
+// describes reports whether l was prepared for the same versions.
+func (l *learned) describes(in Inputs) bool {
+	if len(l.versionID) != len(in.Versions) {
+		return false
+	}
+	for i, v := range in.Versions {
+		if l.versionID[i] != v.ID || l.models[i] != v.Model {
+			return false
+		}
+	}
+	return true
+}
+
 func (l *learned) join(s *Summary) {
 	for k, c := range s.Cells {
 		l.cells[k] = append(l.cells[k], c)
@@ -148,17 +168,23 @@
 // version on an engine. Samples of the pair count most; the other versions of
 // the engine show how its speed compares.
 func (l *learned) times(upstream string, ver int) (first, perToken float64) {
+	key := CellKey{upstream, l.versionID[ver]}
+	if t, ok := l.predicted[key]; ok {
+		return t[0], t[1]
+	}
 	offset, weight := l.offset(upstream, ver)
 	if weight > 0 {
 		offset *= weight / (weight + 0.3)
 	}
-	stats := l.cells[CellKey{upstream, l.versionID[ver]}]
+	stats := l.cells[key]
 	x, w := pool(perTokens(stats))
 	perTokenLog := (x*w + versionPull*(l.perToken[ver]+offset)) / (w + versionPull)
 	ratio := perTokenLog - l.perToken[ver]
 	y, wf := pool(firsts(stats))
 	firstLog := (y*wf + versionPull*(l.first[ver]+ratio)) / (wf + versionPull)
-	return math.Exp(firstLog), math.Exp(perTokenLog)
+	first, perToken = math.Exp(firstLog), math.Exp(perTokenLog)
+	l.predicted[key] = [2]float64{first, perToken}
+	return first, perToken
 }
 
 // offset is how much slower than typical an engine is, judged by its other
--- a/policy/summary.go
+++ b/policy/summary.go
@@ -53,6 +53,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.peers[peer] = s
+	p.joined = nil
 }
 
 // Forget drops what was learned from a daemon that is gone.
@@ -60,4 +61,5 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.peers, peer)
+	p.joined = nil
 }
--- a/policy/view.go
+++ b/policy/view.go
@@ -66,6 +66,8 @@
 // BuildView compiles a view from the surroundings and from what has been
 // learned. It is called on each control tick.
 func (p *Planner) BuildView(in Inputs, now time.Duration) *View {
+	p.building.Lock()
+	defer p.building.Unlock()
 	v := &View{
 		at: now, versions: in.Versions, upstreams: in.Upstreams,
 		ratingOK: in.RatingAvailable, accuracy: p.opts.RatingAccuracy,
