--- a/policy/learned.go
+++ b/policy/learned.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 )
 
 // learned is the joined knowledge of all daemons, prepared for one view.
@@ -20,6 +21,8 @@
 	// typical engine, with their weights.
 	first, perToken []float64
 	known           []bool
+	// predicted keeps the results of times.
+	predicted map[CellKey][2]float64
 }
 
 // defaultRatingDelay is used before the first rating, in seconds.
@@ -27,13 +30,18 @@
 
 // joinLocked joins own and peer summaries. The planner's lock is held.
 func (p *Planner) joinLocked(in Inputs) *learned {
+	if p.joined != nil && p.joined.describes(in) {
+		return p.joined
+	}
 	l := &learned{
 		cells: joinCells(maps.Clone(p.own.Cells), p.pooledLocked()), ratings: map[QualityKey]CountStat{},
 		lengths: map[string]MomentStat{}, debts: map[string]float64{}, settled: map[string]BiasStat{},
+		predicted: map[CellKey][2]float64{},
 	}
 	delays := []MeanStat{p.own.RatingDelay}
 	l.join(&p.own)
-	for name := range p.peers {
+	// In a fixed order, because sums of fractions depend on it.
+	for _, name := range slices.Sorted(maps.Keys(p.peers)) {
 		s := p.peers[name]
 		l.join(&s)
 		for class, d := range s.Debts {
@@ -46,17 +54,31 @@
 		l.ratingDelay = math.Exp(mean)
 	}
 	l.prepare(in)
+	p.joined = l
 	return l
 }
 
+// describes reports whether l was prepared for the same versions.
+func (l *learned) describes(in Inputs) bool {
+	if len(l.versionID) != len(in.Versions) {
+		return false
+	}
+	for i, v := range in.Versions {
+		if l.versionID[i] != v.ID || l.models[i] != v.Model {
+			return false
+		}
+	}
+	return true
+}
+
 // pooledLocked returns the joined cells of all peers. With 20 peers and 3,300
 // engines joining them takes longer than all other steps of a view, and
 // summaries change much more rarely than views, so the planner keeps the result.
 func (p *Planner) pooledLocked() map[CellKey]CellStat {
 	if p.peerCells == nil {
 		p.peerCells = map[CellKey]CellStat{}
-		for _, s := range p.peers {
-			joinCells(p.peerCells, s.Cells)
+		for _, name := range slices.Sorted(maps.Keys(p.peers)) {
+			joinCells(p.peerCells, p.peers[name].Cells)
 		}
 	}
 	return p.peerCells
@@ -153,17 +175,23 @@
 // version on an engine. Samples of the pair count most; the other versions of
 // the engine show how its speed compares.
 func (l *learned) times(upstream string, ver int) (first, perToken float64) {
+	key := CellKey{upstream, l.versionID[ver]}
+	if t, ok := l.predicted[key]; ok {
+		return t[0], t[1]
+	}
 	offset, weight := l.offset(upstream, ver)
 	if weight > 0 {
 		offset *= weight / (weight + 0.3)
 	}
-	c := l.cells[CellKey{upstream, l.versionID[ver]}]
+	c := l.cells[key]
 	x, w := c.PerToken.mean()
 	perTokenLog := (x*w + versionPull*(l.perToken[ver]+offset)) / (w + versionPull)
 	ratio := perTokenLog - l.perToken[ver]
 	y, wf := c.First.mean()
 	firstLog := (y*wf + versionPull*(l.first[ver]+ratio)) / (wf + versionPull)
-	return math.Exp(firstLog), math.Exp(perTokenLog)
+	first, perToken = math.Exp(firstLog), math.Exp(perTokenLog)
+	l.predicted[key] = [2]float64{first, perToken}
+	return first, perToken
 }
 
 // offset is how much slower than typical an engine is, judged by its other
