--- a/bench/flight.go
+++ b/bench/flight.go
@@ -14,13 +14,11 @@
 	running int
 	calls   int
 	// held is the best answer at hand.
-	held       int
-	heldGood   float64
-	tokens     float64
-	tried      []int
-	released   time.Duration
-	avoid      int
-	failedLast bool
+	held     int
+	heldGood float64
+	tokens   float64
+	tried    []int
+	released time.Duration
 	// judged is set once the rating of the first answer is known.
 	judged bool
 }
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -17,9 +17,6 @@
 	// firstTokenPrice is the cost of one second until the first token, in units
 	// of the cost of a mean request of the class on the dearest version.
 	firstTokenPrice = 0.003
-	// exploreSD is the standard deviation of a quality above which a version is
-	// worth exploring.
-	exploreSD = 0.08
 )
 
 // candidate is one way to begin, with its predicted result.
@@ -58,6 +55,10 @@
 		return Plan{Refusal: errkind.NoCapacity}
 	}
 	plan := w.plan(&best, mu, left)
+	if k, ok := p.explore.take(&w, &plan, mu, sigma, left, r.LatencyQuantile, p.opts.Exploration); ok {
+		best, plan = k, w.plan(&k, mu, left)
+		plan.Explore = true
+	}
 	plan.Priority = priorityOf(r, left, w.options[best.option].total(math.Exp(mu)))
 	t.note(r.QualityTarget + qualityMargin + c.bias - plan.Quality)
 	p.noteAdmitted(r, &w.options[best.option], math.Exp(mu), now)
@@ -123,6 +124,7 @@
 	return option{
 		version: ver, upstream: -1, price: v.price[ver],
 		tokenCost: v.versions[ver].CostPer1kOutput / 1000,
+		doubt:     q.sd,
 		quality:   clamp(q.mean-qualityCaution*q.sd, minQuality, maxQuality),
 	}
 }
--- a/policy/learn.go
+++ b/policy/learn.go
@@ -11,7 +11,8 @@
 	// RatingAccuracy is the probability that a rating is right. Default: 0.9.
 	RatingAccuracy float64
 	// Exploration is the share of requests that may go to a version which is
-	// not the best known one. Default: 0.02.
+	// not the best known one, and the share of the cost that this may add.
+	// Default: 0.02.
 	Exploration float64
 	// RetryBudget is the number of retries per request, on average, of each
 	// organisation. Default: 0.1.
@@ -31,6 +32,7 @@
 	opts    Options
 	targets sync.Map // class name to *target
 	orgs    sync.Map // organisation to *budget
+	explore explorer
 
 	// building serialises BuildView.
 	building sync.Mutex
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -169,6 +169,32 @@
 	assert.Assert(t, retries >= 95, "%d retries", retries)
 }
 
+// Guards against exploration beyond its budgets of requests and cost.
+func TestExplorationStaysWithinBudget(t *testing.T) {
+	const share, n = 0.02, 5000
+	explored, cost := [2]int{}, [2]float64{}
+	for i, budget := range []float64{share, 1e-9} {
+		p := New(Options{Exploration: budget})
+		in := fleet(3, 3)
+		for range 100 {
+			p.ObserveRating("c", "v0", true, time.Second, 0)
+		}
+		v := p.BuildView(in, 0)
+		for seed := range uint64(n) {
+			r := ask(3)
+			r.Seed, r.QualityTarget = seed, 0.5
+			plan := p.Choose(v, &r, 0)
+			cost[i] += plan.Cost
+			if plan.Explore {
+				explored[i]++
+			}
+		}
+	}
+	assert.Assert(t, explored[0] > 0 && explored[0] <= n*share+1, "%d of %d requests explore", explored[0], n)
+	assert.Equal(t, explored[1], 0)
+	assert.Assert(t, cost[0] <= cost[1]*(1+share)*1.01, "cost %v, without exploration %v", cost[0], cost[1])
+}
+
 // Guards against a class that misses its target although dearer versions would
 // meet it, and against paying for the dearest version only.
 func TestMixMeetsTargetBelowTheCostOfTheBest(t *testing.T) {
--- a/policy/selection.go
+++ b/policy/selection.go
@@ -45,6 +45,8 @@
 	// price of a second of a slot.
 	price   float64
 	quality float64
+	// doubt is the standard deviation of the quality.
+	doubt float64
 	// examined counts the engines that were looked at.
 	examined int
 }
--- a/policy/types.go
+++ b/policy/types.go
@@ -59,14 +59,11 @@
 	// EarlyCascade is a cascade whose second call starts before the rating of
 	// the first answer is known; it is cancelled on a good rating.
 	EarlyCascade
-	// Hedge starts the same version on a second upstream when the first token
-	// is late; the first of the two to send a token wins.
-	Hedge
 )
 
 // String returns the name of the kind.
 func (k PlanKind) String() string {
-	return [...]string{"one-call", "cascade", "early-cascade", "hedge"}[k]
+	return [...]string{"one-call", "cascade", "early-cascade"}[k]
 }
 
 // Call is one call of a plan.
@@ -83,7 +80,7 @@
 // carried out.
 type Plan struct {
 	Kind PlanKind
-	// Calls holds the first call and, for an early cascade or a hedge, the
+	// Calls holds the first call and, for an early cascade, the
 	// second one.
 	Calls [2]Call
 	// N is the number of calls in use.
