--- a/policy/choose.go
+++ b/policy/choose.go
@@ -55,6 +55,10 @@
 		return Plan{Refusal: errkind.NoCapacity}
 	}
 	plan := w.plan(&best, mu, left)
+	if k, ok := p.explore.take(&w, &plan, mu, sigma, left, r.LatencyQuantile, p.opts.Exploration); ok {
+		best, plan = k, w.plan(&k, mu, left)
+		plan.Explore = true
+	}
 	plan.Priority = priorityOf(r, left, w.options[best.option].total(math.Exp(mu)))
 	t.note(r.QualityTarget + qualityMargin + c.bias - plan.Quality)
 	p.noteAdmitted(r, &w.options[best.option], math.Exp(mu), now)
@@ -120,6 +124,7 @@
 	return option{
 		version: ver, upstream: -1, price: v.price[ver],
 		tokenCost: v.versions[ver].CostPer1kOutput / 1000,
+		doubt:     q.sd,
 		quality:   clamp(q.mean-qualityCaution*q.sd, minQuality, maxQuality),
 	}
 }
