engine: the list of runs is read under its lock

Cause: a run was listed before its token counts and quality were set, and those were set without the lock of the list; the race detector found it in a test of whole daemons that reads the runs while requests start. Ruled out: listing the run later, since a cancel must find it. Conclusion: the values are set under the lock; the two tests that reported the race pass twice under the detector.

--- a/standin/engine/completion.go
+++ b/standin/engine/completion.go
@@ -129,10 +129,10 @@
 	j.tokens = j.body.outputTokens()
 	j.fails = e.draw(j.profile.ErrorRate)
 	prefix := j.body.prefix()
-	j.run.PromptTokens = j.body.promptTokens()
+	prompt := j.body.promptTokens()
 	lost := e.draw(e.o.CacheEventLoss)
-	j.run.CachedTokens = min(j.run.PromptTokens, e.cache.use(j.run.Version, PrefixDigest(prefix), tokensOf(prefix), lost))
-	j.run.Good = e.good(j)
+	cached := min(prompt, e.cache.use(j.run.Version, PrefixDigest(prefix), tokensOf(prefix), lost))
+	e.runs.prepared(j.run, prompt, cached, e.good(j))
 	j.warm = e.takeKV(j.run.RequestID, j.run.Version, j.run.From)
 }
 
--- a/standin/engine/runs.go
+++ b/standin/engine/runs.go
@@ -73,6 +73,13 @@
 	delete(l.cancels, run.AttemptID)
 }
 
+// prepared completes a run that is already listed.
+func (l *runLog) prepared(run *Run, promptTokens, cachedTokens int, good bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	run.PromptTokens, run.CachedTokens, run.Good = promptTokens, cachedTokens, good
+}
+
 func (l *runLog) parts(run *Run, n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
