--- a/daemon/daemontest/daemons.go
+++ b/daemon/daemontest/daemons.go
@@ -69,6 +69,8 @@
 
 // replace puts d in the place of the earlier incarnation.
 func (s *System) replace(d *Daemon) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for i, old := range s.Daemons {
 		if old.ID == d.ID {
 			s.Daemons[i] = d
--- a/daemon/daemontest/network.go
+++ b/daemon/daemontest/network.go
@@ -201,6 +201,13 @@
 	n.topologyChanged()
 }
 
+// Dead tells whether a host was killed.
+func (n *Network) Dead(h *Host) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return h.dead
+}
+
 // KillAtMessage kills a host instead of letting the message number count from
 // now through, counting those that it writes and those written to it. The
 // returned channel is closed at its end.
--- a/daemon/daemontest/observe.go
+++ b/daemon/daemontest/observe.go
@@ -55,9 +55,11 @@
 
 // Live returns the daemons that a balancer sends callers to in a zone; the zone "" means all.
 func (s *System) Live(zone string) []*Daemon {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var live []*Daemon
 	for _, d := range s.Daemons {
-		if (zone == "" || d.Zone == zone) && !d.Host.dead && !d.retired {
+		if (zone == "" || d.Zone == zone) && !d.retired && !s.Net.Dead(d.Host) {
 			live = append(live, d)
 		}
 	}
@@ -97,7 +99,7 @@
 func (s *System) Restore(id string) {
 	s.Engines[id].SetFaults(engine.Faults{})
 	s.Net.HealAll()
-	if h := s.hosts[id]; h.dead {
+	if h := s.hosts[id]; s.Net.Dead(h) {
 		s.hosts[id] = s.Net.Replace(h)
 		s.serve(s.hosts[id], s.Engines[id])
 	}
@@ -105,7 +107,9 @@
 
 // Retire takes a daemon out of the balancer and off the platform's list.
 func (s *System) Retire(d *Daemon) {
+	s.mu.Lock()
 	d.retired = true
+	s.mu.Unlock()
 	s.VMs = slices.DeleteFunc(slices.Clone(s.VMs), func(vm platform.VM) bool {
 		return vm.AvailabilityZone+"/"+vm.ID == d.ID
 	})
--- /dev/null
+++ b/daemon/daemontest/race_on_test.go
@@ -0,0 +1,12 @@
+//go:build race
+
+package daemontest_test
+
+import "time"
+
+const (
+	// longOutage and pairSeeds are smaller under the race detector, which makes
+	// these tests about ten times slower.
+	longOutage = time.Minute
+	pairSeeds  = 3
+)
--- a/daemon/daemontest/system.go
+++ b/daemon/daemontest/system.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -64,7 +65,8 @@
 }
 
 // System is a platform, engines, plain services and daemons in three zones. It
-// belongs to the goroutine of the test.
+// belongs to the goroutine of the test; Live and the calls of daemons are safe
+// for concurrent use.
 type System struct {
 	T        testing.TB
 	Net      *Network
@@ -75,7 +77,8 @@
 	// VMs is the platform's list; call Platform.SetVMs after a change.
 	VMs []platform.VM
 
-	o Options
+	o  Options
+	mu sync.Mutex // guards Daemons and their retired flags
 	// ended holds the killed incarnations of restarted daemons.
 	ended    []*Daemon
 	platform *Host
