bench: targets without exemptions, listed in KNOWN-RED.txt where missed

The test of the calm level left out the class that misses its quality and allowed 0.005 below each target; the targets for the first token with slow engines and for calls while a zone fails had no check. The checks now have the stated bounds.

--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/savoryshift/savoryshift/internal/knownred"
 )
 
 var workloadFiles = []string{"../examples/workloads/trust.json", "../examples/workloads/agencia.json"}
@@ -30,10 +32,6 @@
 	return by
 }
 
-// unreachable names the class whose target no router reaches without knowing
-// answer lengths in advance; docs/results.md shows the limit.
-const unreachable = "trust long"
-
 // checkCalm returns what misses the targets of the calm level.
 func checkCalm(w *Workload, router, best, oracle *Cell) (misses []string) {
 	if router.Cost > 0.25*best.Cost {
@@ -45,7 +43,7 @@
 	for i := range router.Classes {
 		k := &router.Classes[i]
 		expected := k.Expected / float64(max(1, k.Answers))
-		if expected < k.Target-0.005 && w.Name+" "+k.Name != unreachable {
+		if expected < k.Target {
 			misses = append(misses, fmt.Sprintf("class %s: quality %.3f of %.2f", k.Name, expected, k.Target))
 		}
 	}
@@ -61,6 +59,7 @@
 	for _, path := range workloadFiles {
 		w := load(t, path)
 		t.Run(w.Name, func(t *testing.T) {
+			knownred.PassOver(t, "bench")
 			cells := run(t, Options{Workload: w, Levels: []string{"calm"}, Faults: []string{"calm"}, Seeds: []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10},
 				Routers: append(RouterNames(), routerOracle)})
 			at := func(router string) *Cell { return cells[router+" calm calm"] }
@@ -73,6 +72,38 @@
 	}
 }
 
+// Guards against slow engines that delay the first token: its p95 per call is at
+// most 0.7 of that of least outstanding requests.
+func TestFirstTokenWithSlowEngines(t *testing.T) {
+	for _, path := range workloadFiles {
+		w := load(t, path)
+		for _, level := range []string{"calm", "busy"} {
+			t.Run(w.Name+"-"+level, func(t *testing.T) {
+				knownred.PassOver(t, "bench")
+				cells := run(t, Options{Workload: w, Levels: []string{level}, Faults: []string{"engines-slow"}, Seeds: []uint64{1},
+					Routers: []string{routerPolicy, routerLeastRequests}})
+				ours, theirs := cells["policy "+level+" engines-slow"].Summary.CallFirstP95, cells[routerLeastRequests+" "+level+" engines-slow"].Summary.CallFirstP95
+				assert.Assert(t, ours <= 0.7*theirs, "p95 %.2f s, least outstanding %.2f s", ours, theirs)
+			})
+		}
+	}
+}
+
+// Guards against calls that multiply while the engines of a zone fail. All calls
+// count, also those of cascades.
+func TestCallsWhileAZoneFails(t *testing.T) {
+	for _, path := range workloadFiles {
+		w := load(t, path)
+		t.Run(w.Name, func(t *testing.T) {
+			knownred.PassOver(t, "bench")
+			cells := run(t, Options{Workload: w, Levels: []string{"calm"}, Faults: []string{"zone-engines-down"}, Seeds: []uint64{1},
+				Routers: []string{routerPolicy}})
+			c := cells["policy calm zone-engines-down"]
+			assert.Assert(t, float64(c.Calls) <= 1.1*float64(c.Requests), "%d calls for %d requests", c.Calls, c.Requests)
+		})
+	}
+}
+
 // Guards against cells in which a simple baseline serves more requests.
 func TestServesAtLeastAsManyAsTheBestBaseline(t *testing.T) {
 	for _, path := range workloadFiles {
