daemon: a successful probe ends the backoff of an upstream

After failed calls an upstream receives no call until a backoff that grows to 30 s; only an answered call ended it, so an upstream that was back stayed unused. Probes of the control loop now end it. The proofs page may name packages with digits.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -164,6 +164,10 @@
 	switch e := e.(type) {
 	case system.Probe:
 		result := c.probe(ctx, e)
+		if !result.Failed {
+			// Ends the backoff after failed calls.
+			c.routing.liveOf(e.Upstream).Succeeded()
+		}
 		c.collect(func(in *system.Inputs) { in.Probes = append(in.Probes, result) })
 	case system.Transfer:
 		result := c.transfer(ctx, e)
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -11,7 +11,7 @@
 )
 
 var (
-	proofRow = regexp.MustCompile("^\\| .* \\| .* \\| `([a-z/]+):(Test[A-Za-z0-9_]+)` \\| .* \\|$")
+	proofRow = regexp.MustCompile("^\\| .* \\| .* \\| `([a-z0-9/]+):(Test[A-Za-z0-9_]+)` \\| .* \\|$")
 	link     = regexp.MustCompile(`\]\(([^)#:]+)\)`)
 )
 
