--- a/proxy/claims.go
+++ b/proxy/claims.go
@@ -47,7 +47,7 @@
 	case errors.Is(err, claim.ErrFingerprintMismatch):
 		return errkind.Wrap(errkind.IdempotencyMismatch, err)
 	case errors.Is(err, claim.ErrNotRun):
-		return errkind.Wrap(errkind.ClaimUnavailable, err)
+		return errkind.New(errkind.ClaimUnavailable, "this attempt was not run; whether an earlier one under the same key was, the platform could not be asked: %w", err)
 	}
 	return errkind.Wrap(errkind.OutcomeUnknown, err)
 }
