daemon: hints of prefixes are trimmed rarely and filtered by age

Each answer beyond 4,096 hints moved the whole list, 130 KB per request, and each view converted hints that the policy ignores as too old. A plan without calls and without an answer at hand now ends in a refusal instead of an index out of range. Conclusion: TestHintsFollowCacheEvents passes; not measured.

--- a/daemon/hints.go
+++ b/daemon/hints.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	// maxHints bounds the prefixes that are remembered; the oldest go first.
+	// maxHints is the number of prefixes that a view gets, the newest. Up to
+	// twice as many are kept, so that the list is seldom moved.
 	maxHints = 4096
 	// eventUpstreams is the number of engines up to which cache events are read
 	// with each probe. With more, the answers received here have to do, because
@@ -43,7 +44,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.list = append(h.list, hint{prefix, id, at})
-	if len(h.list) > maxHints {
+	if len(h.list) >= 2*maxHints {
 		h.list = slices.Delete(h.list, 0, len(h.list)-maxHints)
 	}
 }
@@ -57,13 +58,14 @@
 	})
 }
 
-// view returns the hints for the upstreams of a view.
-func (h *hints) view(index map[string]int) []policy.PrefixHint {
+// view returns the hints since a moment for the upstreams of a view.
+func (h *hints) view(index map[string]int, since time.Duration) []policy.PrefixHint {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	list := make([]policy.PrefixHint, 0, len(h.list))
-	for _, k := range h.list {
-		if i, ok := index[k.upstream]; ok {
+	newest := h.list[max(0, len(h.list)-maxHints):]
+	list := make([]policy.PrefixHint, 0, len(newest))
+	for _, k := range newest {
+		if i, ok := index[k.upstream]; ok && k.at >= since {
 			list = append(list, policy.PrefixHint{Prefix: k.prefix, Upstream: i, At: k.at})
 		}
 	}
--- a/daemon/hints_test.go
+++ b/daemon/hints_test.go
@@ -20,19 +20,19 @@
 
 	evicted.AgeMs = 5000 // before the hint
 	h.take("e1", upstream.CacheEventsReply{Last: 3, Events: []upstream.CacheEvent{evicted}}, 12*time.Second)
-	assert.Equal(t, len(h.view(index)), 2)
+	assert.Equal(t, len(h.view(index, 0)), 2)
 	evicted.AgeMs = 1000
 	h.take("e1", upstream.CacheEventsReply{Last: 4, Events: []upstream.CacheEvent{evicted}}, 12*time.Second)
-	assert.Equal(t, len(h.view(index)), 1)
+	assert.Equal(t, len(h.view(index, 0)), 1)
 
 	stored := upstream.CacheEvent{Kind: upstream.CacheStored, Prefix: "zz"}
 	h.take("e1", upstream.CacheEventsReply{Last: 5, Events: []upstream.CacheEvent{stored}}, 12*time.Second)
-	assert.Equal(t, len(h.view(index)), 1) // a digest that cannot be read
+	assert.Equal(t, len(h.view(index, 0)), 1) // a digest that cannot be read
 	h.take("e2", upstream.CacheEventsReply{Last: 9}, 12*time.Second)
 	h.take("e2", upstream.CacheEventsReply{Last: 1}, 13*time.Second) // restarted
-	assert.Equal(t, len(h.view(index)), 0)
+	assert.Equal(t, len(h.view(index, 0)), 0)
 	for i := range 2 * maxHints {
 		h.add(uint64(i), "e1", 0)
 	}
-	assert.Equal(t, len(h.view(index)), maxHints)
+	assert.Equal(t, len(h.view(index, 0)), maxHints)
 }
--- a/daemon/routing.go
+++ b/daemon/routing.go
@@ -124,7 +124,7 @@
 			Live:     live,
 		}
 	}
-	in.Hints = r.hints.view(v.upstreams)
+	in.Hints = r.hints.view(v.upstreams, r.now()-policy.HintLifetime)
 	v.View = r.planner.BuildView(in, r.now())
 	r.view.Store(v)
 }
--- a/policy/view.go
+++ b/policy/view.go
@@ -57,8 +57,8 @@
 // maxBias bounds the correction of promised quality.
 const maxBias = 0.05
 
-// hintLifetime is the age at which a cache hint is no longer used.
-const hintLifetime = 30 * time.Second
+// HintLifetime is the age at which a cache hint is no longer used.
+const HintLifetime = 30 * time.Second
 
 // maxHints is the number of engines remembered per prefix.
 const maxHints = 3
@@ -175,7 +175,7 @@
 	for i := len(hints) - 1; i >= 0; i-- {
 		h := hints[i]
 		list := v.hints[h.Prefix]
-		if now-h.At > hintLifetime || len(list) >= maxHints {
+		if now-h.At > HintLifetime || len(list) >= maxHints {
 			continue
 		}
 		v.hints[h.Prefix] = append(list, int32(h.Upstream))
--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -58,8 +58,8 @@
 // returned rather than nothing.
 func (x *execution) run(ctx context.Context, plan Plan) (answer, error) {
 	for {
-		if len(plan.Steps) == 0 && x.held != nil {
-			return *x.held, nil
+		if len(plan.Steps) == 0 {
+			return x.orHeld(answer{}, errkind.New(errkind.NoCapacity, "no further call is worth making"))
 		}
 		a, failed, err := x.runSteps(ctx, plan)
 		if err == nil && !failed {
