proxy: a second call for hanging engines; "not run" over several calls

Cause: a request that failed at one engine and was then refused by another was answered with ran "no", although the first call may have run; the same held for repeatable calls of plain services, and for a call that reached its deadline right before the next decision. An error now says "unknown" once any call of the request may have run. Ruled out: leaving the decision to each call, since none knows of the others.

A whole answer from an engine that hangs was waited for until the deadline. After three times its predicted time a call now gets a second one elsewhere, which counts as a retry; the first answer, or the first part of a stream, wins. TestHangingEngineIsLeftForAnother: answered in under 2 s of 5, and without patience not at all.

--- a/daemon/routing.go
+++ b/daemon/routing.go
@@ -18,6 +18,11 @@
 )
 
 const (
+	// patienceFactor times the predicted time of a call is waited before a
+	// second one, and at least minPatience, because predictions of short calls
+	// vary with the load of the machine.
+	patienceFactor = 3
+	minPatience    = 500 * time.Millisecond
 	// sameZoneDistance and otherZoneDistance are assumed one-way latencies.
 	sameZoneDistance  = 250 * time.Microsecond
 	otherZoneDistance = 2 * time.Millisecond
@@ -289,6 +294,7 @@
 		plan.Steps = append(plan.Steps, proxy.Step{
 			Target:     proxy.Target{Upstream: id, URL: up.URL, Model: info.Model, Version: version},
 			StartAfter: call.StartAfter,
+			Patience:   max(minPatience, patienceFactor*call.Expected),
 			Rated:      i == 0 && (p.Kind == policy.Cascade || p.Kind == policy.EarlyCascade),
 		})
 	}
--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -49,6 +49,9 @@
 	live bool
 	// delivered is the number of the last part that was delivered.
 	delivered int
+	// mayHaveRun says that an earlier call may have run, so that the request
+	// cannot be refused as "not run" any more.
+	mayHaveRun bool
 	// rerouted says that the versions were chosen again.
 	rerouted bool
 }
@@ -57,6 +60,15 @@
 // accepted. When the time is up, an answer that was rated as not good is
 // returned rather than nothing.
 func (x *execution) run(ctx context.Context, plan Plan) (answer, error) {
+	a, err := x.runPlans(ctx, plan)
+	if err != nil && x.mayHaveRun && errkind.RanOf(err) == errkind.RanNo {
+		err = errkind.WithRan(err, errkind.RanUnknown)
+	}
+	return a, err
+}
+
+// runPlans makes the calls of one plan after the other.
+func (x *execution) runPlans(ctx context.Context, plan Plan) (answer, error) {
 	for {
 		if len(plan.Steps) == 0 {
 			return x.orHeld(answer{}, errkind.New(errkind.NoCapacity, "no further call is worth making"))
@@ -65,7 +77,7 @@
 		if err == nil && !failed {
 			return a, nil
 		}
-		if ctx.Err() != nil || !time.Now().Before(x.m.route.Deadline.Add(-heldReleaseMargin)) && x.held != nil {
+		if ctx.Err() != nil || x.timeIsUp() {
 			return x.orHeld(a, errkind.Wrap(errkind.UpstreamTimeout, errOr(err, context.DeadlineExceeded)))
 		}
 		if next, ok := x.reroute(err); ok {
@@ -87,6 +99,23 @@
 	}
 }
 
+// timeIsUp tells whether nothing more can be done before the deadline. An answer
+// at hand is released a little earlier.
+func (x *execution) timeIsUp() bool {
+	end := x.m.route.Deadline
+	if x.held != nil {
+		end = end.Add(-heldReleaseMargin)
+	}
+	return !time.Now().Before(end)
+}
+
+// note remembers what a failed call says about the request.
+func (x *execution) note(err error) {
+	if err != nil && errkind.RanOf(err) != errkind.RanNo {
+		x.mayHaveRun = true
+	}
+}
+
 // reroute chooses versions again when the one of the plan was withdrawn or
 // halted between the decision and the write.
 func (x *execution) reroute(err error) (Plan, bool) {
@@ -136,12 +165,15 @@
 	switch {
 	case live:
 		a, err = x.streamSteps(ctx, plan)
+	case len(plan.Steps) == 1 && x.mayGetSecond(first):
+		return x.patientWhole(ctx, first, plan.Priority)
 	case len(plan.Steps) == 1:
 		a, err = x.s.callWhole(ctx, x.m, first.Target, plan.Priority)
 	default:
 		return x.raceSteps(ctx, plan)
 	}
 	x.progress.Calls++
+	x.note(err)
 	if err != nil {
 		x.fail(a.target)
 		return a, false, err
@@ -202,6 +234,7 @@
 	for i := range plan.Steps {
 		last = <-results
 		x.progress.Calls++
+		x.note(last.err)
 		if last.good {
 			x.progress.Failed = nil
 			return last.answer, false, nil
--- a/proxy/fixture_test.go
+++ b/proxy/fixture_test.go
@@ -182,6 +182,11 @@
 func (w *world) post(url, key, body string, header ...string) reply {
 	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
 	assert.NilError(w.t, err)
+	return w.do(req, key, header...)
+}
+
+// do sends a request with the key of an organisation and reads the answer.
+func (w *world) do(req *http.Request, key string, header ...string) reply {
 	req.Header.Set("Authorization", "Bearer "+key)
 	for i := 0; i+1 < len(header); i += 2 {
 		req.Header.Add(header[i], header[i+1])
--- a/proxy/live.go
+++ b/proxy/live.go
@@ -21,8 +21,12 @@
 // were delivered the call resumes behind them.
 func (x *execution) streamSteps(ctx context.Context, plan Plan) (answer, error) {
 	x.live = true
-	if len(plan.Steps) == 1 {
-		return x.streamStep(ctx, plan, 0, func() bool { return true })
+	first, from := plan.Steps[0], x.delivered
+	switch {
+	case len(plan.Steps) == 1 && x.mayGetSecond(first):
+		return x.patientStream(ctx, first, plan.Priority)
+	case len(plan.Steps) == 1:
+		return x.streamStep(ctx, first.Target, plan.Priority, from, func() bool { return true })
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -35,7 +39,7 @@
 				results <- stepResult{index: i, answer: answer{target: step.Target}, err: ctx.Err()}
 				return
 			}
-			a, err := x.streamStep(ctx, plan, i, func() bool {
+			a, err := x.streamStep(ctx, step.Target, plan.Priority, from, func() bool {
 				return winner.CompareAndSwap(0, int32(i+1)) || winner.Load() == int32(i+1)
 			})
 			results <- stepResult{index: i, answer: a, err: err}
@@ -54,24 +58,27 @@
 		close(begin)
 	}
 	second := <-results
+	x.note(first.err)
+	x.note(second.err)
 	chosen := second
-	if winner.Load() == int32(first.index+1) {
+	if winner.Load() == int32(first.index+1) || errors.Is(second.err, errNotStarted) {
 		chosen = first
 	}
 	return chosen.answer, chosen.err
 }
 
-// streamStep delivers the answer of one step for as long as won reports true.
-func (x *execution) streamStep(ctx context.Context, plan Plan, index int, won func() bool) (answer, error) {
-	a := answer{target: plan.Steps[index].Target}
-	call, err := x.s.newCall(x.m, a.target, plan.Priority, true)
+// streamStep delivers the answer of one step behind part from, for as long as
+// won reports true.
+func (x *execution) streamStep(ctx context.Context, target Target, priority, from int, won func() bool) (answer, error) {
+	a := answer{target: target}
+	call, err := x.s.newCall(x.m, a.target, priority, true)
 	if err != nil {
 		return a, err
 	}
 	var text bytes.Buffer
 	keep := x.s.o.Router.SampleRating(x.m.route, a.target)
 	x.s.o.Router.Started(x.m.route, a.target)
-	a.result, err = x.s.o.Upstream.Stream(ctx, call, x.delivered, func(p upstream.Part) error {
+	a.result, err = x.s.o.Upstream.Stream(ctx, call, from, func(p upstream.Part) error {
 		if !won() {
 			return errSuperseded
 		}
--- a/proxy/model_test.go
+++ b/proxy/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -223,3 +224,57 @@
 		})
 	}
 }
+
+// Guards against an engine that hangs and holds a request until its deadline,
+// although another engine could answer. Without patience it does.
+func TestHangingEngineIsLeftForAnother(t *testing.T) {
+	for _, patient := range []bool{true, false} {
+		for _, stream := range []bool{true, false} {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				w.engines["e1"].SetFaults(engine.Faults{Frozen: true})
+				first := step("e1", "s1")
+				if patient {
+					first.Patience = time.Second
+				}
+				router := w.router(first)
+				router.Follow = []proxy.Plan{{Kind: "second", Steps: []proxy.Step{step("e2", "s1")}}}
+				url := w.serve("10.1.0.1:80", w.options(router))
+				body := fmt.Sprintf(`{"model":"brief","stream":%t,"max_tokens":8,"messages":[{"role":"user","content":"hello"}]}`, stream)
+				start := time.Now()
+				r := w.post(url+"/v1/chat/completions", callerKey, body, proxy.HeaderDeadline, "5000")
+				if patient {
+					assert.Equal(t, r.status, 200, r.body)
+					assert.Assert(t, time.Since(start) < 2*time.Second)
+					assert.Equal(t, len(w.biller.Usage()), 1)
+				} else {
+					wantKind(t, r, errkind.UpstreamTimeout)
+				}
+				w.engines["e1"].SetFaults(engine.Faults{})
+				synctest.Wait()
+			})
+		}
+	}
+}
+
+// Guards against "not run" of a request whose first call may have run, when the
+// call that follows it is refused.
+func TestRefusedRetryDoesNotHideTheFirstCall(t *testing.T) {
+	for name, first := range map[string]engine.Faults{"cut": {CutAfterPart: 1}, "malformed": {Malformed: true}} {
+		for _, stream := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, stream %t", name, stream), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newWorld(t)
+					w.engines["e1"].SetFaults(first)
+					w.engines["e2"].SetFaults(engine.Faults{Leaving: true})
+					router := w.router(step("e1", "s1"))
+					router.Follow = []proxy.Plan{{Kind: "retry", Steps: []proxy.Step{step("e2", "s1")}}}
+					url := w.serve("10.1.0.1:80", w.options(router))
+					body := fmt.Sprintf(`{"model":"brief","stream":%t,"max_tokens":8,"messages":[{"role":"user","content":"hello"}]}`, stream)
+					r := w.post(url+"/v1/chat/completions", callerKey, body)
+					assert.Assert(t, len(w.engines["e1"].Runs()) == 1 && !strings.Contains(r.body, `"ran":"no"`), r.body)
+				})
+			})
+		}
+	}
+}
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -42,6 +42,10 @@
 	Target
 	// StartAfter is the delay from the start of the plan.
 	StartAfter time.Duration
+	// Patience is how long to wait for a part of the answer, or for a whole one,
+	// before a second call is made elsewhere; 0 means until the deadline. It
+	// counts in plans with one step.
+	Patience time.Duration
 	// Rated says that the answer is accepted only when the rating service
 	// finds it good.
 	Rated bool
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -35,6 +35,7 @@
 	repeated       expvar.Int
 	ratingErrors   expvar.Int
 	cancelsFailed  expvar.Int
+	secondCalls    expvar.Int
 	ratingsDropped expvar.Int
 	plans          expvar.Map
 	errors         expvar.Map
@@ -69,6 +70,7 @@
 	m.Set("answered", &s.counters.answered)
 	m.Set("retries", &s.counters.retries)
 	m.Set("retries_refused", &s.counters.retriesRefused)
+	m.Set("second_calls", &s.counters.secondCalls)
 	m.Set("cancels_failed", &s.counters.cancelsFailed)
 	m.Set("rating_errors", &s.counters.ratingErrors)
 	m.Set("ratings_dropped", &s.counters.ratingsDropped)
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -84,19 +84,27 @@
 // when the first one fails and the retry budget allows it.
 func (s *Server) forwardRepeatable(ctx context.Context, q *serviceRequest) (upstream.ServiceResult, error) {
 	var tried []string
+	mayHaveRun := false
+	refuse := func(err error) (upstream.ServiceResult, error) {
+		if mayHaveRun && errkind.RanOf(err) == errkind.RanNo {
+			err = errkind.WithRan(err, errkind.RanUnknown)
+		}
+		return upstream.ServiceResult{}, err
+	}
 	for {
 		target, err := s.o.Router.ServiceTarget(q.service, tried)
 		if err != nil {
-			return upstream.ServiceResult{}, err
+			return refuse(err)
 		}
 		result, err := s.o.Upstream.Forward(ctx, q.call(target, true, nil))
 		s.o.Router.ServiceFinished(target, err)
 		if err == nil {
 			return result, nil
 		}
+		mayHaveRun = mayHaveRun || errkind.RanOf(err) != errkind.RanNo
 		tried = append(tried, target.Upstream)
 		if ctx.Err() != nil || !q.budget.take() {
-			return upstream.ServiceResult{}, err
+			return refuse(err)
 		}
 		s.counters.retries.Add(1)
 	}
--- a/proxy/service_test.go
+++ b/proxy/service_test.go
@@ -206,3 +206,17 @@
 		})
 	}
 }
+
+// Guards against "not run" of a repeatable call whose first try was executed,
+// when no other instance can be tried.
+func TestRefusedRetryOfAReadDoesNotHideTheFirstTry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.desk.SetFaults(service.Faults{CutReply: true})
+		url := w.serve("10.1.0.1:80", w.options(w.router()))
+		req, err := http.NewRequest(http.MethodGet, url+"/desk/bookings", nil)
+		assert.NilError(t, err)
+		r := w.do(req, callerKey)
+		assert.Assert(t, r.status >= 500 && r.err.Ran != errkind.RanNo, r.body)
+	})
+}
