workload: one package reads workload files

The load tool and the policy experiments each had their own types for the same file, one strict and one not. Package workload has the types and the strict decoder; the experiments check the whole file, the load tool the classes that it draws from. Ruled out: the load tool on package bench, which would pull in the policy.

--- a/bench/arrivals.go
+++ b/bench/arrivals.go
@@ -4,6 +4,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/savoryshift/savoryshift/workload"
 )
 
 // arrival is one request as generated, before any router sees it.
@@ -52,7 +54,7 @@
 	return x ^ (x >> 31)
 }
 
-func (d Lognormal) draw(rng *rand.Rand) float64 {
+func draw(d workload.Lognormal, rng *rand.Rand) float64 {
 	return d.Median * math.Exp(d.Sigma*rng.NormFloat64())
 }
 
@@ -89,9 +91,9 @@
 		list = append(list, &arrival{
 			id: len(list), at: at, class: k, organisation: s.organisation, session: s,
 			daemon:      rng.IntN(daemons),
-			prompt:      math.Max(1, math.Round(c.PromptTokens.draw(rng))),
-			output:      math.Max(1, math.Round(c.OutputTokens.draw(rng))),
-			deadline:    time.Duration(c.DeadlineMs.draw(rng) * float64(time.Millisecond)),
+			prompt:      math.Max(1, math.Round(draw(c.PromptTokens, rng))),
+			output:      math.Max(1, math.Round(draw(c.OutputTokens, rng))),
+			deadline:    time.Duration(draw(c.DeadlineMs, rng) * float64(time.Millisecond)),
 			leaves:      time.Duration(c.CallerLeavesMs * float64(time.Millisecond)),
 			prefix:      uint64(k*prefixStride + s.group + 1),
 			prefixShare: c.PrefixShare,
@@ -101,7 +103,7 @@
 
 // nextSession continues an open session or starts one, so that sessions have
 // the mean length of the class.
-func nextSession(w *Workload, c *Class, rng *rand.Rand, open *[]*session, at time.Duration, count *int) *session {
+func nextSession(w *Workload, c *workload.Class, rng *rand.Rand, open *[]*session, at time.Duration, count *int) *session {
 	length := math.Max(1, c.SessionLengthCalls)
 	if len(*open) > 0 && rng.Float64() >= 1/length {
 		i := rng.IntN(len(*open))
--- a/bench/engine.go
+++ b/bench/engine.go
@@ -3,6 +3,8 @@
 import (
 	"container/heap"
 	"time"
+
+	"github.com/savoryshift/savoryshift/workload"
 )
 
 // Behaviour of the emulated engines.
@@ -80,7 +82,7 @@
 type engine struct {
 	world   *world
 	index   int
-	spec    *Upstream
+	spec    *workload.Upstream
 	zone    int
 	speed   float64
 	down    bool
--- a/bench/faults.go
+++ b/bench/faults.go
@@ -1,11 +1,15 @@
 package bench
 
-import "time"
+import (
+	"time"
+
+	"github.com/savoryshift/savoryshift/workload"
+)
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // scheduleFault schedules the events of a fault, each with its end.
-func (w *world) scheduleFault(f *Fault) {
+func (w *world) scheduleFault(f *workload.Fault) {
 	if f == nil {
 		return
 	}
@@ -19,31 +23,31 @@
 }
 
 // apply starts or ends one event.
-func (w *world) apply(e *Event, on bool) {
+func (w *world) apply(e *workload.Event, on bool) {
 	switch e.Kind {
-	case eventVersionQuality:
+	case workload.EventVersionQuality:
 		w.forVersion(e.Version, func(v int) {
 			w.quality[v] = choose(on, e.QualityFactor, 1)
 			w.bad[v] = choose(on, w.now, -1)
 		})
-	case eventVersionErrors:
+	case workload.EventVersionErrors:
 		w.forVersion(e.Version, func(v int) {
 			w.errors[v] = choose(on, e.ErrorProbability, 0)
 			w.bad[v] = choose(on, w.now, -1)
 		})
-	case eventUpstreamsDown:
+	case workload.EventUpstreamsDown:
 		for _, en := range w.selected(e) {
 			en.setDown(on)
 		}
-	case eventUpstreamsSlow:
+	case workload.EventUpstreamsSlow:
 		for _, en := range w.selected(e) {
 			en.setSpeed(en.spec.SpeedFactor * choose(on, e.SpeedFactor, 1))
 		}
-	case eventZoneCut:
+	case workload.EventZoneCut:
 		w.cutZone(e, on)
-	case eventPlatformDown:
+	case workload.EventPlatformDown:
 		w.platformDown = on
-	case eventRatingDelay:
+	case workload.EventRatingDelay:
 		w.ratingDelay = seconds(choose(on, e.Ms, w.load.Rating.DelayMs) / 1000)
 	}
 }
@@ -63,7 +67,7 @@
 
 // selected returns the engines that an event is about: those of a zone, those
 // of a version, each n-th, or all.
-func (w *world) selected(e *Event) []*engine {
+func (w *world) selected(e *workload.Event) []*engine {
 	var list []*engine
 	for i, en := range w.engines {
 		if e.AvailabilityZone != "" && en.spec.AvailabilityZone != e.AvailabilityZone {
@@ -89,7 +93,7 @@
 	return false
 }
 
-func (w *world) cutZone(e *Event, on bool) {
+func (w *world) cutZone(e *workload.Event, on bool) {
 	z := w.zoneIndex(e.AvailabilityZone)
 	if z < 0 {
 		return
--- a/bench/world.go
+++ b/bench/world.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/savoryshift/savoryshift/workload"
 )
 
 // Behaviour of the network and the platform.
@@ -105,7 +107,7 @@
 	tick()
 }
 
-func newWorld(load *Workload, fault *Fault, seed uint64) *world {
+func newWorld(load *Workload, fault *workload.Fault, seed uint64) *world {
 	w := &world{load: load, seed: seed, pins: map[[2]int]int{}, firstHalt: -1}
 	w.ratingDelay = time.Duration(load.Rating.DelayMs * float64(time.Millisecond))
 	w.zones = make([]zoneState, len(load.AvailabilityZones))
--- a/cmd/savoryctl/load.go
+++ b/cmd/savoryctl/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"os"
 	"os/signal"
@@ -12,6 +13,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/savoryshift/savoryshift/load"
+	"github.com/savoryshift/savoryshift/workload"
 )
 
 // loadCommand runs the load generator and prints its report as JSON.
@@ -43,10 +45,13 @@
 		BookingRetries: c.BookingRetries, EngineVersion: c.EngineVersion, MaxInFlight: c.MaxInFlight, Seed: c.Seed,
 	}
 	if c.Workload != "" {
-		w, err := load.ReadWorkload(c.Workload)
+		w, err := workload.Load(c.Workload)
 		if err != nil {
 			return err
 		}
+		if err := w.ValidateClasses(); err != nil {
+			return fmt.Errorf("workload %s: %w", c.Workload, err)
+		}
 		o.Classes = w.Classes
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/cmd/savoryctl/standin.go
+++ b/cmd/savoryctl/standin.go
@@ -6,10 +6,10 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/savoryshift/savoryshift/load"
 	platformstandin "github.com/savoryshift/savoryshift/platform/standin"
 	"github.com/savoryshift/savoryshift/standin/engine"
 	"github.com/savoryshift/savoryshift/standin/service"
+	"github.com/savoryshift/savoryshift/workload"
 )
 
 // listenOption is shared by the stand-in commands.
@@ -66,7 +66,7 @@
 	if c.Workload == "" {
 		return o, nil
 	}
-	w, err := load.ReadWorkload(c.Workload)
+	w, err := workload.Load(c.Workload)
 	if err != nil {
 		return o, err
 	}
@@ -76,16 +76,16 @@
 
 // profiles derives the behaviour of each version; its quality is the mean over
 // the classes, weighted by their shares.
-func profiles(w load.Workload, speed float64) map[string]engine.Profile {
+func profiles(w *workload.Workload, speed float64) map[string]engine.Profile {
 	out := map[string]engine.Profile{}
 	for _, v := range w.Versions {
 		quality, shares := 0.0, 0.0
 		for _, class := range w.Classes {
-			quality += class.Share * v.GoodAnswerProbability[class.Name]
+			quality += class.Share * v.GoodAnswer[class.Name]
 			shares += class.Share
 		}
 		out[v.Version] = engine.Profile{
-			TokensPerSecond: v.OutputTokensPerSPerSlot * speed,
+			TokensPerSecond: v.OutputTokensPerSSlot * speed,
 			FirstToken:      time.Duration(v.FirstTokenMs / speed * float64(time.Millisecond)),
 			Quality:         quality / max(shares, 1e-9),
 		}
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -14,6 +14,7 @@
 	"github.com/savoryshift/savoryshift/standin/engine"
 	"github.com/savoryshift/savoryshift/standin/service"
 	"github.com/savoryshift/savoryshift/upstream/upstreamtest"
+	"github.com/savoryshift/savoryshift/workload"
 )
 
 const target = "http://127.0.0.1:80"
@@ -78,8 +79,8 @@
 	assert.Assert(t, r.Errors["upstream_failed"] > 200 && r.Errors["upstream_failed"] < 400, "%v", r.Errors)
 
 	slow := engine.New(engine.Options{Versions: profiles, Slots: 1})
-	o.Classes = []load.WorkloadClass{{
-		Name: "short", Share: 1, OutputTokens: load.Lognormal{Median: 16}, DeadlineMs: load.Lognormal{Median: 1000},
+	o.Classes = []workload.Class{{
+		Name: "short", Share: 1, OutputTokens: workload.Lognormal{Median: 16}, DeadlineMs: workload.Lognormal{Median: 1000},
 	}}
 	r = virtual(t, slow, o)
 	assert.Assert(t, r.Good < r.Requests/2 && r.Errors["caller_left"]+r.Errors["deadline_passed"] > 0, "%d of %d %v", r.Good, r.Requests, r.Errors)
--- a/load/options.go
+++ b/load/options.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/url"
 	"time"
+
+	"github.com/savoryshift/savoryshift/workload"
 )
 
 // Arrivals names a distribution of the times between requests.
@@ -43,7 +45,7 @@
 	// Arrivals defaults to Poisson.
 	Arrivals Arrivals
 	// Classes of requests; default one class without a workload.
-	Classes []WorkloadClass
+	Classes []workload.Class
 	// Model is asked for; default DefaultModel.
 	Model string
 	// StreamShare is the share of model requests that are streamed.
@@ -85,9 +87,9 @@
 		o.Arrivals = Poisson
 	}
 	if len(o.Classes) == 0 {
-		o.Classes = []WorkloadClass{{
-			Name: "default", Share: 1, PromptTokens: Lognormal{Median: 100}, OutputTokens: Lognormal{Median: 16},
-			DeadlineMs: Lognormal{Median: float64(DefaultDeadline.Milliseconds())}, PrefixGroups: 1, PrefixShare: 0.5,
+		o.Classes = []workload.Class{{
+			Name: "default", Share: 1, PromptTokens: workload.Lognormal{Median: 100}, OutputTokens: workload.Lognormal{Median: 16},
+			DeadlineMs: workload.Lognormal{Median: float64(DefaultDeadline.Milliseconds())}, PrefixGroups: 1, PrefixShare: 0.5,
 		}}
 	}
 	if o.Model == "" {
--- a/load/request.go
+++ b/load/request.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"github.com/savoryshift/savoryshift/workload"
 )
 
 const (
@@ -66,7 +68,7 @@
 	class := d.class()
 	r := request{class: class.Name, due: due, id: d.newID()}
 	r.deadline = max(minDeadline, time.Duration(d.lognormal(class.DeadlineMs)*float64(time.Millisecond)))
-	r.patience = time.Duration(class.CallerLeavesAfterDeadlineMs * float64(time.Millisecond))
+	r.patience = time.Duration(class.CallerLeavesMs * float64(time.Millisecond))
 	if d.rng.Float64() < d.o.BookingShare {
 		r.class, r.booking = classBooking, true
 		r.body = fmt.Appendf(nil, `{"item":%d}`, d.rng.IntN(1000))
@@ -85,7 +87,7 @@
 	return id.String()
 }
 
-func (d *drawer) class() WorkloadClass {
+func (d *drawer) class() workload.Class {
 	x := d.rng.Float64() * d.shares
 	for _, c := range d.o.Classes {
 		if x -= c.Share; x < 0 {
@@ -95,7 +97,7 @@
 	return d.o.Classes[len(d.o.Classes)-1]
 }
 
-func (d *drawer) lognormal(l Lognormal) float64 {
+func (d *drawer) lognormal(l workload.Lognormal) float64 {
 	return l.Median * math.Exp(l.Sigma*d.rng.NormFloat64())
 }
 
@@ -112,7 +114,7 @@
 }
 
 // body draws a prompt whose first message is shared within a prefix group.
-func (d *drawer) body(c WorkloadClass, streamed bool) []byte {
+func (d *drawer) body(c workload.Class, streamed bool) []byte {
 	prompt := min(maxPromptTokens, max(1, int(d.lognormal(c.PromptTokens))))
 	output := min(maxOutputTokens, max(1, int(d.lognormal(c.OutputTokens))))
 	group := d.rng.IntN(max(1, c.PrefixGroups))
--- /dev/null
+++ b/workload/workload.go
@@ -0,0 +1,258 @@
+package workload
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+)
+
+// Lognormal is a lognormal distribution.
+type Lognormal struct {
+	Median float64 `json:"lognormal_median"`
+	Sigma  float64 `json:"sigma"`
+}
+
+// Class is one class of requests.
+type Class struct {
+	Name               string    `json:"name"`
+	Share              float64   `json:"share"`
+	PromptTokens       Lognormal `json:"prompt_tokens"`
+	OutputTokens       Lognormal `json:"output_tokens"`
+	DeadlineMs         Lognormal `json:"deadline_ms"`
+	CallerLeavesMs     float64   `json:"caller_leaves_after_deadline_ms"`
+	QualityTarget      float64   `json:"quality_target"`
+	PrefixGroups       int       `json:"prefix_groups"`
+	PrefixShare        float64   `json:"prefix_share"`
+	SessionLengthCalls float64   `json:"session_length_requests"`
+}
+
+// Version is one model version with its true behaviour.
+type Version struct {
+	Model                string             `json:"model"`
+	Version              string             `json:"version"`
+	CostPer1kOutput      float64            `json:"cost_per_1k_output_tokens"`
+	OutputTokensPerSSlot float64            `json:"output_tokens_per_s_per_slot"`
+	FirstTokenMs         float64            `json:"first_token_ms"`
+	GoodAnswer           map[string]float64 `json:"good_answer_probability"`
+}
+
+// Upstream is one engine.
+type Upstream struct {
+	ID               string   `json:"id"`
+	AvailabilityZone string   `json:"availability_zone"`
+	Versions         []string `json:"versions"`
+	Slots            int      `json:"slots"`
+	SpeedFactor      float64  `json:"speed_factor"`
+	ChecksFencing    bool     `json:"checks_fencing"`
+	LoadReportLagMs  float64  `json:"load_report_lag_ms"`
+}
+
+// Organisation is a customer and its share of the requests.
+type Organisation struct {
+	ID    string  `json:"id"`
+	Share float64 `json:"share"`
+}
+
+// Weights of the three measures.
+type Weights struct {
+	Cost     float64 `json:"cost"`
+	Latency  float64 `json:"latency"`
+	Exposure float64 `json:"exposure"`
+}
+
+// Rating describes the rating service.
+type Rating struct {
+	Accuracy float64 `json:"accuracy"`
+	DelayMs  float64 `json:"delay_ms"`
+}
+
+// Rollout moves new sessions from one version to another from StartS on.
+type Rollout struct {
+	FromVersion string  `json:"from_version"`
+	ToVersion   string  `json:"to_version"`
+	StartS      float64 `json:"start_s"`
+}
+
+// Event is one event of a fault. An event without ForS lasts to the end.
+type Event struct {
+	AtS              float64 `json:"at_s"`
+	ForS             float64 `json:"for_s"`
+	Kind             string  `json:"kind"`
+	Version          string  `json:"version"`
+	QualityFactor    float64 `json:"good_answer_probability_factor"`
+	ErrorProbability float64 `json:"error_probability"`
+	AvailabilityZone string  `json:"availability_zone"`
+	Every            int     `json:"every"`
+	SpeedFactor      float64 `json:"speed_factor"`
+	FromPlatform     bool    `json:"from_platform"`
+	FromZones        bool    `json:"from_zones"`
+	Ms               float64 `json:"ms"`
+}
+
+// Kinds of events.
+const (
+	EventVersionQuality = "version_quality"
+	EventVersionErrors  = "version_errors"
+	EventUpstreamsDown  = "upstreams_down"
+	EventUpstreamsSlow  = "upstreams_slow"
+	EventZoneCut        = "zone_cut"
+	EventPlatformDown   = "platform_down"
+	EventRatingDelay    = "rating_delay"
+)
+
+// Fault is one cell of the table.
+type Fault struct {
+	Name   string  `json:"name"`
+	Events []Event `json:"events"`
+}
+
+// Workload is one deployment with its arrivals and faults.
+type Workload struct {
+	Name              string             `json:"name"`
+	DurationS         float64            `json:"duration_s"`
+	AvailabilityZones []string           `json:"availability_zones"`
+	OneWayMsZones     float64            `json:"one_way_ms_between_zones"`
+	OneWayMsClients   float64            `json:"one_way_ms_to_clients"`
+	ArrivalsPerS      map[string]float64 `json:"arrivals_per_s"`
+	Organisations     []Organisation     `json:"organisations"`
+	Weights           Weights            `json:"weights"`
+	Classes           []Class            `json:"classes"`
+	Versions          []Version          `json:"versions"`
+	Upstreams         []Upstream         `json:"upstreams"`
+	Rating            Rating             `json:"rating"`
+	Rollout           *Rollout           `json:"rollout"`
+	Faults            []Fault            `json:"faults"`
+}
+
+// Load reads a workload file. Validate tells whether it is complete.
+func Load(path string) (*Workload, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read workload: %w", err)
+	}
+	w, err := Parse(data)
+	if err != nil {
+		return nil, fmt.Errorf("workload %s: %w", path, err)
+	}
+	return w, nil
+}
+
+// Parse decodes a workload. Unknown keys are errors.
+func Parse(data []byte) (*Workload, error) {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	var w Workload
+	if err := dec.Decode(&w); err != nil {
+		return nil, err
+	}
+	return &w, nil
+}
+
+// Fault returns the fault with the given name.
+func (w *Workload) Fault(name string) (*Fault, error) {
+	for i := range w.Faults {
+		if w.Faults[i].Name == name {
+			return &w.Faults[i], nil
+		}
+	}
+	return nil, fmt.Errorf("no fault %q in workload %s", name, w.Name)
+}
+
+// Validate reports everything that keeps a workload from being simulated.
+func (w *Workload) Validate() error {
+	var errs []error
+	check := func(ok bool, format string, args ...any) {
+		if !ok {
+			errs = append(errs, fmt.Errorf(format, args...))
+		}
+	}
+	check(w.DurationS > 0, "duration_s is %v, must be above 0", w.DurationS)
+	check(len(w.AvailabilityZones) > 0, "availability_zones is empty")
+	check(len(w.Organisations) > 0, "organisations is empty")
+	check(len(w.Classes) > 0, "classes is empty")
+	check(len(w.Versions) > 0, "versions is empty")
+	check(len(w.Upstreams) > 0, "upstreams is empty")
+	check(len(w.ArrivalsPerS) > 0, "arrivals_per_s is empty")
+	check(w.Rating.Accuracy >= 0.5 && w.Rating.Accuracy <= 1, "rating.accuracy is %v, must be 0.5 to 1", w.Rating.Accuracy)
+	for level, rate := range w.ArrivalsPerS {
+		check(rate > 0, "arrivals_per_s.%s is %v, must be above 0", level, rate)
+	}
+	w.validateClasses(check)
+	w.validateVersions(check)
+	w.validateEvents(check)
+	return errors.Join(errs...)
+}
+
+// ValidateClasses reports what keeps the classes from being drawn from; a load
+// generator needs no more of a file.
+func (w *Workload) ValidateClasses() error {
+	var errs []error
+	check := func(ok bool, format string, args ...any) {
+		if !ok {
+			errs = append(errs, fmt.Errorf(format, args...))
+		}
+	}
+	check(len(w.Classes) > 0, "classes is empty")
+	w.validateClasses(check)
+	return errors.Join(errs...)
+}
+
+func (w *Workload) validateClasses(check func(bool, string, ...any)) {
+	for _, c := range w.Classes {
+		check(c.Share >= 0, "class %s: share is %v, must be 0 or more", c.Name, c.Share)
+		for name, d := range map[string]Lognormal{"prompt_tokens": c.PromptTokens, "output_tokens": c.OutputTokens, "deadline_ms": c.DeadlineMs} {
+			check(d.Median > 0 && d.Sigma >= 0, "class %s: %s needs a median above 0 and a sigma of 0 or more", c.Name, name)
+		}
+		check(c.QualityTarget >= 0 && c.QualityTarget <= 1, "class %s: quality_target is %v, must be 0 to 1", c.Name, c.QualityTarget)
+		check(c.PrefixShare >= 0 && c.PrefixShare <= 1, "class %s: prefix_share is %v, must be 0 to 1", c.Name, c.PrefixShare)
+	}
+	for _, o := range w.Organisations {
+		check(o.Share >= 0, "organisation %s: share is %v, must be 0 or more", o.ID, o.Share)
+	}
+}
+
+func (w *Workload) validateVersions(check func(bool, string, ...any)) {
+	zones := map[string]bool{}
+	for _, z := range w.AvailabilityZones {
+		zones[z] = true
+	}
+	known := map[string]bool{}
+	for _, v := range w.Versions {
+		check(!known[v.Version], "version %s is listed twice", v.Version)
+		known[v.Version] = true
+		check(v.CostPer1kOutput >= 0, "version %s: cost is %v, must be 0 or more", v.Version, v.CostPer1kOutput)
+		check(v.OutputTokensPerSSlot > 0, "version %s: output_tokens_per_s_per_slot must be above 0", v.Version)
+		check(v.FirstTokenMs >= 0, "version %s: first_token_ms must be 0 or more", v.Version)
+		for _, c := range w.Classes {
+			q, ok := v.GoodAnswer[c.Name]
+			check(ok && q >= 0 && q <= 1, "version %s: good_answer_probability.%s is missing or not within 0 to 1", v.Version, c.Name)
+		}
+	}
+	for _, u := range w.Upstreams {
+		check(u.Slots > 0, "upstream %s: slots is %d, must be above 0", u.ID, u.Slots)
+		check(u.SpeedFactor > 0, "upstream %s: speed_factor is %v, must be above 0", u.ID, u.SpeedFactor)
+		check(zones[u.AvailabilityZone], "upstream %s: unknown availability_zone %q", u.ID, u.AvailabilityZone)
+		for _, v := range u.Versions {
+			check(known[v], "upstream %s: unknown version %q", u.ID, v)
+		}
+	}
+	if w.Rollout != nil {
+		check(known[w.Rollout.FromVersion] && known[w.Rollout.ToVersion], "rollout names an unknown version")
+	}
+}
+
+func (w *Workload) validateEvents(check func(bool, string, ...any)) {
+	for _, f := range w.Faults {
+		for _, e := range f.Events {
+			switch e.Kind {
+			case EventVersionQuality, EventVersionErrors, EventUpstreamsDown, EventZoneCut, EventPlatformDown, EventRatingDelay:
+			case EventUpstreamsSlow:
+				check(e.SpeedFactor > 0, "fault %s: speed_factor is %v, must be above 0", f.Name, e.SpeedFactor)
+			default:
+				check(false, "fault %s: unknown kind of event %q", f.Name, e.Kind)
+			}
+		}
+	}
+}
