daemontest: the leaving tests prefer the engine that leaves

Ruled out: a fault of the mechanism, since the twin has none in force. The other engines are now slower, so that the one that leaves would get work.

--- a/daemon/daemontest/engine_test.go
+++ b/daemon/daemontest/engine_test.go
@@ -133,9 +133,15 @@
 }
 
 // workAfter counts the runs of an engine that begin later than allowed after
-// leave was called.
+// leave was called. The other engines are slower, so that the daemons prefer the
+// one that leaves; engines alike may by chance get no work at all.
 func workAfter(t *testing.T, s *daemontest.System, id string, leave func()) (late int) {
 	t.Helper()
+	for other, e := range s.Engines {
+		if other != id {
+			e.SetFaults(engine.Faults{Slow: 4})
+		}
+	}
 	traffic := s.StartTraffic(trafficPeriod)
 	time.Sleep(inForce)
 	leave()
