daemon: orders reach engines that ignore fencing numbers

When no earlier holder of the lease can act any more, the wait for it was described as ending exactly now, and the system asks for a moment after that, in every tick anew; engines that ignore fencing numbers, the default, never got an order. Ruled out: the weight store's rate and the lease itself, which was held. TestEngineGetsItsVersionsBack was seen failing; its twin without a platform gets no order.

--- a/daemon/leadership.go
+++ b/daemon/leadership.go
@@ -58,8 +58,9 @@
 	if !held {
 		return system.Lease{}
 	}
-	// SafeAfter covers the earlier holder's lease and its longest call.
-	earlier := now.Add(l.lease.SafeAfter() - system.OrderTimeout)
+	// SafeAfter covers the earlier holder's lease and its longest call. When it
+	// is 0, the moment must lie in the past, or the wait would never end.
+	earlier := now.Add(l.lease.SafeAfter() - system.OrderTimeout - time.Millisecond)
 	return system.Lease{
 		Held:            true,
 		Fencing:         number,
