--- a/daemon/daemontest/partition_test.go
+++ b/daemon/daemontest/partition_test.go
@@ -14,6 +14,7 @@
 	"github.com/savoryshift/savoryshift/coord/store"
 	"github.com/savoryshift/savoryshift/daemon/daemontest"
 	"github.com/savoryshift/savoryshift/errkind"
+	"github.com/savoryshift/savoryshift/internal/knownred"
 	"github.com/savoryshift/savoryshift/operator"
 	"github.com/savoryshift/savoryshift/platform"
 	"github.com/savoryshift/savoryshift/settings"
@@ -152,6 +153,7 @@
 func TestAcceptedOnlyWhenNoDaemonCanRunIt(t *testing.T) {
 	for _, c := range cuts {
 		t.Run(c.name, func(t *testing.T) {
+			knownred.PassOver(t, "daemon/daemontest")
 			run(t, daemontest.Options{}, func(t *testing.T, s *daemontest.System) {
 				ran, accepted := settledWithdrawal(s, c, func() {})
 				assert.Assert(t, accepted)
