entry: the whole path on the users' platform

Cause: the product ran only against its own stand-ins. The command "savoryshift entry" now serves the platform: mirrors of the store's tables, routes and keys, placement over what all VMs have in flight, one send per call with an honest outcome, resumed streams, the choice between a small and a large model, rollouts, and an exchange between the VMs. platform/ holds the names and formats; decisions are in routing, placement, cascade, rollout, mirror and gateway.

Ruled out: net/http's client towards upstreams, because it sends GET requests a second time on its own when a kept connection closes and does not tell whether bytes were written.

--- a/cmd/savoryshift/main.go
+++ b/cmd/savoryshift/main.go
@@ -22,7 +22,9 @@
 )
 
 type options struct {
-	Settings string `long:"settings" description:"path of the JSON settings file" required:"true"`
+	Settings string `long:"settings" description:"path of the JSON settings file"`
+
+	Entry struct{} `command:"entry" description:"run on the users' platform, with the settings file that SAVORYSHIFT_CONFIG names"`
 }
 
 func main() {
@@ -32,13 +34,22 @@
 // start runs the daemon until a signal ends it and returns the exit code.
 func start(args []string) int {
 	var o options
-	if _, err := flags.NewParser(&o, flags.Default).ParseArgs(args); err != nil {
+	parser := flags.NewParser(&o, flags.Default)
+	parser.SubcommandsOptional = true
+	if _, err := parser.ParseArgs(args); err != nil {
 		var flagErr *flags.Error
 		if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
 			return 0
 		}
 		return exitBadSettings
 	}
+	if parser.Active != nil {
+		return startEntry()
+	}
+	if o.Settings == "" {
+		fmt.Fprintln(os.Stderr, "--settings: not set, want the path of the JSON settings file")
+		return exitBadSettings
+	}
 	s, err := settings.Load(o.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/entry/budget.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/savoryshift/savoryshift/platform"
+)
+
+const (
+	// budgetShare is the part of the platform's bound that is used; the rest is
+	// for calls that upstreams refuse and for windows that do not coincide.
+	budgetShare = 0.8
+	// budgetSteps is the number of steps in which a window slides.
+	budgetSteps = 20
+)
+
+// retryBudget bounds the repeats of this VM to its part of the bound that holds
+// over all VMs. It is safe for concurrent use.
+type retryBudget struct {
+	bounds platform.Bounds
+
+	mu       sync.Mutex
+	vms      int
+	services map[string]*budgetWindow
+}
+
+// budgetWindow counts requests and repeats in the steps of a sliding window.
+type budgetWindow struct {
+	requests, repeats [budgetSteps]int
+	step              int64
+}
+
+func newRetryBudget(b platform.Bounds) *retryBudget {
+	return &retryBudget{bounds: b, vms: 1, services: map[string]*budgetWindow{}}
+}
+
+// SetVMs tells how many VMs share the bound.
+func (b *retryBudget) SetVMs(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.vms = max(1, n)
+}
+
+// window returns the window of a service, moved on to now.
+func (b *retryBudget) window(service string, now time.Time) *budgetWindow {
+	w := b.services[service]
+	step := now.UnixNano() / int64(b.bounds.RetryWindow/budgetSteps)
+	if w == nil {
+		w = &budgetWindow{step: step}
+		b.services[service] = w
+	}
+	for range min(budgetSteps, max(0, step-w.step)) {
+		w.step++
+		w.requests[w.step%budgetSteps], w.repeats[w.step%budgetSteps] = 0, 0
+	}
+	w.step = max(w.step, step)
+	return w
+}
+
+// Request implements gateway.Budget.
+func (b *retryBudget) Request(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service, now)
+	w.requests[w.step%budgetSteps]++
+}
+
+// Repeat implements gateway.Budget.
+func (b *retryBudget) Repeat(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service, now)
+	requests, repeats := 0, 0
+	for i := range budgetSteps {
+		requests += w.requests[i]
+		repeats += w.repeats[i]
+	}
+	allowed := budgetShare * (b.bounds.RetryRatio*float64(requests) + b.bounds.RetrySlack/float64(b.vms))
+	if float64(repeats+1) > allowed {
+		return false
+	}
+	w.repeats[w.step%budgetSteps]++
+	return true
+}
--- /dev/null
+++ b/gateway/execution.go
@@ -0,0 +1,314 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/savoryshift/savoryshift/errkind"
+	"github.com/savoryshift/savoryshift/exchange"
+	"github.com/savoryshift/savoryshift/placement"
+	"github.com/savoryshift/savoryshift/rollout"
+	"github.com/savoryshift/savoryshift/routing"
+)
+
+const (
+	// stopRetryAfter sends callers of a stopping VM to another one at once.
+	stopRetryAfter = 20 * time.Millisecond
+	// noConfigurationRetryAfter leaves a starting VM time to read its
+	// configuration.
+	noConfigurationRetryAfter = 300 * time.Millisecond
+	// noUpstreamRetryAfter is about the time until a lapsed registration is back
+	// or another instance is started.
+	noUpstreamRetryAfter = 400 * time.Millisecond
+	// maxSends bounds the calls of one request, including those that upstreams
+	// refused without running them.
+	maxSends = 6
+	// reuseIdleUnsafe bounds the idle time of a connection that carries a request
+	// which must not be repeated: a close that crosses the request would leave
+	// its outcome unknown.
+	reuseIdleUnsafe = 300 * time.Millisecond
+	// reuseIdle bounds the idle time for requests that may be repeated.
+	reuseIdle = 8 * time.Second
+)
+
+// execution is the state of one request. It belongs to the goroutine that
+// serves the request, but for the fields that calls carry themselves.
+type execution struct {
+	s            *Server
+	w            http.ResponseWriter
+	ctx          context.Context
+	start        time.Time
+	req          *Request
+	state        *State
+	route        *routing.Route
+	service      *routing.Service
+	organisation string
+	priority     int
+	deadline     time.Time
+	// end is the earlier of the caller's deadline and the route's timeout.
+	end   time.Time
+	allow rollout.Filter
+
+	// runs counts calls that ran or may have run, sends all calls.
+	runs, sends int
+	excluded    map[string]bool
+	// mayHaveRun forbids answers that say "not run".
+	mayHaveRun bool
+	// wrote says that the header of an answer went to the caller.
+	wrote  bool
+	status int
+	reason string
+	model  string
+	last   string
+}
+
+// finish logs the outcome of the request.
+func (x *execution) finish() {
+	now := time.Now()
+	if x.req == nil {
+		x.req = &Request{}
+	}
+	route := ""
+	if x.route != nil {
+		route = x.route.Name
+	}
+	x.s.o.Metrics.request(route, x.status, x.reason, now.Sub(x.start))
+	x.s.o.Log.Info("request",
+		zap.String("request", x.req.ID), zap.String("route", route), zap.String("organisation", x.organisation),
+		zap.Int("status", x.status), zap.String("reason", x.reason), zap.String("model", x.model),
+		zap.String("upstream", x.last), zap.Int("runs", x.runs), zap.Int("sends", x.sends),
+		zap.Duration("took", now.Sub(x.start)), zap.Int64("configuration", x.version()))
+}
+
+func (x *execution) version() int64 {
+	if x.state == nil {
+		return 0
+	}
+	return x.state.Snapshot.Version
+}
+
+// reject answers a request that can never be served as it is.
+func (x *execution) reject(kind errkind.Kind) {
+	x.answerKind(kind, 0)
+}
+
+// refuse answers a request that was not run and may come back.
+func (x *execution) refuse(kind errkind.Kind, after time.Duration) {
+	x.answerKind(kind, after)
+}
+
+// fail ends a request that may have run: nothing is promised.
+func (x *execution) fail(kind errkind.Kind) {
+	x.answerKind(kind, 0)
+}
+
+func (x *execution) answerKind(kind errkind.Kind, after time.Duration) {
+	x.reason = string(kind)
+	a := errkind.AnswerFor(kind)
+	h := x.w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	if after > 0 {
+		x.s.o.Codec.Refusal(h, x.req, after)
+	}
+	body := "savoryshift: " + string(kind) + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	x.status, x.wrote = a.Status, true
+	x.w.WriteHeader(a.Status)
+	_, _ = x.w.Write([]byte(body))
+}
+
+// giveUp ends a request for which no further call can be made.
+func (x *execution) giveUp() {
+	if x.ctx.Err() != nil {
+		x.reason = "caller left"
+		x.status = 499
+		panic(http.ErrAbortHandler)
+	}
+	switch {
+	case !time.Now().Before(x.end):
+		x.fail(errkind.UpstreamTimeout)
+	case x.mayHaveRun:
+		x.fail(errkind.UpstreamFailed)
+	default:
+		x.refuse(errkind.NoCapacity, noUpstreamRetryAfter)
+	}
+}
+
+// attempt is one call that has been placed.
+type attempt struct {
+	x      *execution
+	choice placement.Choice
+	call   *placement.Call
+	reply  *exchange.Reply
+	answer Reply
+	model  string
+	start  time.Time
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// place chooses the upstream of the next call, which ends with ctx.
+func (x *execution) place(ctx context.Context, model string, rank int) *attempt {
+	if x.sends >= maxSends || x.runs >= x.route.MaxAttempts || ctx.Err() != nil || x.ctx.Err() != nil {
+		return nil
+	}
+	now := time.Now()
+	q := &placement.Query{
+		Service: x.service.Name, Model: model, Rank: rank, Tokens: x.req.PromptTokens, Parts: x.req.Parts,
+		Exclude: x.excluded, Allow: x.allow.Prefer, Now: now,
+	}
+	choice, ok := x.s.o.Book.Choose(q)
+	if !ok && x.allow.Prefer != nil {
+		q.Allow = x.allow.Accept
+		choice, ok = x.s.o.Book.Choose(q)
+	}
+	if !ok {
+		return nil
+	}
+	call := x.s.o.Book.Start(choice, q)
+	if call == nil {
+		return nil
+	}
+	x.sends++
+	x.last = choice.ID
+	a := &attempt{x: x, choice: choice, call: call, model: model, start: now}
+	a.ctx, a.cancel = context.WithCancel(ctx)
+	return a
+}
+
+// exclude keeps later calls of the request away from an upstream.
+func (x *execution) exclude(id string) {
+	if x.excluded == nil {
+		x.excluded = map[string]bool{}
+	}
+	x.excluded[id] = true
+}
+
+// verdict is what a call's answer means for the request.
+type verdict int
+
+const (
+	// good answers are delivered.
+	good verdict = iota
+	// notRun: nothing ran; another upstream may be asked.
+	notRun
+	// failed: the call ran or may have run, without a good answer.
+	failed
+)
+
+// errUnregistered keeps a call from being sent to an upstream that left between
+// the choice and the write.
+var errUnregistered = errors.New("upstream takes no new work")
+
+// send makes the call and judges the header of its answer.
+func (a *attempt) send(lastEvent string, urgency int) verdict {
+	x := a.x
+	idle := reuseIdle
+	if !x.route.Idempotent() {
+		idle = reuseIdleUnsafe
+	}
+	header := x.s.o.Codec.Encode(x.req, Call{
+		Upstream: a.choice.ID, Organisation: x.organisation, Model: a.model,
+		Left: time.Until(x.end), Urgency: urgency, LastEvent: lastEvent,
+	})
+	reply, err := x.s.o.Pool.Send(a.ctx, a.choice.Address, exchange.Outgoing{
+		Method: x.req.Method, Target: x.req.Target, Host: x.req.Host, Header: header, Body: x.req.Body, MaxIdle: idle,
+		BeforeWrite: func() error {
+			if !x.s.o.Book.Usable(a.choice.ID, time.Now()) {
+				return errUnregistered
+			}
+			return nil
+		},
+	})
+	if err != nil {
+		return a.unanswered(err)
+	}
+	a.reply = reply
+	a.answer = x.s.o.Codec.Reply(reply.Response)
+	return a.judge()
+}
+
+// unanswered judges a call without an answer.
+func (a *attempt) unanswered(err error) verdict {
+	v, outcome := failed, placement.Failed
+	if errors.Is(err, exchange.ErrNotSent) {
+		v = notRun
+	}
+	if errors.Is(a.ctx.Err(), context.Canceled) || errors.Is(err, errUnregistered) {
+		outcome = placement.Neutral
+	}
+	a.end(outcome)
+	a.log("unanswered", zap.Error(err), zap.Bool("sent", v == failed))
+	return v
+}
+
+// judge tells what the header of the answer means.
+func (a *attempt) judge() verdict {
+	switch {
+	case a.answer.Misdirected:
+		a.end(placement.Failed)
+		a.x.s.o.Pool.Drop(a.choice.Address)
+		a.log("misdirected")
+		return notRun
+	case a.answer.RequestID != a.x.req.ID && (a.answer.RequestID != "" || !a.answer.NotRun) || a.answer.Encoded:
+		a.end(placement.Failed)
+		a.log("foreign answer", zap.String("answers", a.answer.RequestID))
+		return failed
+	case a.answer.NotRun:
+		a.end(placement.Neutral)
+		a.log("not run")
+		return notRun
+	case a.answer.Status >= 500:
+		return failed
+	case a.answer.Status < 300 && !a.answer.Signed:
+		a.end(placement.Failed)
+		a.log("unsigned answer")
+		return failed
+	}
+	return good
+}
+
+// end closes the call and notes its outcome. Closing an unfinished answer
+// cancels the work at the upstream. It may be called more than once.
+func (a *attempt) end(o placement.Outcome) {
+	now := time.Now()
+	if a.reply != nil {
+		a.reply.Close()
+	}
+	a.cancel()
+	a.call.End(o, now)
+}
+
+// observe notes the outcome for the judgement of releases.
+func (a *attempt) observe(failed bool, measured time.Duration) {
+	a.x.s.o.Splitter.Observe(a.choice.Service, a.choice.Release, a.x.route.Name, failed, measured,
+		time.Duration(a.choice.Nominal*float64(time.Second)))
+}
+
+func (a *attempt) log(event string, fields ...zap.Field) {
+	a.x.s.o.Metrics.call(event)
+	a.x.s.o.Log.Info("call", append([]zap.Field{
+		zap.String("request", a.x.req.ID), zap.String("event", event), zap.String("upstream", a.choice.ID),
+		zap.String("release", a.choice.Release), zap.String("model", a.model), zap.Int("status", a.answer.Status),
+		zap.Int("candidates", a.choice.Candidates), zap.Float64("predicted", a.choice.FirstEvent),
+		zap.Duration("took", time.Since(a.start)),
+	}, fields...)...)
+}
+
+// settle counts a call by its verdict and keeps later calls away from an
+// upstream that gave no good answer.
+func (x *execution) settle(a *attempt, v verdict) {
+	if v != notRun {
+		x.runs++
+		x.mayHaveRun = true
+		x.s.o.Splitter.Served(a.choice.Service, x.sessionKey(), a.choice.Release, time.Now())
+	}
+	if v != good {
+		x.exclude(a.choice.ID)
+	}
+}
--- /dev/null
+++ b/gateway/stream.go
@@ -0,0 +1,261 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/savoryshift/savoryshift/cascade"
+	"github.com/savoryshift/savoryshift/errkind"
+	"github.com/savoryshift/savoryshift/placement"
+)
+
+// streaming is the state of a stream request.
+type streaming struct {
+	*execution
+	ctx context.Context
+	out *http.ResponseController
+	// lastEvent is the ID of the last event that the caller has.
+	lastEvent string
+	// rank is the place of the present model among those of the route.
+	rank int
+	// next is a call that has been placed already.
+	next *attempt
+	// kept is an answer that failed at its upstream, for the case that nothing
+	// better comes.
+	kept *outcome
+}
+
+// stream serves a request that is answered with events.
+func (x *execution) stream(ctx context.Context) {
+	t := &streaming{execution: x, ctx: ctx, lastEvent: x.req.LastEvent, out: http.NewResponseController(x.w)}
+	t.rank = t.firstRank()
+	for a := x.place(ctx, t.modelName(), t.rank); a != nil; a = t.again() {
+		if t.try(a) {
+			return
+		}
+	}
+	t.abandon()
+}
+
+// again places the next call, if the request may be sent once more.
+func (t *streaming) again() *attempt {
+	if a := t.next; a != nil {
+		t.next = nil
+		return a
+	}
+	if t.ctx.Err() != nil || t.mayHaveRun && !t.route.Idempotent() {
+		return nil
+	}
+	if !t.s.o.Budget.Repeat(t.service.Name, time.Now()) {
+		t.reason = "retry budget spent"
+		return nil
+	}
+	return t.place(t.ctx, t.modelName(), t.rank)
+}
+
+// firstRank is the model to begin with. A caller that resumes a stream gets the
+// largest model, because the model of the events that it has is not known.
+func (t *streaming) firstRank() int {
+	if t.req.AnyModel && t.req.LastEvent != "" {
+		return max(0, len(t.route.Models)-1)
+	}
+	return 0
+}
+
+// modelName is the model to be named to the upstream.
+func (t *streaming) modelName() string {
+	if !t.req.AnyModel || len(t.route.Models) == 0 {
+		return t.req.Model
+	}
+	return t.route.Models[t.rank]
+}
+
+// abandon ends a stream for which no further call can be made.
+func (t *streaming) abandon() {
+	switch {
+	case t.wrote:
+		if t.reason == "" {
+			t.reason = string(errkind.UpstreamFailed)
+		}
+		panic(http.ErrAbortHandler)
+	case t.kept != nil && t.execution.ctx.Err() == nil:
+		t.deliver(t.kept)
+	default:
+		t.giveUp()
+	}
+}
+
+// try makes one call and passes its events on. It returns true when the request
+// is finished.
+func (t *streaming) try(a *attempt) bool {
+	dog := a.watch(max(minFirstPatience, time.Duration(patienceFactor*a.choice.FirstEvent*float64(time.Second))))
+	v := a.send(t.lastEvent, t.urgency())
+	dog.stop()
+	t.settle(a, v)
+	if v == failed {
+		t.failure(a, dog)
+		return false
+	}
+	if v == notRun {
+		return false
+	}
+	if a.answer.Status >= 300 {
+		return t.passFailure(a)
+	}
+	now := time.Now()
+	a.call.FirstEvent(now)
+	a.observe(false, now.Sub(a.start))
+	if t.escalate(a, now) {
+		a.end(placement.Answered)
+		return false
+	}
+	return t.pump(a)
+}
+
+// failure notes a call that failed before its first event.
+func (t *streaming) failure(a *attempt, dog *watchdog) {
+	if a.reply != nil && a.answer.Status >= 500 {
+		o := &outcome{attempt: a, verdict: failed}
+		a.read(o)
+		if o.body != nil && !t.wrote {
+			t.kept = o
+		}
+	}
+	if dog.fired.Load() || t.ctx.Err() == nil {
+		a.observe(true, 0)
+	}
+}
+
+// escalate places the call to the larger model if the answer at hand is to be
+// dropped for it.
+func (t *streaming) escalate(a *attempt, now time.Time) bool {
+	largest := len(t.route.Models) - 1
+	if !t.req.AnyModel || t.rank >= largest || t.wrote || a.answer.Confidence < 0 {
+		return false
+	}
+	next := t.place(t.ctx, t.route.Models[largest], largest)
+	if next == nil {
+		return false
+	}
+	in := cascade.Input{
+		Confidence: a.answer.Confidence,
+		Predicted:  time.Duration(next.choice.FirstEvent * float64(time.Second)),
+		Left:       t.route.Objective - now.Sub(t.start),
+	}
+	ok := cascade.Escalate(in) && t.s.o.Budget.Repeat(t.service.Name, now)
+	a.log("confidence", zap.Int("confidence", in.Confidence), zap.Duration("larger", in.Predicted), zap.Duration("left", in.Left), zap.Bool("dropped", ok))
+	if !ok {
+		next.end(placement.Neutral)
+		t.sends--
+		t.last = a.choice.ID
+		return false
+	}
+	t.rank, t.next = largest, next
+	return true
+}
+
+// canMove reports whether a call may be given up for another one.
+func (x *execution) canMove(a *attempt) bool {
+	if !x.route.Idempotent() || x.runs+1 >= x.route.MaxAttempts {
+		return false
+	}
+	return x.s.o.Book.Alternatives(a.choice.Service, a.choice.ID, x.allow.Prefer) > 0
+}
+
+// urgency is the scheduling priority at the engine. A call that replaces a
+// dropped answer, or resumes a stream, goes before others of its route.
+func (t *streaming) urgency() int {
+	u := 2 + 2*t.priority
+	if t.runs > 0 {
+		u--
+	}
+	return max(0, min(9, u))
+}
+
+// passFailure passes on an answer that is neither a success nor worth repeating.
+func (t *streaming) passFailure(a *attempt) bool {
+	o := &outcome{attempt: a, verdict: good}
+	a.read(o)
+	if o.verdict != good || t.wrote {
+		return false
+	}
+	t.deliver(o)
+	return true
+}
+
+// pump passes events on until the stream ends. It returns true when the
+// request is finished.
+func (t *streaming) pump(a *attempt) bool {
+	t.model = a.model
+	if !t.wrote {
+		copyAnswerHeader(t.w.Header(), a.reply.Header)
+		t.status, t.wrote = a.answer.Status, true
+		t.w.WriteHeader(t.status)
+	}
+	err := t.copyEvents(a)
+	switch {
+	case err == nil:
+		a.end(placement.Answered)
+		return true
+	case t.execution.ctx.Err() != nil:
+		t.breakOff(a, placement.Neutral, "caller left")
+	case !time.Now().Before(t.end):
+		t.breakOff(a, placement.Failed, string(errkind.UpstreamTimeout))
+	}
+	a.end(placement.Failed)
+	a.observe(true, 0)
+	a.log("stream broke", zap.Error(err), zap.String("last_event", t.lastEvent))
+	t.exclude(a.choice.ID)
+	return false
+}
+
+// breakOff ends a stream visibly before its end.
+func (t *streaming) breakOff(a *attempt, o placement.Outcome, reason string) {
+	a.end(o)
+	a.log(reason, zap.String("last_event", t.lastEvent))
+	t.reason = reason
+	panic(http.ErrAbortHandler)
+}
+
+// errCallerGone says that an event could not be written to the caller.
+var errCallerGone = errors.New("caller is gone")
+
+// copyEvents passes whole events on. It returns nil at the proper end of the
+// stream.
+func (t *streaming) copyEvents(a *attempt) error {
+	patience := time.Duration(gapPatienceShare * float64(t.route.MaxPause))
+	if patience <= 0 {
+		patience = defaultGapPatience
+	}
+	dog := a.watch(patience)
+	defer dog.stop()
+	events := newEventReader(a.reply)
+	for {
+		data, id, err := events.next()
+		if err == io.EOF && a.reply.Whole() {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		dog.step()
+		a.call.Heard(time.Now())
+		if _, err := t.w.Write(data); err != nil {
+			return errors.Join(errCallerGone, err)
+		}
+		if id != "" {
+			t.lastEvent = id
+		}
+		if events.buffered() {
+			continue
+		}
+		if err := t.out.Flush(); err != nil {
+			return errors.Join(errCallerGone, err)
+		}
+	}
+}
--- /dev/null
+++ b/mirror/mirror.go
@@ -0,0 +1,276 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// feedWait is how long one call waits for changes. It is half of the history
+	// that the store keeps, so that the next call can resume.
+	feedWait = 10 * time.Second
+	// minBackoff and maxBackoff bound the pause after a failed call. The upper
+	// one is well below the time in which a configuration must be in force.
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 800 * time.Millisecond
+	// staleBackoff is the pause after an answer that is older than what is known.
+	staleBackoff = 200 * time.Millisecond
+)
+
+// ErrHistoryGone says that changes after the given revision are not kept any
+// more: the table must be read anew.
+var ErrHistoryGone = errors.New("the store no longer has the requested history")
+
+// Row is one row of a table. Revision is the transaction that wrote it.
+type Row struct {
+	Key      string
+	Value    []byte
+	Revision int64
+	Deleted  bool
+}
+
+// Page is the answer to a read: rows as of a revision.
+type Page struct {
+	Rows     []Row
+	Revision int64
+	// Clock is the steady clock of the store.
+	Clock time.Duration
+	// Partial pages leave out rows that follow the last one.
+	Partial bool
+}
+
+// Table reads one table of the store.
+type Table interface {
+	// Read returns rows from a key on, as of one moment.
+	Read(ctx context.Context, from string) (Page, error)
+	// Follow returns the rows that changed after a revision, and waits at most
+	// the given time for the first one.
+	Follow(ctx context.Context, after int64, wait time.Duration) (Page, error)
+}
+
+// Copy is the content of a table as of a revision. It is immutable.
+type Copy struct {
+	Rows     map[string]Row
+	Revision int64
+}
+
+// Options configures a Mirror.
+type Options struct {
+	Name  string
+	Table Table
+	// Changed is called after each change, by one goroutine at a time.
+	Changed func(c Copy, now time.Time)
+	Log     *zap.Logger
+}
+
+// Mirror follows one table. It is safe for concurrent use.
+type Mirror struct {
+	o Options
+
+	mu       sync.Mutex
+	rows     map[string]Row
+	revision int64
+	loaded   bool
+	// answered is the time of the last answer of the store, lost the time of the
+	// first failure since, zero while the store answers.
+	answered time.Time
+	lost     time.Time
+	regained time.Time
+	// clock and clockAt relate the store's clock to that of this process.
+	clock   time.Duration
+	clockAt time.Time
+
+	notify sync.Mutex
+}
+
+// New returns an empty mirror.
+func New(o Options) *Mirror { return &Mirror{o: o, rows: map[string]Row{}} }
+
+// Run follows the table until ctx ends.
+func (m *Mirror) Run(ctx context.Context) {
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		err := m.step(ctx)
+		if err == nil {
+			backoff = minBackoff
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		m.failed(err)
+		pause(ctx, backoff/2+rand.N(backoff))
+		backoff = min(maxBackoff, 2*backoff)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// step makes one call and applies its answer.
+func (m *Mirror) step(ctx context.Context) error {
+	m.mu.Lock()
+	loaded, after := m.loaded, m.revision
+	m.mu.Unlock()
+	if !loaded {
+		return m.reload(ctx)
+	}
+	page, err := m.o.Table.Follow(ctx, after, feedWait)
+	if errors.Is(err, ErrHistoryGone) {
+		m.o.Log.Info("history of the store is gone", zap.String("table", m.o.Name), zap.Int64("revision", after))
+		return m.reload(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	m.succeeded(page)
+	m.apply(page, false)
+	return nil
+}
+
+// reload reads the whole table.
+func (m *Mirror) reload(ctx context.Context) error {
+	var all Page
+	from := ""
+	for {
+		page, err := m.o.Table.Read(ctx, from)
+		if err != nil {
+			return err
+		}
+		all.Rows = append(all.Rows, page.Rows...)
+		if from == "" {
+			// Rows of later pages may be newer; the feed repeats their changes.
+			all.Revision, all.Clock = page.Revision, page.Clock
+		}
+		if !page.Partial || len(page.Rows) == 0 {
+			break
+		}
+		from = page.Rows[len(page.Rows)-1].Key + "\x00"
+	}
+	m.succeeded(all)
+	if !m.apply(all, true) {
+		pause(ctx, staleBackoff)
+	}
+	return nil
+}
+
+// apply takes a page over. A whole page also removes the rows that it lacks. It
+// returns false for a page that is older than what is known.
+func (m *Mirror) apply(page Page, whole bool) bool {
+	m.notify.Lock()
+	defer m.notify.Unlock()
+	c, changed, ok := m.merge(page, whole)
+	if changed && m.o.Changed != nil {
+		m.o.Changed(c, time.Now())
+	}
+	return ok
+}
+
+func (m *Mirror) merge(page Page, whole bool) (Copy, bool, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if page.Revision < m.revision {
+		return Copy{}, false, false
+	}
+	changed := whole && !m.loaded
+	rows := maps.Clone(m.rows)
+	seen := map[string]bool{}
+	for _, r := range page.Rows {
+		seen[r.Key] = true
+		old, known := rows[r.Key]
+		if known && old.Revision >= r.Revision {
+			continue
+		}
+		changed = changed || known || !r.Deleted
+		if r.Deleted {
+			delete(rows, r.Key)
+		} else {
+			rows[r.Key] = r
+		}
+	}
+	if whole {
+		for key, r := range rows {
+			if !seen[key] && r.Revision <= page.Revision {
+				delete(rows, key)
+				changed = true
+			}
+		}
+		m.loaded = true
+	}
+	m.rows, m.revision = rows, page.Revision
+	return Copy{Rows: rows, Revision: m.revision}, changed, true
+}
+
+// Offer takes over what a peer knows, if it is newer.
+func (m *Mirror) Offer(c Copy) bool {
+	page := Page{Revision: c.Revision}
+	for _, r := range c.Rows {
+		page.Rows = append(page.Rows, r)
+	}
+	m.mu.Lock()
+	newer := c.Revision > m.revision
+	m.mu.Unlock()
+	return newer && m.apply(page, true)
+}
+
+// Copy returns the present content; ok is false before the first answer.
+func (m *Mirror) Copy() (c Copy, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Copy{Rows: m.rows, Revision: m.revision}, m.loaded
+}
+
+func (m *Mirror) succeeded(page Page) {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.answered = now
+	m.clock, m.clockAt = page.Clock, now
+	if !m.lost.IsZero() {
+		m.o.Log.Info("store regained", zap.String("table", m.o.Name), zap.Duration("away", now.Sub(m.lost)), zap.Int64("revision", page.Revision))
+		m.lost, m.regained = time.Time{}, now
+	}
+}
+
+func (m *Mirror) failed(err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.lost.IsZero() {
+		m.lost = time.Now()
+		m.o.Log.Warn("store lost", zap.String("table", m.o.Name), zap.Int64("revision", m.revision), zap.Error(err))
+	}
+}
+
+// Lost reports whether the last call failed, and since when.
+func (m *Mirror) Lost() (time.Time, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lost, !m.lost.IsZero()
+}
+
+// Regained is when the store answered again after the last outage.
+func (m *Mirror) Regained() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.regained
+}
+
+// StoreClock estimates the store's steady clock; ok is false before the first
+// answer.
+func (m *Mirror) StoreClock(now time.Time) (at time.Duration, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.clock + now.Sub(m.clockAt), !m.clockAt.IsZero()
+}
--- /dev/null
+++ b/rollout/manager.go
@@ -0,0 +1,392 @@
+package rollout
+
+import (
+	"hash/fnv"
+	"maps"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/savoryshift/savoryshift/policy/guard"
+)
+
+const (
+	// slowFactor is how much longer than the nominal time a first event must take
+	// to count as slow.
+	slowFactor = 3.0
+	// minSlow keeps short delays from counting as slow.
+	minSlow = 300 * time.Millisecond
+	// writerStep is the time that each VM leaves the one before it to write a
+	// change to the store.
+	writerStep = 1200 * time.Millisecond
+	// writePause is the pause before a VM writes the same change again.
+	writePause = time.Second
+)
+
+// Options configures a Manager.
+type Options struct {
+	// SessionIdle is the longest pause within a session.
+	SessionIdle time.Duration
+	Log         *zap.Logger
+}
+
+// Manager follows the rollouts of all services. It is safe for concurrent use.
+type Manager struct {
+	o Options
+
+	mu       sync.Mutex
+	services map[string]*service
+	sessions map[uint64]sessionUse
+	recent   []SessionUse
+}
+
+// service is the state of one service's rollout.
+type service struct {
+	order Order
+	// known says that an order was given; began is when it was first seen here.
+	known    bool
+	began    time.Time
+	progress Progress
+	revision int64
+	guard    *guard.Guard
+	halted   bool
+	// due is since when a change of the store's state is due.
+	due     time.Time
+	written time.Time
+	// first are the releases that were registered before any order was known.
+	first map[string]bool
+}
+
+type sessionUse struct {
+	at    time.Time
+	onNew bool
+}
+
+// SessionUse tells peers which release a session had.
+type SessionUse struct {
+	Session uint64
+	New     bool
+	Age     time.Duration
+}
+
+// New returns a manager without rollouts.
+func New(o Options) *Manager {
+	return &Manager{o: o, services: map[string]*service{}, sessions: map[uint64]sessionUse{}}
+}
+
+func (m *Manager) service(name string) *service {
+	s := m.services[name]
+	if s == nil {
+		s = &service{first: map[string]bool{}, guard: guard.New(guard.Options{})}
+		m.services[name] = s
+	}
+	return s
+}
+
+// SetOrder takes over an order of the operator.
+func (m *Manager) SetOrder(o Order, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.service(o.Service)
+	if s.known && s.order.Revision >= o.Revision {
+		return
+	}
+	s.order, s.known, s.began = o, true, now
+	s.guard, s.halted, s.due, s.written = guard.New(guard.Options{}), false, time.Time{}, time.Time{}
+	m.o.Log.Info("rollout ordered", zap.String("service", o.Service), zap.String("release", o.Release), zap.Duration("duration", o.Duration), zap.Int64("revision", o.Revision))
+}
+
+// SetProgress takes over what the store keeps of a rollout. began is the
+// beginning of the rollout by the clock of this VM.
+func (m *Manager) SetProgress(p Progress, revision int64, began time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.service(p.Service)
+	if revision <= s.revision {
+		return
+	}
+	s.progress, s.revision, s.due = p, revision, time.Time{}
+	if s.known && p.Order == s.order.Revision && began.Before(s.began) {
+		s.began = began
+	}
+	m.o.Log.Info("rollout progress", zap.String("service", p.Service), zap.String("release", p.Release), zap.String("state", string(p.State)), zap.Int64("revision", revision))
+}
+
+// current returns the progress of the present order; a rollout that the store
+// does not know yet is running.
+func (s *service) current() State {
+	if s.progress.Order == s.order.Revision && s.progress.State != "" {
+		return s.progress.State
+	}
+	return Running
+}
+
+// SetReleases tells which releases of a service are registered.
+func (m *Manager) SetReleases(name string, releases map[string]int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.service(name)
+	if s.known {
+		return
+	}
+	if len(s.first) == 0 {
+		for r := range releases {
+			s.first[r] = true
+		}
+	}
+}
+
+// Filter tells which releases may serve a request. Accept is asked when no
+// upstream that Prefer allows is at hand.
+type Filter struct {
+	Prefer, Accept func(release string) bool
+}
+
+// Allow returns the releases that a session may get now.
+func (m *Manager) Allow(name, session string, now time.Time) Filter {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.services[name]
+	if s == nil {
+		return Filter{}
+	}
+	if !s.known {
+		return s.beforeOrder()
+	}
+	release := s.order.Release
+	isNew := func(r string) bool { return r == release }
+	isOld := func(r string) bool { return r != release }
+	switch {
+	case s.current() == Done:
+		return Filter{Prefer: isNew, Accept: isNew}
+	case s.current() == RolledBack || s.halted:
+		return Filter{Prefer: isOld, Accept: isOld}
+	case m.onNew(s, hash(session), now):
+		return Filter{Prefer: isNew}
+	}
+	return Filter{Prefer: isOld}
+}
+
+// beforeOrder keeps releases out that appeared later than the first ones: their
+// order has not been read yet.
+func (s *service) beforeOrder() Filter {
+	if len(s.first) == 0 {
+		return Filter{}
+	}
+	first := s.first
+	known := func(r string) bool { return first[r] }
+	return Filter{Prefer: known}
+}
+
+// onNew decides for a session and remembers the decision.
+func (m *Manager) onNew(s *service, session uint64, now time.Time) bool {
+	part := now.Sub(s.began).Seconds() / s.order.Duration.Seconds()
+	use, seen := m.sessions[session]
+	active := seen && now.Sub(use.at) <= m.o.SessionIdle
+	onNew := float64(session>>11)/(1<<53) < share(part)
+	switch {
+	case active && use.onNew:
+		onNew = true
+	case active && part < pinnedUntil:
+		onNew = false
+	}
+	return onNew
+}
+
+// Served notes which release served a session.
+func (m *Manager) Served(name, session, release string, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.services[name]
+	onNew := s != nil && s.known && s.order.Release == release && s.current() != Done
+	h := hash(session)
+	m.sessions[h] = sessionUse{at: now, onNew: onNew}
+	// Peers need only the sessions that the schedule may move in its first part,
+	// and those that have moved.
+	if onNew || float64(h>>11)/(1<<53) < firstShare {
+		m.recent = append(m.recent, SessionUse{Session: h, New: onNew, Age: time.Duration(now.UnixNano())})
+	}
+}
+
+// Recent returns the uses of sessions within a time, for peers.
+func (m *Manager) Recent(window time.Duration, now time.Time) []SessionUse {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []SessionUse
+	kept := m.recent[:0]
+	for _, u := range m.recent {
+		age := time.Duration(now.UnixNano()) - u.Age
+		if age > window {
+			continue
+		}
+		kept = append(kept, u)
+		out = append(out, SessionUse{Session: u.Session, New: u.New, Age: age})
+	}
+	m.recent = kept
+	return out
+}
+
+// AddSessions takes over the uses that a peer told.
+func (m *Manager) AddSessions(uses []SessionUse, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, u := range uses {
+		at := now.Add(-u.Age)
+		if old, ok := m.sessions[u.Session]; !ok || at.After(old.at) {
+			m.sessions[u.Session] = sessionUse{at: at, onNew: u.New}
+		}
+	}
+}
+
+// Sweep forgets sessions that have ended.
+func (m *Manager) Sweep(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	maps.DeleteFunc(m.sessions, func(_ uint64, u sessionUse) bool { return now.Sub(u.at) > m.o.SessionIdle })
+}
+
+// Observe notes the outcome of a call. Measured is the time to the first event
+// and Nominal the time predicted for an upstream of ordinary speed, both 0 if
+// unknown.
+func (m *Manager) Observe(name, release, route string, failed bool, measured, nominal time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.services[name]
+	if s == nil || !s.known || s.current() != Running {
+		return
+	}
+	s.observe(release == s.order.Release, guard.Stratum{Class: route, Signal: guard.Errors}, failed)
+	if !failed && nominal > 0 {
+		slow := measured > minSlow && measured.Seconds() > slowFactor*nominal.Seconds()
+		s.observe(release == s.order.Release, guard.Stratum{Class: route, Signal: guard.Latency}, slow)
+	}
+	m.judge(s)
+}
+
+func (s *service) observe(candidate bool, stratum guard.Stratum, bad bool) {
+	if candidate {
+		s.guard.ObserveCandidate(stratum, bad)
+	} else {
+		s.guard.ObserveBase(stratum, bad)
+	}
+}
+
+// judge halts a rollout on the evidence of all VMs.
+func (m *Manager) judge(s *service) {
+	halted, cause := s.guard.Halted()
+	if !halted || s.halted {
+		return
+	}
+	s.halted = true
+	m.o.Log.Warn("rollout halted", zap.String("service", s.order.Service), zap.String("release", s.order.Release),
+		zap.Stringer("signal", cause), zap.Float64("evidence", s.guard.Evidence(cause)))
+}
+
+// Evidence is what one VM has seen of a rollout.
+type Evidence struct {
+	Service string
+	Order   int64
+	Counts  guard.Counts
+	Halted  bool
+}
+
+// Evidence returns what this VM has seen of the rollouts that are running.
+func (m *Manager) Evidence() []Evidence {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Evidence
+	for name, s := range m.services {
+		if s.known && s.current() == Running {
+			out = append(out, Evidence{Service: name, Order: s.order.Revision, Counts: s.guard.Counts(), Halted: s.halted})
+		}
+	}
+	return out
+}
+
+// Merge takes over the evidence of a peer. peer names one incarnation, because
+// counts start again with each.
+func (m *Manager) Merge(peer string, list []Evidence) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range list {
+		s := m.services[e.Service]
+		if s == nil || !s.known || s.order.Revision != e.Order {
+			continue
+		}
+		s.guard.Merge(peer, e.Counts)
+		if e.Halted && !s.halted {
+			s.halted = true
+			m.o.Log.Warn("rollout halted by a peer", zap.String("service", e.Service), zap.String("release", s.order.Release), zap.String("peer", peer))
+		}
+		m.judge(s)
+	}
+}
+
+// Write is a change of a rollout's state that the store should keep.
+type Write struct {
+	Progress Progress
+	// Expected is the revision of the progress that the change follows.
+	Expected int64
+}
+
+// Due returns the changes that this VM should write now. rank is the place of
+// this VM among those that are alive: the first one writes at once, each other
+// one only if those before it did not. oldCalls tells how many calls to other
+// releases of a service are running.
+func (m *Manager) Due(now time.Time, storeClock time.Duration, rank int, oldCalls func(service, release string) int) []Write {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Write
+	for name, s := range m.services {
+		if !s.known {
+			continue
+		}
+		next, ok := s.next(now, func() int { return oldCalls(name, s.order.Release) })
+		if !ok {
+			s.due = time.Time{}
+			continue
+		}
+		if s.due.IsZero() {
+			s.due = now
+		}
+		if now.Sub(s.due) < time.Duration(rank)*writerStep || now.Sub(s.written) < writePause {
+			continue
+		}
+		s.written = now
+		p := Progress{Service: name, Release: s.order.Release, State: next, Order: s.order.Revision, Started: storeClock - now.Sub(s.began)}
+		out = append(out, Write{Progress: p, Expected: s.revision})
+	}
+	return out
+}
+
+// next returns the state that the store should have, if it differs.
+func (s *service) next(now time.Time, oldCalls func() int) (State, bool) {
+	if s.progress.Order != s.order.Revision {
+		if s.halted {
+			return RolledBack, true
+		}
+		return Running, true
+	}
+	if s.progress.State != Running {
+		return "", false
+	}
+	part := now.Sub(s.began).Seconds() / s.order.Duration.Seconds()
+	switch {
+	case s.halted:
+		return RolledBack, true
+	case part >= drainedBy, part >= movedAt && oldCalls() == 0:
+		return Done, true
+	}
+	return "", false
+}
+
+// hash spreads session names evenly over 64 bits.
+func hash(text string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(text))
+	v := h.Sum64()
+	v ^= v >> 33
+	v *= 0xff51afd7ed558ccd
+	return v ^ v>>33
+}
--- /dev/null
+++ b/rollout/schedule.go
@@ -0,0 +1,60 @@
+package rollout
+
+import "time"
+
+const (
+	// firstShare is the part of the sessions that try the new release first. It
+	// is below the part of the requests that a bad release may get in all.
+	firstShare = 0.12
+	// pinnedUntil is the part of the duration in which sessions stay on the
+	// release that they have; only new sessions may get the new release.
+	pinnedUntil = 0.5
+	// movedAt is the part of the duration after which all sessions have moved.
+	movedAt = 0.68
+	// drainedBy is the part of the duration at which a rollout is done even if
+	// calls to the old release are still running.
+	drainedBy = 0.9
+)
+
+// share is the part of the sessions that get the new release after a part of
+// the duration.
+func share(part float64) float64 {
+	switch {
+	case part < pinnedUntil:
+		return firstShare
+	case part >= movedAt:
+		return 1
+	}
+	return firstShare + (1-firstShare)*(part-pinnedUntil)/(movedAt-pinnedUntil)
+}
+
+// Order is the operator's order to move a service to a release.
+type Order struct {
+	Service  string
+	Release  string
+	Duration time.Duration
+	// Revision is the transaction that wrote the order.
+	Revision int64
+}
+
+// State of a rollout.
+type State string
+
+// States. Done and RolledBack are final.
+const (
+	Running    State = "running"
+	Done       State = "done"
+	RolledBack State = "rolled_back"
+)
+
+// Progress is what the store keeps of a rollout. It is read again by VMs that
+// start while the rollout is running.
+type Progress struct {
+	Service string
+	Release string
+	State   State
+	// Order is the revision of the order that the progress belongs to.
+	Order int64
+	// Started is the beginning by the store's clock.
+	Started time.Duration
+}
--- /dev/null
+++ b/routing/configuration.go
@@ -0,0 +1,195 @@
+package routing
+
+import (
+	"strings"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// Kind says what may be repeated on a route.
+type Kind string
+
+// Kinds of routes.
+const (
+	// Safe requests may run more than once.
+	Safe Kind = "safe"
+	// Unsafe requests run at most once per client attempt.
+	Unsafe Kind = "unsafe"
+	// Stream requests are answered with a series of events. They count as unsafe
+	// unless the route is resumable.
+	Stream Kind = "stream"
+)
+
+// Destination is a service that takes a share of a route's requests.
+type Destination struct {
+	Service string
+	Weight  int
+}
+
+// Route tells how requests of one host and path prefix are handled.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time until the final answer.
+	Timeout time.Duration
+	// Objective is the latency within which an answer has its full benefit; for
+	// streams it ends at the first event.
+	Objective time.Duration
+	// MaxPause is the longest pause between two events of a stream that is on time.
+	MaxPause time.Duration
+	// Priority is the rank of the route; 0 is the highest.
+	Priority int
+	// Models may serve requests that leave the choice to the router, smallest first.
+	Models       []string
+	Destinations []Destination
+	// MaxAttempts bounds the upstreams that may run one client attempt.
+	MaxAttempts int
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may go on at another upstream after the last event.
+	Resumable bool
+}
+
+// Idempotent reports whether a request of the route may run more than once.
+func (r *Route) Idempotent() bool {
+	return r.Kind == Safe || r.Kind == Stream && r.Resumable
+}
+
+// Model is a model that engines of a service serve.
+type Model struct {
+	Name string
+	// Cost is the price of 1,000 generated tokens.
+	Cost float64
+}
+
+// Service is a group of interchangeable upstreams.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConnections is what one upstream accepts from all callers together.
+	MaxConnections int
+	// Models is empty for services that are not model engines.
+	Models []Model
+	// Slots is the batch size of one engine, 0 for other services.
+	Slots int
+}
+
+// Organisation is a customer with its keys.
+type Organisation struct {
+	Name string
+	Keys []string
+	// Priority replaces the priority of the route when HasPriority is set.
+	Priority    int
+	HasPriority bool
+}
+
+// Limits bound what a client may send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Configuration is one decoded version of the operator's configuration.
+type Configuration struct {
+	Version       int64
+	Routes        []Route
+	Services      []Service
+	Limits        Limits
+	Organisations []Organisation
+}
+
+// Snapshot is a compiled configuration. It is immutable.
+type Snapshot struct {
+	Configuration
+	byHost   map[string][]*Route
+	services map[string]*Service
+	keys     map[string]*Organisation
+}
+
+// Compile checks a configuration and builds its indexes.
+func Compile(c Configuration) (*Snapshot, error) {
+	s := &Snapshot{Configuration: c, byHost: map[string][]*Route{}, services: map[string]*Service{}, keys: map[string]*Organisation{}}
+	for i := range s.Services {
+		s.services[s.Services[i].Name] = &s.Services[i]
+	}
+	for i := range s.Routes {
+		r := &s.Routes[i]
+		if err := s.check(r); err != nil {
+			return nil, err
+		}
+		s.byHost[r.Host] = append(s.byHost[r.Host], r)
+	}
+	for i := range s.Organisations {
+		for _, key := range s.Organisations[i].Keys {
+			s.keys[key] = &s.Organisations[i]
+		}
+	}
+	return s, nil
+}
+
+func (s *Snapshot) check(r *Route) error {
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return oops.Errorf("route %q: prefix %q must begin and end with a slash", r.Name, r.Prefix)
+	}
+	switch r.Kind {
+	case Safe, Unsafe, Stream:
+	default:
+		return oops.Errorf("route %q: kind %q is not one of safe, unsafe, stream", r.Name, r.Kind)
+	}
+	if len(r.Destinations) == 0 {
+		return oops.Errorf("route %q: no destination", r.Name)
+	}
+	for _, d := range r.Destinations {
+		if s.services[d.Service] == nil {
+			return oops.Errorf("route %q: unknown service %q", r.Name, d.Service)
+		}
+		if d.Weight < 0 {
+			return oops.Errorf("route %q: weight %d of service %q is negative", r.Name, d.Weight, d.Service)
+		}
+	}
+	return nil
+}
+
+// Match returns the route with the longest prefix of path on the host, or nil.
+func (s *Snapshot) Match(host, path string) *Route {
+	var best *Route
+	for _, r := range s.byHost[host] {
+		if strings.HasPrefix(path, r.Prefix) && (best == nil || len(r.Prefix) > len(best.Prefix)) {
+			best = r
+		}
+	}
+	return best
+}
+
+// Service returns the service of that name, or nil.
+func (s *Snapshot) Service(name string) *Service { return s.services[name] }
+
+// Organisation returns the holder of a key, or nil.
+func (s *Snapshot) Organisation(key string) *Organisation { return s.keys[key] }
+
+// HasOrganisations reports whether requests need a key at all.
+func (s *Snapshot) HasOrganisations() bool { return len(s.Organisations) > 0 }
+
+// Pick chooses the destination of a request; point is uniform in [0, 1).
+func (r *Route) Pick(point float64) string {
+	total := 0
+	for _, d := range r.Destinations {
+		total += d.Weight
+	}
+	if total == 0 {
+		return r.Destinations[0].Service
+	}
+	rest := point * float64(total)
+	for _, d := range r.Destinations {
+		rest -= float64(d.Weight)
+		if rest < 0 {
+			return d.Service
+		}
+	}
+	return r.Destinations[len(r.Destinations)-1].Service
+}
