gateway, cascade, placement: priced drops, careful moves, zones that are cut off

Ruled out: the client side (the log line "silent" names the call and its upstream's silence); a slow machine (idle 394 ms, upstream sound).

Conclusion: a failed call under a rollout goes back to the old release; the last move of a request is made late; latencies are compared while both serve.

--- a/entry/control.go
+++ b/entry/control.go
@@ -110,13 +110,17 @@
 }
 
 // Digest implements fleet.Node.
-func (e *Entry) Digest() fleet.Digest {
+func (e *Entry) Digest(evidence bool) fleet.Digest {
 	now := time.Now()
-	return fleet.Digest{
+	d := fleet.Digest{
 		Incarnation: e.started.UnixNano(), Stopping: e.stopping.Load(), Revisions: e.revisions(),
 		Loads: fleet.EncodeLoads(e.book.Loads()), Uses: e.book.RecentUses(recentWindow, now),
-		Sessions: e.rollouts.Recent(recentWindow, now), Rollouts: e.rollouts.Evidence(),
+		Sessions: e.rollouts.Recent(recentWindow, now),
 	}
+	if evidence {
+		d.Rollouts = e.rollouts.Evidence()
+	}
+	return d
 }
 
 // mirrors are the copies of tables, by name.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,6 +24,9 @@
 )
 
 const (
+	// settleUpstreams collects registrations that change together. It is small
+	// beside the time in which a leaving upstream must get no more work (2 s).
+	settleUpstreams = 400 * time.Millisecond
 	// memoryShare is the part of the machine's memory that the runtime aims at.
 	memoryShare = 0.6
 	// gcPercent trades a little memory for less processor time; the heap is small.
@@ -79,12 +82,12 @@
 		budget: newRetryBudget(s.Bounds),
 	}
 	e.rollouts = rollout.New(rollout.Options{SessionIdle: s.Bounds.SessionIdle, Log: o.Log})
-	e.fleet = fleet.New(fleet.Options{VM: s.VM, Address: s.Peer, Seeds: s.Seeds, Node: e, Log: o.Log})
+	e.fleet = fleet.New(fleet.Options{VM: s.VM, AvailabilityZone: s.AvailabilityZone, Address: s.Peer, Seeds: s.Seeds, Node: e, Log: o.Log})
 	e.gateway = gateway.New(gateway.Options{
 		Codec: platform.Codec{}, Book: e.book, Pool: e.pool, Splitter: e.rollouts, Budget: e.budget, Log: o.Log,
 	})
 	e.orders = mirror.New(mirror.Options{Name: "orders", Table: e.store.Orders(), Changed: e.ordersChanged, Log: o.Log})
-	e.upstreams = mirror.New(mirror.Options{Name: "upstreams", Table: e.store.Upstreams(), Changed: e.upstreamsChanged, Log: o.Log})
+	e.upstreams = mirror.New(mirror.Options{Name: "upstreams", Table: e.store.Upstreams(), Changed: e.upstreamsChanged, Settle: settleUpstreams, Log: o.Log})
 	e.status = mirror.New(mirror.Options{Name: "status", Table: e.store.Status(), Changed: e.statusChanged, Log: o.Log})
 	return e
 }
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// dialTimeout bounds a new connection. It is shorter than the first
-	// retransmission of a lost opening packet (1 s), so that another upstream
-	// is tried instead.
-	dialTimeout = 400 * time.Millisecond
+	// dialTimeout bounds a new connection. It is many times the round trip
+	// between zones, and shorter than the first retransmission of a lost opening
+	// packet (1 s), so that another upstream is tried instead.
+	dialTimeout = 250 * time.Millisecond
 	// keepAliveIdle, keepAliveInterval and keepAliveCount find connections that
 	// went silent for good after about three seconds.
 	keepAliveIdle     = time.Second
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,11 +19,14 @@
 	// perPeer bounds the exchanges of a VM in a large fleet: the interval grows
 	// with the number of peers, so that each VM makes at most about 60 a second.
 	perPeer = 16 * time.Millisecond
+	// farFactor is how much longer the interval is to a VM in another zone, because
+	// bytes between zones are paid for.
+	farFactor = 2.5
 	// silentAfter is the time without an exchange after which the higher of two
 	// VMs also calls the lower one; usually only the lower one calls.
-	silentAfter = 3 * interval
+	silentAfter = 5 * interval
 	// aliveFor is the time after its last exchange for which a peer counts as alive.
-	aliveFor = 1200 * time.Millisecond
+	aliveFor = 1600 * time.Millisecond
 	// forgetAfter is the time after which an address that never answers is dropped.
 	forgetAfter = 20 * time.Second
 	// callTimeout bounds one exchange, dialTimeout a new connection.
@@ -37,8 +40,9 @@
 
 // Node is the VM that takes part.
 type Node interface {
-	// Digest returns what the VM tells its peers now.
-	Digest() Digest
+	// Digest returns what the VM tells its peers now, with the evidence on
+	// rollouts if asked for.
+	Digest(evidence bool) Digest
 	// Take takes over what a peer told.
 	Take(d Digest, now time.Time)
 	// Table returns a copy of a table if it is newer.
@@ -47,17 +51,17 @@
 
 // Options configures a Fleet.
 type Options struct {
-	// VM and Address are those of this VM.
-	VM, Address string
-	Seeds       []string
-	Node        Node
-	Log         *zap.Logger
+	// VM, AvailabilityZone and Address are those of this VM.
+	VM, AvailabilityZone, Address string
+	Seeds                         []string
+	Node                          Node
+	Log                           *zap.Logger
 }
 
 // peer is what is known of another VM.
 type peer struct {
-	address string
-	vm      string
+	address  string
+	vm, zone string
 	// heard is the last exchange in either direction, found when the address
 	// was first known.
 	heard, found time.Time
@@ -66,6 +70,8 @@
 	next         time.Time
 	backoff      time.Duration
 	busy         bool
+	// evidence is when the evidence on rollouts was told last.
+	evidence time.Time
 }
 
 // Fleet exchanges digests with peers. It is safe for concurrent use.
@@ -106,7 +112,7 @@
 // Exchange takes the digest of a peer and returns that of this VM.
 func (h *handler) Exchange(in Digest, out *Digest) error {
 	h.f.take(in)
-	*out = h.f.digest()
+	*out = h.f.digest(in.Address)
 	return nil
 }
 
@@ -159,18 +165,31 @@
 	}
 }
 
-// digest is the node's digest with the addresses of the peers that are alive.
-func (f *Fleet) digest() Digest {
-	d := f.o.Node.Digest()
-	d.VM, d.Address = f.o.VM, f.o.Address
+// evidenceEvery is the pause between two digests with evidence on rollouts to
+// one peer: evidence is long and is needed within seconds only.
+const evidenceEvery = 700 * time.Millisecond
+
+// digest is the node's digest for a peer, with the addresses of the peers that
+// are alive.
+func (f *Fleet) digest(address string) Digest {
 	now := time.Now()
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	var peers []string
 	for _, p := range f.peers {
 		if p.alive(now) {
-			d.Peers = append(d.Peers, p.address)
+			peers = append(peers, p.address)
 		}
 	}
+	p := f.peers[address]
+	evidence := p != nil && now.Sub(p.evidence) >= evidenceEvery
+	if evidence {
+		p.evidence = now
+	} else {
+		peers = nil
+	}
+	f.mu.Unlock()
+	d := f.o.Node.Digest(evidence)
+	d.VM, d.AvailabilityZone, d.Address, d.Peers = f.o.VM, f.o.AvailabilityZone, f.o.Address, peers
 	return d
 }
 
@@ -186,7 +205,7 @@
 		if !p.alive(now) {
 			f.o.Log.Info("peer regained", zap.String("peer", d.VM), zap.String("address", d.Address))
 		}
-		p.vm, p.heard, p.stopping, p.backoff = d.VM, now, d.Stopping, 0
+		p.vm, p.zone, p.heard, p.stopping, p.backoff = d.VM, d.AvailabilityZone, now, d.Stopping, 0
 	}
 	for _, address := range d.Peers {
 		f.find(address, now)
@@ -246,7 +265,11 @@
 		if f.o.Address > address && now.Sub(p.heard) < silentAfter {
 			continue
 		}
-		p.busy, p.next = true, now.Add(max(pause, p.backoff))
+		wait := pause
+		if p.zone != f.o.AvailabilityZone {
+			wait = time.Duration(farFactor * float64(pause))
+		}
+		p.busy, p.next = true, now.Add(max(wait, p.backoff))
 		list = append(list, p)
 	}
 	return list
@@ -255,7 +278,7 @@
 // exchange makes one exchange with a peer.
 func (f *Fleet) exchange(p *peer) {
 	var reply Digest
-	err := f.call(p, "Exchange", f.digest(), &reply)
+	err := f.call(p, "Exchange", f.digest(p.address), &reply)
 	if err == nil {
 		f.take(reply)
 	}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -16,7 +16,7 @@
 
 // Digest is what a VM tells its peers.
 type Digest struct {
-	VM string
+	VM, AvailabilityZone string
 	// Address is where the VM takes calls of peers.
 	Address string
 	// Incarnation is the start of the process; counts begin anew with each.
--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -57,6 +57,10 @@
 	// runs counts calls that ran or may have run, sends all calls.
 	runs, sends int
 	excluded    map[string]bool
+	// release is that of the stream that the caller is getting.
+	release string
+	// failed says that an upstream has failed the request.
+	failed bool
 	// mayHaveRun forbids answers that say "not run".
 	mayHaveRun bool
 	// wrote says that the header of an answer went to the caller.
@@ -65,6 +69,11 @@
 	reason string
 	model  string
 	last   string
+	// confidence is that of the model in the answer that was delivered, -1 if
+	// unknown; firstEvent and pause are the time to the first event and the
+	// longest time between two events.
+	confidence        int
+	firstEvent, pause time.Duration
 }
 
 // finish logs the outcome of the request.
@@ -82,7 +91,8 @@
 		zap.String("request", x.req.ID), zap.String("route", route), zap.String("organisation", x.organisation),
 		zap.Int("status", x.status), zap.String("reason", x.reason), zap.String("model", x.model),
 		zap.String("upstream", x.last), zap.Int("runs", x.runs), zap.Int("sends", x.sends),
-		zap.Duration("took", now.Sub(x.start)), zap.Int64("configuration", x.version()))
+		zap.Duration("took", now.Sub(x.start)), zap.Int64("configuration", x.version()),
+		zap.Int("confidence", x.confidence), zap.Duration("first_event", x.firstEvent), zap.Duration("pause", x.pause))
 }
 
 func (x *execution) version() int64 {
@@ -160,13 +170,9 @@
 	now := time.Now()
 	q := &placement.Query{
 		Service: x.service.Name, Model: model, Rank: rank, Tokens: x.req.PromptTokens, Parts: x.req.Parts,
-		Exclude: x.excluded, Allow: x.allow.Prefer, Now: now,
-	}
-	choice, ok := x.s.o.Book.Choose(q)
-	if !ok && x.allow.Prefer != nil {
-		q.Allow = x.allow.Accept
-		choice, ok = x.s.o.Book.Choose(q)
+		Exclude: x.excluded, Now: now,
 	}
+	choice, ok := x.choose(q)
 	if !ok {
 		return nil
 	}
@@ -181,6 +187,35 @@
 	return a
 }
 
+// choose tries the releases in the order in which they suit the request: the
+// one that the stream at hand came from, after a failure the release that is
+// known to work, those of the session, and then whatever may serve it.
+func (x *execution) choose(q *placement.Query) (placement.Choice, bool) {
+	prefer, accept := x.allow.Prefer, x.allow.Accept
+	filters := make([]func(string) bool, 0, 4)
+	if x.release != "" {
+		filters = append(filters, func(r string) bool { return r == x.release && allows(accept, r) })
+	}
+	if x.failed && x.allow.Retreat != nil {
+		filters = append(filters, x.allow.Retreat)
+	}
+	filters = append(filters, prefer)
+	if prefer != nil {
+		filters = append(filters, accept)
+	}
+	for _, q.Allow = range filters {
+		if c, ok := x.s.o.Book.Choose(q); ok {
+			return c, true
+		}
+	}
+	return placement.Choice{}, false
+}
+
+// allows reports whether a filter lets a release through; nil lets all through.
+func allows(filter func(string) bool, release string) bool {
+	return filter == nil || filter(release)
+}
+
 // exclude keeps later calls of the request away from an upstream.
 func (x *execution) exclude(id string) {
 	if x.excluded == nil {
@@ -237,7 +272,7 @@
 func (a *attempt) unanswered(err error) verdict {
 	v, outcome := failed, placement.Failed
 	if errors.Is(err, exchange.ErrNotSent) {
-		v = notRun
+		v, outcome = notRun, placement.Unreachable
 	}
 	if errors.Is(a.ctx.Err(), context.Canceled) || errors.Is(err, errUnregistered) {
 		outcome = placement.Neutral
@@ -284,10 +319,17 @@
 	a.call.End(o, now)
 }
 
+// busyWait is the predicted wait in seconds from which an upstream counts as busy.
+const busyWait = 0.15
+
 // observe notes the outcome for the judgement of releases.
 func (a *attempt) observe(failed bool, measured time.Duration) {
-	a.x.s.o.Splitter.Observe(a.choice.Service, a.choice.Release, a.x.route.Name, failed, measured,
-		time.Duration(a.choice.Nominal*float64(time.Second)))
+	nominal := time.Duration(a.choice.Nominal * float64(time.Second))
+	if a.choice.Wait > busyWait {
+		// Behind a queue the time says more about the load than about the release.
+		nominal = 0
+	}
+	a.x.s.o.Splitter.Observe(a.choice.Service, a.choice.Release, a.x.route.Name, failed, measured, nominal, time.Now())
 }
 
 func (a *attempt) log(event string, fields ...zap.Field) {
@@ -311,4 +353,7 @@
 	if v != good {
 		x.exclude(a.choice.ID)
 	}
+	if v == failed {
+		x.failed = true
+	}
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -51,6 +51,7 @@
 	// nanoseconds, 0 before.
 	stopping atomic.Int64
 	active   atomic.Int64
+	sizes    sizes
 }
 
 // New returns a server without a configuration; it refuses until SetState.
@@ -58,7 +59,7 @@
 	if o.Metrics == nil {
 		o.Metrics = NewMetrics()
 	}
-	return &Server{o: o}
+	return &Server{o: o, sizes: sizes{means: map[string]*meanSize{}}}
 }
 
 // SetState replaces the configuration.
@@ -79,7 +80,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.active.Add(1)
 	defer s.active.Add(-1)
-	x := &execution{s: s, w: w, start: time.Now(), ctx: r.Context()}
+	x := &execution{s: s, w: w, start: time.Now(), ctx: r.Context(), confidence: -1}
 	defer x.finish()
 	if at := s.stopping.Load(); at != 0 {
 		w.Header().Set("Connection", "close")
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -21,6 +21,8 @@
 	out *http.ResponseController
 	// lastEvent is the ID of the last event that the caller has.
 	lastEvent string
+	// eventAt is when the last event came.
+	eventAt time.Time
 	// rank is the place of the present model among those of the route.
 	rank int
 	// next is a call that has been placed already.
@@ -93,7 +95,7 @@
 // try makes one call and passes its events on. It returns true when the request
 // is finished.
 func (t *streaming) try(a *attempt) bool {
-	dog := a.watch(max(minFirstPatience, time.Duration(patienceFactor*a.choice.FirstEvent*float64(time.Second))))
+	dog := a.watch(max(minFirstPatience, time.Duration(patienceFactor*a.choice.FirstEvent*float64(time.Second))), false)
 	v := a.send(t.lastEvent, t.urgency())
 	dog.stop()
 	t.settle(a, v)
@@ -110,6 +112,7 @@
 	now := time.Now()
 	a.call.FirstEvent(now)
 	a.observe(false, now.Sub(a.start))
+	a.log("first event", zap.Float64("wait", a.choice.Wait), zap.Float64("reading", a.choice.Reading))
 	if t.escalate(a, now) {
 		a.end(placement.Answered)
 		return false
@@ -142,13 +145,11 @@
 	if next == nil {
 		return false
 	}
-	in := cascade.Input{
-		Confidence: a.answer.Confidence,
-		Predicted:  time.Duration(next.choice.FirstEvent * float64(time.Second)),
-		Left:       t.route.Objective - now.Sub(t.start),
-	}
-	ok := cascade.Escalate(in) && t.s.o.Budget.Repeat(t.service.Name, now)
-	a.log("confidence", zap.Int("confidence", in.Confidence), zap.Duration("larger", in.Predicted), zap.Duration("left", in.Left), zap.Bool("dropped", ok))
+	in := t.cascadeInput(a, next, now)
+	d := cascade.Decide(in)
+	ok := d.Drop && t.s.o.Budget.Repeat(t.service.Name, now)
+	a.log("confidence", zap.Int("confidence", in.Confidence), zap.Duration("larger", in.Predicted), zap.Duration("left", in.Left),
+		zap.Float64("wait", in.Wait), zap.Float64("gain", d.Gain), zap.Float64("price", d.Price), zap.Bool("dropped", ok))
 	if !ok {
 		next.end(placement.Neutral)
 		t.sends--
@@ -159,12 +160,39 @@
 	return true
 }
 
-// canMove reports whether a call may be given up for another one.
-func (x *execution) canMove(a *attempt) bool {
-	if !x.route.Idempotent() || x.runs+1 >= x.route.MaxAttempts {
-		return false
+// cascadeInput collects what the choice between the answer at hand and the
+// larger model depends on.
+func (t *streaming) cascadeInput(a, next *attempt, now time.Time) cascade.Input {
+	generated := float64(t.req.expectedOutput())
+	size := float64(t.req.PromptTokens) + outputWeight*generated
+	cost := 0.0
+	for _, m := range t.service.Models {
+		if m.Name == next.model {
+			cost = cascade.Cost(m.Cost, generated, next.choice.UncachedTokens)
+		}
 	}
-	return x.s.o.Book.Alternatives(a.choice.Service, a.choice.ID, x.allow.Prefer) > 0
+	return cascade.Input{
+		Confidence: a.answer.Confidence,
+		Value:      cascade.Value(t.route.Priority, size, t.s.sizes.mean(t.route.Name, size)),
+		Cost:       cost,
+		Work:       next.choice.Reading,
+		Wait:       next.choice.Wait,
+		Predicted:  time.Duration(next.choice.FirstEvent * float64(time.Second)),
+		Left:       t.route.Objective - now.Sub(t.start),
+	}
+}
+
+// movesLeft is the number of further calls that a silent one may be given up
+// for. settled says that the silent one has been counted among the runs.
+func (x *execution) movesLeft(a *attempt, settled bool) int {
+	runs := x.runs
+	if !settled {
+		runs++
+	}
+	if !x.route.Idempotent() || x.s.o.Book.Alternatives(a.choice.Service, a.choice.ID, x.allow.Prefer, time.Now()) == 0 {
+		return 0
+	}
+	return max(0, x.route.MaxAttempts-runs)
 }
 
 // urgency is the scheduling priority at the engine. A call that replaces a
@@ -191,7 +219,7 @@
 // pump passes events on until the stream ends. It returns true when the
 // request is finished.
 func (t *streaming) pump(a *attempt) bool {
-	t.model = a.model
+	t.model, t.confidence, t.release = a.model, a.answer.Confidence, a.choice.Release
 	if !t.wrote {
 		copyAnswerHeader(t.w.Header(), a.reply.Header)
 		t.status, t.wrote = a.answer.Status, true
@@ -222,6 +250,16 @@
 	panic(http.ErrAbortHandler)
 }
 
+// timing notes when an event came.
+func (t *streaming) timing(now time.Time) {
+	if t.firstEvent == 0 {
+		t.firstEvent = now.Sub(t.start)
+		t.eventAt = now
+	}
+	t.pause = max(t.pause, now.Sub(t.eventAt))
+	t.eventAt = now
+}
+
 // errCallerGone says that an event could not be written to the caller.
 var errCallerGone = errors.New("caller is gone")
 
@@ -232,7 +270,7 @@
 	if patience <= 0 {
 		patience = defaultGapPatience
 	}
-	dog := a.watch(patience)
+	dog := a.watch(patience, true)
 	defer dog.stop()
 	events := newEventReader(a.reply)
 	for {
@@ -243,8 +281,10 @@
 		if err != nil {
 			return err
 		}
+		now := time.Now()
 		dog.step()
-		a.call.Heard(time.Now())
+		a.call.Heard(now)
+		t.timing(now)
 		if _, err := t.w.Write(data); err != nil {
 			return errors.Join(errCallerGone, err)
 		}
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -30,6 +30,9 @@
 	// PromptTokens and OutputTokens (the most that may be generated) are 0 for
 	// requests to plain services.
 	PromptTokens, OutputTokens int
+	// LengthHint is the caller's estimate of the tokens to be generated, 0 if
+	// there is none; it is right at the median and often far off.
+	LengthHint int
 	// Parts of the prompt in order; the last one belongs to the request itself.
 	Parts []placement.Part
 	// Session names the session, empty if there is none.
@@ -39,6 +42,18 @@
 	LastEvent string
 }
 
+// outputShare is the usual length of an answer as a part of the most that may be
+// generated.
+const outputShare = 0.35
+
+// expectedOutput is the number of tokens that an answer is expected to have.
+func (r *Request) expectedOutput() int {
+	if r.LengthHint > 0 {
+		return min(r.LengthHint, max(r.OutputTokens, 1))
+	}
+	return int(outputShare * float64(r.OutputTokens))
+}
+
 // Call is one call to an upstream.
 type Call struct {
 	Upstream     string
@@ -98,5 +113,5 @@
 	Served(service, session, release string, now time.Time)
 	// Observe notes the outcome of a call: whether it failed, the time to the
 	// first event, and what was predicted for an upstream of ordinary speed.
-	Observe(service, release, route string, failed bool, measured, nominal time.Duration)
+	Observe(service, release, route string, failed bool, measured, nominal time.Duration, now time.Time)
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -66,7 +66,10 @@
 	Table Table
 	// Changed is called after each change, by one goroutine at a time.
 	Changed func(c Copy, now time.Time)
-	Log     *zap.Logger
+	// Settle is the pause after a change before the next one is asked for, so
+	// that changes that come together cost one call.
+	Settle time.Duration
+	Log    *zap.Logger
 }
 
 // Mirror follows one table. It is safe for concurrent use.
@@ -137,6 +140,9 @@
 	}
 	m.succeeded(page)
 	m.apply(page, false)
+	if len(page.Rows) > 0 && m.o.Settle > 0 {
+		pause(ctx, m.o.Settle)
+	}
 	return nil
 }
 
--- /dev/null
+++ b/mirror/mirror_test.go
@@ -0,0 +1,173 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+)
+
+// reply is one scripted answer of a table.
+type reply struct {
+	page Page
+	err  error
+}
+
+// scripted answers reads and follows from a script; a follow without a script
+// waits as long as it is told to.
+type scripted struct {
+	reads, follows []reply
+	after          []int64
+}
+
+func (s *scripted) Read(ctx context.Context, from string) (Page, error) {
+	if len(s.reads) == 0 {
+		return Page{}, errors.New("nothing to read")
+	}
+	r := s.reads[0]
+	s.reads = s.reads[1:]
+	return r.page, r.err
+}
+
+func (s *scripted) Follow(ctx context.Context, after int64, wait time.Duration) (Page, error) {
+	s.after = append(s.after, after)
+	if len(s.follows) > 0 {
+		r := s.follows[0]
+		s.follows = s.follows[1:]
+		return r.page, r.err
+	}
+	select {
+	case <-ctx.Done():
+		return Page{}, ctx.Err()
+	case <-time.After(wait):
+		return Page{Revision: after}, nil
+	}
+}
+
+func page(revision int64, rows ...Row) Page { return Page{Revision: revision, Rows: rows} }
+
+func row(key, value string, revision int64) Row {
+	return Row{Key: key, Value: []byte(value), Revision: revision}
+}
+
+// follow runs a mirror over a script for a time and returns it with the number
+// of changes that it told.
+func follow(t *testing.T, s *scripted, d time.Duration) (*Mirror, int) {
+	t.Helper()
+	changes := 0
+	m := New(Options{Name: "t", Table: s, Log: zap.NewNop(), Changed: func(Copy, time.Time) { changes++ }})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { m.Run(ctx); close(done) }()
+	time.Sleep(d)
+	cancel()
+	<-done
+	return m, changes
+}
+
+func values(m *Mirror) map[string]string {
+	c, _ := m.Copy()
+	out := map[string]string{}
+	for key, r := range c.Rows {
+		out[key] = string(r.Value)
+	}
+	return out
+}
+
+// Changes are applied in order, deletions too.
+func TestFollowsChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scripted{
+			reads: []reply{{page: page(5, row("a", "1", 4), row("b", "1", 5))}},
+			follows: []reply{
+				{page: page(6, row("a", "2", 6))},
+				{page: page(7, Row{Key: "b", Revision: 7, Deleted: true})},
+			},
+		}
+		m, changes := follow(t, s, time.Second)
+		assert.DeepEqual(t, values(m), map[string]string{"a": "2"})
+		assert.Equal(t, changes, 3)
+	})
+}
+
+// A table without rows counts as read: a VM must become ready before the first
+// upstream registers.
+func TestEmptyTableIsLoaded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, changes := follow(t, &scripted{reads: []reply{{page: page(0)}}}, time.Second)
+		_, ok := m.Copy()
+		assert.Assert(t, ok)
+		assert.Equal(t, changes, 1)
+	})
+}
+
+// After the history is dropped the table is read anew, and rows that disappeared
+// in the gap are removed.
+func TestLostHistoryIsReadAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scripted{
+			reads:   []reply{{page: page(5, row("a", "1", 4), row("b", "1", 5))}, {page: page(9, row("a", "3", 8))}},
+			follows: []reply{{err: ErrHistoryGone}},
+		}
+		m, _ := follow(t, s, time.Second)
+		assert.DeepEqual(t, values(m), map[string]string{"a": "3"})
+		assert.Equal(t, s.after[len(s.after)-1], int64(9))
+	})
+}
+
+// A store that lags behind must not take the copy back to an older state.
+func TestNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scripted{
+			reads: []reply{
+				{page: page(5, row("a", "5", 5))},
+				{page: page(3, row("a", "3", 3))},
+				{page: page(6, row("a", "6", 6))},
+			},
+			follows: []reply{{err: ErrHistoryGone}, {err: ErrHistoryGone}},
+		}
+		m, _ := follow(t, s, 2*time.Second)
+		assert.DeepEqual(t, values(m), map[string]string{"a": "6"})
+	})
+}
+
+// The copy stays in force while the store fails, and the pauses between calls
+// stay below a second.
+func TestOutageKeepsTheCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scripted{reads: []reply{{page: page(5, row("a", "1", 5))}}}
+		for range 1000 {
+			s.follows = append(s.follows, reply{err: errors.New("down")})
+		}
+		m, _ := follow(t, s, 10*time.Second)
+		assert.DeepEqual(t, values(m), map[string]string{"a": "1"})
+		_, lost := m.Lost()
+		assert.Assert(t, lost)
+		assert.Assert(t, len(s.after) >= 10 && len(s.after) < 40, "%d calls", len(s.after))
+	})
+}
+
+// A VM without the store takes newer copies from peers, never older ones.
+func TestOffer(t *testing.T) {
+	m := New(Options{Name: "t", Log: zap.NewNop()})
+	assert.Assert(t, m.Offer(Copy{Revision: 4, Rows: map[string]Row{"a": row("a", "4", 4), "b": row("b", "2", 2)}}))
+	assert.Assert(t, !m.Offer(Copy{Revision: 3, Rows: map[string]Row{"a": row("a", "3", 3)}}))
+	assert.Assert(t, m.Offer(Copy{Revision: 6, Rows: map[string]Row{"a": row("a", "6", 6)}}))
+	assert.DeepEqual(t, values(m), map[string]string{"a": "6"})
+}
+
+// A table of several pages is read whole.
+func TestReadsAllPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := page(5, row("a", "1", 1))
+		first.Partial = true
+		m, _ := follow(t, &scripted{reads: []reply{{page: first}, {page: page(6, row("b", "2", 2))}}}, time.Second)
+		assert.DeepEqual(t, values(m), map[string]string{"a": "1", "b": "2"})
+		c, _ := m.Copy()
+		assert.Equal(t, c.Revision, int64(5), "changes between the pages must be followed")
+	})
+}
--- a/placement/book.go
+++ b/placement/book.go
@@ -85,6 +85,7 @@
 	service map[string][]*entry
 	peers   map[string]peerState
 	uses    []cacheEvent
+	zones   map[string]*zone
 }
 
 // NewBook returns an empty book.
@@ -94,7 +95,7 @@
 	}
 	return &Book{
 		o: o, entries: map[string]*entry{}, service: map[string][]*entry{},
-		peers: map[string]peerState{},
+		peers: map[string]peerState{}, zones: map[string]*zone{},
 	}
 }
 
@@ -227,14 +228,15 @@
 	return e != nil && !e.Draining && (e.unregistered.IsZero() || now.Sub(e.unregistered) < lapseGrace)
 }
 
-// Alternatives counts the upstreams of a service, other than one, that take
-// calls of an allowed release.
-func (b *Book) Alternatives(service, other string, allow func(string) bool) int {
+// Alternatives counts the upstreams of a service, other than one, that may take
+// a call of an allowed release now.
+func (b *Book) Alternatives(service, other string, allow func(string) bool, now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	q := &Query{Allow: allow, Now: now}
 	n := 0
 	for _, e := range b.service[service] {
-		if e.ID != other && !e.Draining && e.unregistered.IsZero() && (allow == nil || allow(e.Release)) {
+		if e.ID != other && e.usable(q, false) && !b.zones[e.AvailabilityZone].suspect(now) {
 			n++
 		}
 	}
--- a/placement/call.go
+++ b/placement/call.go
@@ -32,6 +32,11 @@
 		load: Load{Calls: 1, Reading: c.Reading},
 	}
 	e.own.add(call.load)
+	z := b.zone(e.AvailabilityZone)
+	if z.calls == 0 {
+		z.busy = q.Now
+	}
+	z.calls++
 	return call
 }
 
@@ -40,6 +45,14 @@
 	c.b.mu.Lock()
 	defer c.b.mu.Unlock()
 	c.e.heard = now
+	c.b.zone(c.e.AvailabilityZone).heard = now
+}
+
+// CutOff reports whether the zone of the upstream may be cut off.
+func (c *Call) CutOff(now time.Time) bool {
+	c.b.mu.Lock()
+	defer c.b.mu.Unlock()
+	return c.e.AvailabilityZone != c.b.o.AvailabilityZone && c.b.zones[c.e.AvailabilityZone].suspect(now)
 }
 
 // SilentFor returns how long no call of this VM got a byte from the upstream,
@@ -62,6 +75,7 @@
 	}
 	c.first = true
 	c.e.heard = now
+	c.b.zone(c.e.AvailabilityZone).heard = now
 	next := Load{Calls: 1, Running: c.weight}
 	c.replace(next)
 	if c.reading >= minSpeedSample {
@@ -94,6 +108,8 @@
 	Neutral Outcome = iota
 	Answered
 	Failed
+	// Unreachable calls got no connection, or no byte for long.
+	Unreachable
 )
 
 // End removes the call and notes its outcome.
@@ -105,15 +121,30 @@
 	}
 	c.ended = true
 	c.replace(Load{})
+	c.b.zone(c.e.AvailabilityZone).calls--
 	switch o {
 	case Answered:
 		c.e.health.succeed()
+		c.b.zone(c.e.AvailabilityZone).heard = now
 		if c.model == "" {
 			c.e.speed.observe(now.Sub(c.start).Seconds(), c.predicted)
 		}
 	case Failed:
 		c.e.health.fail(now)
+	case Unreachable:
+		c.e.health.fail(now)
+		c.e.health.unreachable(now)
+		c.b.zone(c.e.AvailabilityZone).failed = now
+	}
+}
+
+func (b *Book) zone(name string) *zone {
+	z := b.zones[name]
+	if z == nil {
+		z = &zone{}
+		b.zones[name] = z
 	}
+	return z
 }
 
 // CacheUse says that an upstream read a part of a prompt some time ago.
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -50,6 +50,10 @@
 	FirstEvent float64
 	// Nominal is that time for an upstream of ordinary speed.
 	Nominal float64
+	// Wait is the predicted time until the engine begins with the prompt.
+	Wait float64
+	// UncachedTokens of the prompt have to be read.
+	UncachedTokens float64
 	// Candidates is the number of upstreams that were weighed.
 	Candidates int
 }
@@ -74,23 +78,32 @@
 			continue
 		}
 		candidates++
-		reading, nominal := b.predict(e, q)
-		first := nominal * e.speed.slowness()
-		score := first + workWeight*reading*e.speed.slowness() + failurePenalty*e.health.failing
-		if e.AvailabilityZone != b.o.AvailabilityZone {
-			score += zonePenalty
-		}
+		c := b.predict(e, q)
+		score := c.FirstEvent + workWeight*c.Reading*e.speed.slowness() + failurePenalty*e.health.failing + b.distance(e, q.Now)
 		if score < bestScore {
-			bestScore = score
-			best = Choice{Upstream: e.Upstream, Reading: reading, FirstEvent: first, Nominal: nominal}
+			best, bestScore = c, score
 		}
 	}
 	best.Candidates = candidates
 	return best, candidates > 0
 }
 
+// distance is what an upstream in another availability zone costs, in seconds.
+func (b *Book) distance(e *entry, now time.Time) float64 {
+	switch {
+	case e.AvailabilityZone == b.o.AvailabilityZone:
+		return 0
+	case b.zones[e.AvailabilityZone].suspect(now):
+		return suspectPenalty
+	}
+	return zonePenalty
+}
+
+// usable reports whether a call may be placed at an upstream. Upstreams that
+// cannot be reached are left out also when nothing else is left: such a request
+// is better refused at once.
 func (e *entry) usable(q *Query, desperate bool) bool {
-	if e.Draining || q.Exclude[e.ID] || q.Allow != nil && !q.Allow(e.Release) {
+	if e.Draining || q.Exclude[e.ID] || q.Allow != nil && !q.Allow(e.Release) || e.health.dark(q.Now) {
 		return false
 	}
 	if !e.unregistered.IsZero() {
@@ -104,21 +117,30 @@
 // within two seconds; upstreams that left may be sent work for as long.
 const lapseGrace = 1500 * time.Millisecond
 
-// predict returns the engine time of the prompt and the time to the first event
-// for an upstream of ordinary speed.
-func (b *Book) predict(e *entry, q *Query) (reading, nominal float64) {
+// predict predicts a call at an upstream.
+func (b *Book) predict(e *entry, q *Query) Choice {
 	total := e.own
 	total.add(e.peers)
+	slow := e.speed.slowness()
+	c := Choice{Upstream: e.Upstream}
 	if q.Model == "" {
 		perSlot := float64(total.Calls+1) / float64(max(1, e.Slots))
-		return 0, plainServiceSeconds * (1 + perSlot)
+		c.Nominal = plainServiceSeconds * (1 + perSlot)
+		c.FirstEvent = slow * c.Nominal
+		return c
 	}
-	tokens := q.Tokens - e.keptTokens(q, b.o.CacheLifetime)
-	reading = readingSeconds(float64(max(16, tokens)), q.Rank)
-	nominal = firstEventFloor + (total.Reading+reading)*(1+runningDrag*total.Running)
-	return reading, nominal
+	c.UncachedTokens = float64(max(minReadTokens, q.Tokens-e.keptTokens(q, b.o.CacheLifetime)))
+	c.Reading = readingSeconds(c.UncachedTokens, q.Rank)
+	drag := 1 + runningDrag*total.Running
+	c.Wait = total.Reading * drag * slow
+	c.Nominal = firstEventFloor + (total.Reading+c.Reading)*drag
+	c.FirstEvent = slow * c.Nominal
+	return c
 }
 
+// minReadTokens is read of any prompt, because the last part is never shared.
+const minReadTokens = 16
+
 // keptTokens counts the leading tokens of the prompt that the upstream has read
 // lately with the same model.
 func (e *entry) keptTokens(q *Query, lifetime time.Duration) int {
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -44,6 +44,19 @@
 	ejectAfter  = 2
 	minEjection = 700 * time.Millisecond
 	maxEjection = 4 * time.Second
+	// minDark and maxDark bound the time for which an upstream that could not be
+	// reached is left out. The upper one is how long the return of a zone may go
+	// unnoticed.
+	minDark = 400 * time.Millisecond
+	maxDark = 1200 * time.Millisecond
+	// zoneMemory is how long failures to reach a zone count.
+	zoneMemory = 2500 * time.Millisecond
+	// zoneSilence is the time without a byte for any of at least minZoneCalls
+	// calls after which a zone may be cut off.
+	zoneSilence  = 300 * time.Millisecond
+	minZoneCalls = 3
+	// suspectPenalty is added, in seconds, for a zone that may be cut off.
+	suspectPenalty = 0.8
 	// failureGain is the weight of one outcome in the failure rate.
 	failureGain = 0.15
 )
@@ -54,6 +67,10 @@
 	until   time.Time
 	pause   time.Duration
 	failing float64
+	// darkUntil is the time until which an upstream that could not be reached is
+	// left out, darkPause the last such time span.
+	darkUntil time.Time
+	darkPause time.Duration
 }
 
 // fail notes a failed call.
@@ -67,9 +84,42 @@
 	h.until = now.Add(h.pause)
 }
 
+// unreachable notes that an upstream could not be reached.
+func (h *health) unreachable(now time.Time) {
+	h.darkPause = min(maxDark, max(minDark, 2*h.darkPause))
+	h.darkUntil = now.Add(h.darkPause)
+}
+
+// dark reports whether an upstream is left out because it cannot be reached.
+func (h *health) dark(now time.Time) bool { return now.Before(h.darkUntil) }
+
+// zone is what is known of the way to an availability zone.
+type zone struct {
+	// failed is the last failure to reach an upstream of the zone, heard the last
+	// byte from any of them.
+	failed, heard time.Time
+	// calls counts the calls of this VM in flight there; busy is when the first
+	// of them was sent.
+	calls int
+	busy  time.Time
+}
+
+// suspect reports whether the zone may be cut off: an upstream could not be
+// reached lately and none was heard of since, or none of the calls there gets
+// a byte.
+func (z *zone) suspect(now time.Time) bool {
+	if z == nil {
+		return false
+	}
+	if now.Sub(z.failed) < zoneMemory && !z.heard.After(z.failed) {
+		return true
+	}
+	return z.calls >= minZoneCalls && now.Sub(z.heard) > zoneSilence && now.Sub(z.busy) > zoneSilence
+}
+
 // succeed notes an answered call.
 func (h *health) succeed() {
-	h.row, h.pause = 0, 0
+	h.row, h.pause, h.darkPause = 0, 0, 0
 	h.failing -= failureGain * h.failing
 }
 
--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -14,9 +14,9 @@
 const (
 	// slowFactor is how much longer than the nominal time a first event must take
 	// to count as slow.
-	slowFactor = 3.0
+	slowFactor = 4.0
 	// minSlow keeps short delays from counting as slow.
-	minSlow = 300 * time.Millisecond
+	minSlow = 400 * time.Millisecond
 	// writerStep is the time that each VM leaves the one before it to write a
 	// change to the store.
 	writerStep = 1200 * time.Millisecond
@@ -137,10 +137,11 @@
 	}
 }
 
-// Filter tells which releases may serve a request. Accept is asked when no
-// upstream that Prefer allows is at hand.
+// Filter tells which releases may serve a request; nil functions allow all.
+// Accept is asked when no upstream that Prefer allows is at hand, Retreat after
+// a failed call.
 type Filter struct {
-	Prefer, Accept func(release string) bool
+	Prefer, Retreat, Accept func(release string) bool
 }
 
 // Allow returns the releases that a session may get now.
@@ -163,9 +164,9 @@
 	case s.current() == RolledBack || s.halted:
 		return Filter{Prefer: isOld, Accept: isOld}
 	case m.onNew(s, hash(session), now):
-		return Filter{Prefer: isNew}
+		return Filter{Prefer: isNew, Retreat: isOld}
 	}
-	return Filter{Prefer: isOld}
+	return Filter{Prefer: isOld, Retreat: isOld}
 }
 
 // beforeOrder keeps releases out that appeared later than the first ones: their
@@ -181,7 +182,7 @@
 
 // onNew decides for a session and remembers the decision.
 func (m *Manager) onNew(s *service, session uint64, now time.Time) bool {
-	part := now.Sub(s.began).Seconds() / s.order.Duration.Seconds()
+	part := s.part(now)
 	use, seen := m.sessions[session]
 	active := seen && now.Sub(use.at) <= m.o.SessionIdle
 	onNew := float64(session>>11)/(1<<53) < share(part)
@@ -249,7 +250,7 @@
 // Observe notes the outcome of a call. Measured is the time to the first event
 // and Nominal the time predicted for an upstream of ordinary speed, both 0 if
 // unknown.
-func (m *Manager) Observe(name, release, route string, failed bool, measured, nominal time.Duration) {
+func (m *Manager) Observe(name, release, route string, failed bool, measured, nominal time.Duration, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.services[name]
@@ -257,13 +258,18 @@
 		return
 	}
 	s.observe(release == s.order.Release, guard.Stratum{Class: route, Signal: guard.Errors}, failed)
-	if !failed && nominal > 0 {
+	if !failed && nominal > 0 && s.part(now) < comparedUntil {
 		slow := measured > minSlow && measured.Seconds() > slowFactor*nominal.Seconds()
 		s.observe(release == s.order.Release, guard.Stratum{Class: route, Signal: guard.Latency}, slow)
 	}
 	m.judge(s)
 }
 
+// part is the part of the duration that has passed.
+func (s *service) part(now time.Time) float64 {
+	return now.Sub(s.began).Seconds() / s.order.Duration.Seconds()
+}
+
 func (s *service) observe(candidate bool, stratum guard.Stratum, bad bool) {
 	if candidate {
 		s.guard.ObserveCandidate(stratum, bad)
@@ -371,7 +377,7 @@
 	if s.progress.State != Running {
 		return "", false
 	}
-	part := now.Sub(s.began).Seconds() / s.order.Duration.Seconds()
+	part := s.part(now)
 	switch {
 	case s.halted:
 		return RolledBack, true
--- a/rollout/schedule.go
+++ b/rollout/schedule.go
@@ -11,6 +11,9 @@
 	pinnedUntil = 0.5
 	// movedAt is the part of the duration after which all sessions have moved.
 	movedAt = 0.68
+	// comparedUntil is the part of the duration in which latencies are compared.
+	// Later most traffic is on the new release, whose load explains them.
+	comparedUntil = 0.58
 	// drainedBy is the part of the duration at which a rollout is done even if
 	// calls to the old release are still running.
 	drainedBy = 0.9
