gateway: the retry budget is not charged for calls that cannot be made

Cause: a request with no attempt left still took one repeat from the budget before it found that out, found by TestRepeatsStayWithinBudget (12 calls where 13 were allowed). Ruled out: the hedge, which is off within 100 ms. The fakes and tests of the gateway come with it.

--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -162,9 +162,23 @@
 	cancel context.CancelFunc
 }
 
+// spent reports whether the request has had all the calls that it may have.
+func (x *execution) spent() bool {
+	return x.sends >= maxSends || x.runs >= x.route.MaxAttempts
+}
+
+// repeat reports whether one more call may be made, and takes it from the
+// budget that all requests share.
+func (x *execution) repeat() bool {
+	if x.spent() {
+		return false
+	}
+	return x.s.o.Budget.Repeat(x.service.Name, time.Now())
+}
+
 // place chooses the upstream of the next call, which ends with ctx.
 func (x *execution) place(ctx context.Context, model string, rank int) *attempt {
-	if x.sends >= maxSends || x.runs >= x.route.MaxAttempts || ctx.Err() != nil || x.ctx.Err() != nil {
+	if x.spent() || ctx.Err() != nil || x.ctx.Err() != nil {
 		return nil
 	}
 	now := time.Now()
--- /dev/null
+++ b/gateway/fixture_test.go
@@ -0,0 +1,209 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryshift/savoryshift/exchange"
+	"github.com/savoryshift/savoryshift/gateway"
+	"github.com/savoryshift/savoryshift/gateway/gatewaytest"
+	"github.com/savoryshift/savoryshift/placement"
+	"github.com/savoryshift/savoryshift/rollout"
+	"github.com/savoryshift/savoryshift/routing"
+)
+
+// script is what an upstream does with a request: it writes bytes and returns.
+// The connection is closed afterwards unless it returns true.
+type script func(r *http.Request, w io.Writer) (keep bool)
+
+// upstream is a fake upstream that counts what reaches it.
+type upstream struct {
+	id, address string
+	mu          sync.Mutex
+	requests    []*http.Request
+	gone        chan struct{}
+}
+
+func (u *upstream) seen() []*http.Request {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.requests
+}
+
+func start(t *testing.T, id string, do script) *upstream {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	u := &upstream{id: id, address: l.Addr().String(), gone: make(chan struct{}, 16)}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(conn, do)
+		}
+	}()
+	return u
+}
+
+func (u *upstream) serve(conn net.Conn, do script) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		u.mu.Lock()
+		u.requests = append(u.requests, r)
+		u.mu.Unlock()
+		if !do(r, conn) {
+			return
+		}
+	}
+}
+
+// hang reads from the connection until the caller closes it.
+func (u *upstream) hang(w io.Writer) {
+	_, _ = w.(net.Conn).Read(make([]byte, 1))
+	u.gone <- struct{}{}
+}
+
+// answer writes a whole answer.
+func answer(status int, body string, header ...string) script {
+	return func(r *http.Request, w io.Writer) bool {
+		fmt.Fprintf(w, "HTTP/1.1 %d X\r\nId: %s\r\nSignature: s\r\nContent-Length: %d\r\n", status, r.Header.Get("Id"), len(body))
+		for _, h := range header {
+			fmt.Fprintf(w, "%s\r\n", h)
+		}
+		fmt.Fprintf(w, "\r\n%s", body)
+		return true
+	}
+}
+
+// events writes a stream of events from after the last one that the caller has
+// up to last, and then rest, which is not framed as a chunk.
+func events(last int, rest string, header ...string) script {
+	return func(r *http.Request, w io.Writer) bool {
+		from := 0
+		_, _ = fmt.Sscanf(r.Header.Get("Last"), "%d", &from)
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s-%s\r\nTransfer-Encoding: chunked\r\n", r.Header.Get("Id"), r.Header.Get("Upstream"))
+		for _, h := range header {
+			fmt.Fprintf(w, "%s\r\n", h)
+		}
+		fmt.Fprint(w, "\r\n")
+		for i := from + 1; i <= last; i++ {
+			chunk(w, fmt.Sprintf("id: %d\ndata: %s-%d\n\n", i, r.Header.Get("Model"), i))
+		}
+		fmt.Fprint(w, rest)
+		return rest == end
+	}
+}
+
+const end = "0\r\n\r\n"
+
+func chunk(w io.Writer, data string) { fmt.Fprintf(w, "%x\r\n%s\r\n", len(data), data) }
+
+// budget allows a number of repeats.
+type budget struct{ left int }
+
+func (b *budget) Request(string, time.Time) {}
+func (b *budget) Repeat(string, time.Time) bool {
+	b.left--
+	return b.left >= 0
+}
+
+// system is a gateway in front of some upstreams.
+type system struct {
+	t        *testing.T
+	server   *gateway.Server
+	book     *placement.Book
+	rollouts *rollout.Manager
+	budget   *budget
+	url      string
+}
+
+func newSystem(t *testing.T, upstreams ...placement.Upstream) *system {
+	t.Helper()
+	s := &system{t: t, budget: &budget{left: 100}, book: placement.NewBook(placement.Options{})}
+	s.rollouts = rollout.New(rollout.Options{SessionIdle: time.Second, Log: zap.NewNop()})
+	s.book.SetUpstreams(upstreams, time.Now())
+	s.server = gateway.New(gateway.Options{
+		Codec: gatewaytest.Codec{}, Book: s.book, Pool: exchange.NewPool(), Splitter: s.rollouts, Budget: s.budget, Log: zap.NewNop(),
+	})
+	front := httptest.NewServer(s.server)
+	t.Cleanup(front.Close)
+	s.url = front.URL
+	return s
+}
+
+// of is the registration of a fake upstream.
+func of(u *upstream, release string) placement.Upstream {
+	return placement.Upstream{ID: u.id, Service: "svc", Address: u.address, Release: release, Slots: 4}
+}
+
+// configure puts routes of each kind into force.
+func (s *system) configure() *system {
+	s.t.Helper()
+	to := []routing.Destination{{Service: "svc", Weight: 1}}
+	route := func(name string, kind routing.Kind, attempts int) routing.Route {
+		return routing.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Timeout: 3 * time.Second, Objective: 2 * time.Second,
+			MaxPause: time.Second, MaxAttempts: attempts, Destinations: to, Resumable: kind == routing.Stream, Models: []string{"small", "large"},
+		}
+	}
+	once := route("once", routing.Stream, 3)
+	once.Resumable = false
+	slow := route("slow", routing.Unsafe, 1)
+	slow.Timeout = 200 * time.Millisecond
+	c, err := routing.Compile(routing.Configuration{
+		Version: 1, Services: []routing.Service{{Name: "svc", Models: []routing.Model{{Name: "small", Cost: 0.01}, {Name: "large", Cost: 0.1}}}},
+		Routes:        []routing.Route{route("safe", routing.Safe, 2), route("unsafe", routing.Unsafe, 1), route("stream", routing.Stream, 3), once, slow},
+		Organisations: []routing.Organisation{{Name: "org", Keys: []string{"key"}}},
+	})
+	assert.NilError(s.t, err)
+	s.server.SetState(&gateway.State{Snapshot: c})
+	return s
+}
+
+// reply is what the caller got. whole is false if the connection broke.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	whole  bool
+}
+
+// call sends one request over a connection of its own.
+func (s *system) call(path string, header ...string) reply {
+	s.t.Helper()
+	req, err := http.NewRequestWithContext(s.t.Context(), http.MethodPost, s.url+path, strings.NewReader("body"))
+	assert.NilError(s.t, err)
+	req.Host, req.Close = "h", true
+	req.Header = http.Header{"Id": {"r1"}, "Key": {"key"}}
+	for _, h := range header {
+		name, value, _ := strings.Cut(h, ": ")
+		req.Header.Set(name, value)
+	}
+	resp, err := (&http.Transport{}).RoundTrip(req)
+	if err != nil {
+		return reply{}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), whole: err == nil}
+}
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,244 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryshift/savoryshift/placement"
+	"github.com/savoryshift/savoryshift/rollout"
+)
+
+// A VM that knows no configuration yet must not call a route or key unknown.
+func TestWithoutConfigurationRefuses(t *testing.T) {
+	r := newSystem(t).call("/safe/x")
+	assert.Equal(t, r.status, http.StatusServiceUnavailable)
+	assert.Assert(t, r.header.Get("Retry-After") != "")
+}
+
+// Unknown routes and keys are told apart and reach no upstream.
+func TestUnknownRouteAndKey(t *testing.T) {
+	u := start(t, "u1", answer(200, "ok"))
+	s := newSystem(t, of(u, "v1")).configure()
+	assert.Equal(t, s.call("/other/x").status, http.StatusNotFound)
+	assert.Equal(t, s.call("/safe/x", "Key: wrong").status, http.StatusUnauthorized)
+	assert.Equal(t, len(u.seen()), 0)
+	r := s.call("/safe/x?a=%2F")
+	assert.Equal(t, r.body, "ok")
+	got := u.seen()[0]
+	assert.Equal(t, got.RequestURI, "/safe/x?a=%2F")
+	assert.Equal(t, got.Header.Get("Organisation"), "org")
+	assert.Equal(t, got.Header.Get("Key"), "")
+	assert.Equal(t, got.Header.Get("Upstream"), "u1")
+}
+
+// A failure of one upstream is not the caller's when the request may be repeated.
+func TestSafeRequestIsRepeated(t *testing.T) {
+	bad, good := start(t, "a", answer(500, "bad")), start(t, "b", answer(200, "ok"))
+	s := newSystem(t, of(bad, "v1"), of(good, "v1")).configure()
+	for range 10 {
+		assert.Equal(t, s.call("/safe/x").body, "ok")
+	}
+}
+
+// When every call fails, the caller gets the upstream's own failure, unchanged.
+func TestFailureIsPassedOn(t *testing.T) {
+	a, b := start(t, "a", answer(500, "bad")), start(t, "b", answer(500, "bad"))
+	r := newSystem(t, of(a, "v1"), of(b, "v1")).configure().call("/safe/x")
+	assert.Equal(t, r.status, 500)
+	assert.Equal(t, r.body, "bad")
+	assert.Equal(t, r.header.Get("Signature"), "s")
+	assert.Equal(t, len(a.seen())+len(b.seen()), 2)
+}
+
+// The retry budget bounds repeats also while upstreams fail.
+func TestRepeatsStayWithinBudget(t *testing.T) {
+	a, b := start(t, "a", answer(500, "bad")), start(t, "b", answer(500, "bad"))
+	s := newSystem(t, of(a, "v1"), of(b, "v1")).configure()
+	s.budget.left = 3
+	for range 10 {
+		s.call("/safe/x")
+	}
+	assert.Equal(t, len(a.seen())+len(b.seen()), 13)
+}
+
+// A booking whose answer is lost may have run: it is not sent again, and the
+// caller is not told that it did not run.
+func TestUnsafeRequestIsSentOnce(t *testing.T) {
+	closes := func(*http.Request, io.Writer) bool { return false }
+	cut := func(r *http.Request, w io.Writer) bool {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nContent-Length: 100\r\n\r\nhalf", r.Header.Get("Id"))
+		return false
+	}
+	for name, do := range map[string]script{"closed": closes, "cut": cut} {
+		t.Run(name, func(t *testing.T) {
+			a, b := start(t, "a", do), start(t, "b", do)
+			r := newSystem(t, of(a, "v1"), of(b, "v1")).configure().call("/unsafe/x")
+			assert.Equal(t, r.status, http.StatusBadGateway)
+			assert.Equal(t, len(a.seen())+len(b.seen()), 1)
+		})
+	}
+}
+
+// A booking that an upstream refused without running it goes to another one; if
+// all refuse, the caller learns that it was not run and when to come back.
+func TestUnsafeRequestAfterRefusal(t *testing.T) {
+	full := answer(503, "", "Not-Run: 1")
+	a, b := start(t, "a", full), start(t, "b", answer(200, "booked"))
+	s := newSystem(t, of(a, "v1"), of(b, "v1")).configure()
+	for range 5 {
+		assert.Equal(t, s.call("/unsafe/x").body, "booked")
+	}
+	c, d := start(t, "c", full), start(t, "d", answer(421, ""))
+	r := newSystem(t, of(c, "v1"), of(d, "v1")).configure().call("/unsafe/x")
+	assert.Equal(t, r.status, http.StatusServiceUnavailable)
+	assert.Assert(t, r.header.Get("Retry-After") != "")
+}
+
+// A booking at an upstream that does not answer ends at the route's timeout
+// with an answer that promises nothing.
+func TestUnsafeRequestEndsAtTimeout(t *testing.T) {
+	var u *upstream
+	u = start(t, "a", func(r *http.Request, w io.Writer) bool { u.hang(w); return false })
+	began := time.Now()
+	r := newSystem(t, of(u, "v1")).configure().call("/slow/x")
+	assert.Equal(t, r.status, http.StatusGatewayTimeout)
+	assert.Assert(t, time.Since(began) < time.Second)
+	<-u.gone
+}
+
+// Answers that belong to another request, or that carry no signature, never
+// reach a caller as a success.
+func TestForeignAnswersAreNotDelivered(t *testing.T) {
+	foreign := func(r *http.Request, w io.Writer) bool {
+		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: other\r\nSignature: s\r\nContent-Length: 5\r\n\r\nother")
+		return true
+	}
+	unsigned := func(r *http.Request, w io.Writer) bool {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 5\r\n\r\nother", r.Header.Get("Id"))
+		return true
+	}
+	for name, do := range map[string]script{"foreign": foreign, "unsigned": unsigned} {
+		t.Run(name, func(t *testing.T) {
+			a := start(t, "a", do)
+			r := newSystem(t, of(a, "v1")).configure().call("/unsafe/x")
+			assert.Equal(t, r.status, http.StatusBadGateway)
+			assert.Assert(t, !strings.Contains(r.body, "other"))
+		})
+	}
+}
+
+// numbers returns the events of a stream by their IDs.
+func numbers(body string) []string {
+	var out []string
+	for line := range strings.SplitSeq(body, "\n") {
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// A stream that breaks, also within an event, goes on at another upstream without
+// a gap and without a repeated event, under the first upstream's signature.
+func TestStreamIsResumed(t *testing.T) {
+	for name, rest := range map[string]string{"closed": "", "within an event": "c\r\nid: 4\ndata: h\r\n", "unframed": "garbage\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			a := start(t, "a", events(3, rest))
+			s := newSystem(t, of(a, "v1")).configure()
+			b := start(t, "b", events(6, end))
+			s.book.SetUpstreams([]placement.Upstream{of(a, "v1"), of(b, "v1")}, time.Now())
+			// Load at the second upstream makes the first one the choice.
+			s.book.SetPeer("p", map[string]placement.Load{"b": {Calls: 1, Reading: 1}}, time.Now())
+			r := s.call("/stream/x", "Model: large")
+			assert.Assert(t, r.whole)
+			assert.DeepEqual(t, numbers(r.body), []string{"1", "2", "3", "4", "5", "6"})
+			assert.Equal(t, r.header.Get("Signature"), "s-a")
+			assert.Equal(t, b.seen()[0].Header.Get("Last"), "3")
+			assert.Assert(t, !strings.Contains(r.body, "data: h"))
+		})
+	}
+}
+
+// A stream that may not be resumed breaks visibly: it must not look complete.
+func TestBrokenStreamLooksBroken(t *testing.T) {
+	a, b := start(t, "a", events(3, "")), start(t, "b", events(3, ""))
+	r := newSystem(t, of(a, "v1"), of(b, "v1")).configure().call("/once/x", "Model: large")
+	assert.Assert(t, !r.whole)
+	assert.Equal(t, len(a.seen())+len(b.seen()), 1)
+}
+
+// An answer of the small model with low confidence is dropped before the caller
+// got a byte of it; a confident one is kept. The dropped call is cancelled.
+func TestLowConfidenceIsDropped(t *testing.T) {
+	model := func(confidence int) script {
+		return func(r *http.Request, w io.Writer) bool {
+			if r.Header.Get("Model") == "small" {
+				return events(3, end, fmt.Sprintf("Confidence: %d", confidence))(r, w)
+			}
+			return events(3, end)(r, w)
+		}
+	}
+	for confidence, want := range map[int]string{0: "large", 100: "small"} {
+		a := start(t, "a", model(confidence))
+		r := newSystem(t, of(a, "v1")).configure().call("/stream/x", "Model: any", "Tokens: 100")
+		assert.Assert(t, r.whole)
+		assert.Assert(t, strings.Contains(r.body, want+"-1") && strings.Count(r.body, "id: ") == 3, r.body)
+	}
+}
+
+// When a caller leaves, the work at the upstream is cancelled at once.
+func TestCallerLeaves(t *testing.T) {
+	var u *upstream
+	u = start(t, "a", func(r *http.Request, w io.Writer) bool {
+		events(2, "")(r, w)
+		u.hang(w)
+		return false
+	})
+	s := newSystem(t, of(u, "v1")).configure()
+	conn, err := net.Dial("tcp4", strings.TrimPrefix(s.url, "http://"))
+	assert.NilError(t, err)
+	fmt.Fprint(conn, "POST /stream/x HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: key\r\nModel: large\r\nContent-Length: 0\r\n\r\n")
+	for len(u.seen()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.NilError(t, conn.Close())
+	select {
+	case <-u.gone:
+	case <-time.After(time.Second):
+		t.Fatal("the upstream still works for a caller that has left")
+	}
+}
+
+// A stopping VM serves what comes over kept connections, tells callers to close
+// them, and refuses truthfully once the balancer has turned away.
+func TestStopping(t *testing.T) {
+	u := start(t, "a", answer(200, "ok"))
+	s := newSystem(t, of(u, "v1")).configure()
+	s.server.Stop(time.Now())
+	r := s.call("/safe/x")
+	assert.Equal(t, r.body, "ok")
+	s.server.Stop(time.Now().Add(-10 * time.Second))
+	r = s.call("/unsafe/x")
+	assert.Equal(t, r.status, http.StatusServiceUnavailable)
+	assert.Equal(t, len(u.seen()), 1)
+}
+
+// A request that a failing new release could not answer goes back to the old
+// release, instead of using its attempts up at the new one.
+func TestFailedNewReleaseRetreats(t *testing.T) {
+	bad := answer(500, "bad")
+	a, b, c := start(t, "a", bad), start(t, "b", bad), start(t, "c", answer(200, "ok"))
+	s := newSystem(t, of(a, "v2"), of(b, "v2"), of(c, "v1")).configure()
+	s.rollouts.SetOrder(rollout.Order{Service: "svc", Release: "v2", Duration: time.Hour, Revision: 1}, time.Now().Add(-45*time.Minute))
+	for i := range 3 {
+		assert.Equal(t, s.call("/safe/x", fmt.Sprintf("Session: s%d", i)).body, "ok")
+	}
+	assert.Assert(t, len(a.seen())+len(b.seen()) > 0)
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -53,8 +53,7 @@
 	if t.ctx.Err() != nil || t.mayHaveRun && !t.route.Idempotent() {
 		return nil
 	}
-	if !t.s.o.Budget.Repeat(t.service.Name, time.Now()) {
-		t.reason = "retry budget spent"
+	if !t.repeat() {
 		return nil
 	}
 	return t.place(t.ctx, t.modelName(), t.rank)
@@ -147,7 +146,7 @@
 	}
 	in := t.cascadeInput(a, next, now)
 	d := cascade.Decide(in)
-	ok := d.Drop && t.s.o.Budget.Repeat(t.service.Name, now)
+	ok := d.Drop && t.repeat()
 	a.log("confidence", zap.Int("confidence", in.Confidence), zap.Duration("larger", in.Predicted), zap.Duration("left", in.Left),
 		zap.Float64("wait", in.Wait), zap.Float64("gain", d.Gain), zap.Float64("price", d.Price), zap.Bool("dropped", ok))
 	if !ok {
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -49,8 +49,7 @@
 		if o.verdict == failed && !x.route.Idempotent() || ctx.Err() != nil {
 			break
 		}
-		if !x.s.o.Budget.Repeat(x.service.Name, time.Now()) {
-			x.reason = "retry budget spent"
+		if !x.repeat() {
 			break
 		}
 	}
@@ -97,7 +96,7 @@
 		case <-hedge:
 			hedge = nil
 			x.exclude(first.choice.ID)
-			if x.runs+1 < x.route.MaxAttempts && x.s.o.Budget.Repeat(x.service.Name, time.Now()) {
+			if x.runs+1 < x.route.MaxAttempts && x.repeat() {
 				if second := x.launch(ctx, results); second != nil {
 					second.log("hedge")
 					running = append(running, second)
