fleet, mirror: a few VMs read the store, delegates speak for their zone

Two VMs of a zone read the store now, the largest ones that reach it, and push what changed; in fleets above 16 VMs a VM talks to the two delegates of its zone, which exchange sums with those of other zones.

Ruled out: one reader for the whole system, because a reader that goes silent is noticed only after seconds; with two in each zone the others hear of a newer revision within half a second.

A VM that cannot reach the store takes tables from any peer that has a newer copy, as before.

--- a/entry/control.go
+++ b/entry/control.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"net"
-	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/run"
@@ -52,7 +52,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
-			e.budget.SetVMs(len(e.fleet.Alive(now)))
+			e.budget.SetVMs(e.fleet.Size(now))
 			e.writeProgress(ctx, now)
 			if n%sweepEvery == 0 {
 				e.pool.Sweep()
@@ -69,7 +69,7 @@
 	if !ok || e.stopping.Load() || !e.statusKnown.Load() {
 		return
 	}
-	rank := max(0, slices.Index(e.fleet.Alive(now), e.o.Settings.VM))
+	rank := e.fleet.Rank(now)
 	oldCalls := func(service, release string) int { return e.book.InFlight(service, release, true) }
 	for _, w := range e.rollouts.Due(now, clock, rank, oldCalls) {
 		go e.commitProgress(ctx, w)
@@ -109,77 +109,121 @@
 	e.statusKnown.Store(true)
 }
 
-// Digest implements fleet.Node.
-func (e *Entry) Digest(evidence bool) fleet.Digest {
+// Report implements fleet.Node.
+func (e *Entry) Report(evidence bool) fleet.Report {
 	now := time.Now()
-	d := fleet.Digest{
-		Incarnation: e.started.UnixNano(), Stopping: e.stopping.Load(), Revisions: e.revisions(),
+	r := fleet.Report{
 		Loads: fleet.EncodeLoads(e.book.Loads()), Uses: e.book.RecentUses(recentWindow, now),
 		Sessions: e.rollouts.Recent(recentWindow, now),
 	}
 	if evidence {
-		d.Rollouts = e.rollouts.Evidence()
+		r.Rollouts = e.rollouts.Evidence()
 	}
-	return d
+	return r
 }
 
-// mirrors are the copies of tables, by name.
-func (e *Entry) mirrors() map[string]*mirror.Mirror {
-	return map[string]*mirror.Mirror{"orders": e.orders, "upstreams": e.upstreams, "status": e.status}
+// Take implements fleet.Node.
+func (e *Entry) Take(source string, r fleet.Report, now time.Time) {
+	e.book.SetPeer(source, fleet.DecodeLoads(r.Loads), now)
+	e.book.AddUses(r.Uses, now)
+	e.rollouts.AddSessions(r.Sessions, now)
+	e.rollouts.Merge(source, r.Rollouts)
+}
+
+// table is the copy of one table with what is known of newer ones.
+type table struct {
+	*mirror.Mirror
+	// behind is since when a peer is known to have a newer copy, in Unix
+	// nanoseconds, 0 if none has.
+	behind   atomic.Int64
+	fetching atomic.Bool
 }
 
-func (e *Entry) revisions() map[string]int64 {
+// Revisions implements fleet.Node.
+func (e *Entry) Revisions() map[string]int64 {
 	out := map[string]int64{}
-	for name, m := range e.mirrors() {
-		if c, ok := m.Copy(); ok {
+	for name, t := range e.tables {
+		if c, ok := t.Copy(); ok {
 			out[name] = c.Revision
 		}
 	}
 	return out
 }
 
-// Take implements fleet.Node.
-func (e *Entry) Take(d fleet.Digest, now time.Time) {
-	e.book.SetPeer(d.VM, fleet.DecodeLoads(d.Loads), now)
-	e.book.AddUses(d.Uses, now)
-	e.rollouts.AddSessions(d.Sessions, now)
-	e.rollouts.Merge(d.VM+"/"+time.Unix(0, d.Incarnation).UTC().Format(time.RFC3339Nano), d.Rollouts)
-	for name, m := range e.mirrors() {
-		if c, ok := m.Copy(); d.Revisions[name] > c.Revision || !ok && d.Revisions[name] > 0 {
-			if _, lost := m.Lost(); lost {
-				e.fetchTable(d.VM, name, m, c.Revision)
-			}
+// Lost implements fleet.Node.
+func (e *Entry) Lost() bool {
+	for _, t := range e.tables {
+		if _, lost := t.Mirror.Lost(); lost {
+			return true
 		}
 	}
+	return false
 }
 
+// ownReadDelay is how long a VM that reads the store itself waits for its own
+// answer before it asks a peer that has a newer copy.
+const ownReadDelay = 400 * time.Millisecond
+
+// Behind implements fleet.Node.
+func (e *Entry) Behind(vm string, revisions map[string]int64) {
+	now := time.Now()
+	for name, t := range e.tables {
+		c, loaded := t.Copy()
+		theirs, known := revisions[name]
+		if !known || loaded && theirs <= c.Revision {
+			t.behind.Store(0)
+			continue
+		}
+		since := t.behind.Load()
+		if since == 0 {
+			since = now.UnixNano()
+			t.behind.Store(since)
+		}
+		_, lost := t.Mirror.Lost()
+		if loaded && !lost && !e.passive() && now.Sub(time.Unix(0, since)) < ownReadDelay {
+			continue
+		}
+		e.fetch(vm, name, t)
+	}
+}
+
+// passive reports whether peers read the store for this VM.
+func (e *Entry) passive() bool { return !e.fleet.Follows(time.Now()) }
+
 // Table implements fleet.Node.
 func (e *Entry) Table(r fleet.TableRequest) fleet.TableReply {
-	m := e.mirrors()[r.Table]
-	if m == nil {
+	t := e.tables[r.Table]
+	if t == nil {
 		return fleet.TableReply{}
 	}
-	c, ok := m.Copy()
-	if !ok || c.Revision <= r.After {
+	c, ok := t.Copy()
+	if !ok || r.Loaded && c.Revision <= r.After {
 		return fleet.TableReply{}
 	}
-	return fleet.TableReply{Newer: true, Copy: c}
+	after := r.After
+	if !r.Loaded {
+		after = -1
+	}
+	page, whole := t.Since(after)
+	return fleet.TableReply{Newer: true, Whole: whole, Page: page}
 }
 
-// fetchTable asks a peer for a table that this VM cannot read itself.
-func (e *Entry) fetchTable(vm, name string, m *mirror.Mirror, after int64) {
-	if !e.fetching.CompareAndSwap(false, true) {
+// fetch asks a peer for what is newer in a table.
+func (e *Entry) fetch(vm, name string, t *table) {
+	if !t.fetching.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
-		defer e.fetching.Store(false)
-		reply, err := e.fleet.FetchTable(vm, fleet.TableRequest{Table: name, After: after})
+		defer t.fetching.Store(false)
+		c, loaded := t.Copy()
+		reply, err := e.fleet.FetchTable(vm, fleet.TableRequest{Table: name, After: c.Revision, Loaded: loaded})
 		if err != nil {
-			e.log.Info("table not fetched", zap.String("table", name), zap.String("peer", vm), zap.Error(err))
+			e.log.Info("table not fetched", zap.String("table", name), zap.String("peer", vm), zap.String("cause", err.Error()))
 			return
 		}
-		if reply.Newer && m.Offer(reply.Copy) {
-			e.log.Info("table taken from a peer", zap.String("table", name), zap.String("peer", vm), zap.Int64("revision", reply.Copy.Revision))
+		if reply.Newer && t.Offer(reply.Page, reply.Whole) {
+			t.behind.Store(0)
+			e.log.Info("table taken from a peer", zap.String("table", name), zap.String("peer", vm), zap.Int64("revision", reply.Page.Revision), zap.Bool("whole", reply.Whole))
 		}
 	}()
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -62,13 +62,13 @@
 	started  time.Time
 
 	orders, upstreams, status *mirror.Mirror
+	tables                    map[string]*table
 
 	configured atomic.Bool
 	listed     atomic.Bool
 	// configurationRevision is used by the mirror of the orders only.
 	configurationRevision int64
 	statusKnown           atomic.Bool
-	fetching              atomic.Bool
 	stopping              atomic.Bool
 	stop                  chan struct{}
 }
@@ -82,16 +82,35 @@
 		budget: newRetryBudget(s.Bounds),
 	}
 	e.rollouts = rollout.New(rollout.Options{SessionIdle: s.Bounds.SessionIdle, Log: o.Log})
-	e.fleet = fleet.New(fleet.Options{VM: s.VM, AvailabilityZone: s.AvailabilityZone, Address: s.Peer, Seeds: s.Seeds, Node: e, Log: o.Log})
+	e.fleet = fleet.New(fleet.Options{
+		Self:        fleet.Member{VM: s.VM, AvailabilityZone: s.AvailabilityZone, Address: s.Peer, Capacity: s.Cores},
+		Incarnation: e.started.UnixNano(), Seeds: s.Seeds, Node: e, Log: o.Log,
+	})
 	e.gateway = gateway.New(gateway.Options{
 		Codec: platform.Codec{}, Book: e.book, Pool: e.pool, Splitter: e.rollouts, Budget: e.budget, Log: o.Log,
 	})
-	e.orders = mirror.New(mirror.Options{Name: "orders", Table: e.store.Orders(), Changed: e.ordersChanged, Log: o.Log})
-	e.upstreams = mirror.New(mirror.Options{Name: "upstreams", Table: e.store.Upstreams(), Changed: e.upstreamsChanged, Settle: settleUpstreams, Log: o.Log})
-	e.status = mirror.New(mirror.Options{Name: "status", Table: e.store.Status(), Changed: e.statusChanged, Log: o.Log})
+	e.tables = map[string]*table{}
+	e.orders = e.follow("orders", e.store.Orders(), 0, e.ordersChanged)
+	e.upstreams = e.follow("upstreams", e.store.Upstreams(), settleUpstreams, e.upstreamsChanged)
+	e.status = e.follow("status", e.store.Status(), 0, e.statusChanged)
 	return e
 }
 
+// follow returns the mirror of a table. A change is told to peers at once.
+func (e *Entry) follow(name string, from mirror.Table, settle time.Duration, changed func(mirror.Copy, time.Time)) *mirror.Mirror {
+	m := mirror.New(mirror.Options{
+		Name: name, Table: from, Settle: settle, Passive: e.passive, Log: e.log,
+		Changed: func(c mirror.Copy, now time.Time) {
+			changed(c, now)
+			if !e.passive() {
+				e.fleet.Kick()
+			}
+		},
+	})
+	e.tables[name] = &table{Mirror: m}
+	return m
+}
+
 // Run serves until ctx ends, and then drains.
 func (e *Entry) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(e.o.Settings.MemoryBytes)))
@@ -179,6 +198,7 @@
 	now := time.Now()
 	e.stopping.Store(true)
 	e.gateway.Stop(now)
+	e.fleet.SetStopping()
 	e.log.Info("stopping", zap.Int("active", e.gateway.Active()))
 	tick := time.NewTicker(drainPoll)
 	defer tick.Stop()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/rpc"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -14,64 +16,71 @@
 )
 
 const (
-	// interval is the pause between two exchanges with a peer in a small fleet.
+	// interval is the pause between two exchanges with a peer of the same zone.
 	interval = 150 * time.Millisecond
-	// perPeer bounds the exchanges of a VM in a large fleet: the interval grows
-	// with the number of peers, so that each VM makes at most about 60 a second.
-	perPeer = 16 * time.Millisecond
 	// farFactor is how much longer the interval is to a VM in another zone, because
 	// bytes between zones are paid for.
 	farFactor = 2.5
 	// silentAfter is the time without an exchange after which the higher of two
 	// VMs also calls the lower one; usually only the lower one calls.
 	silentAfter = 5 * interval
-	// aliveFor is the time after its last exchange for which a peer counts as alive.
-	aliveFor = 1600 * time.Millisecond
 	// forgetAfter is the time after which an address that never answers is dropped.
 	forgetAfter = 20 * time.Second
+	// fullEvery is the pause between two digests to one peer that also hold the
+	// members and the evidence on rollouts, which are long.
+	fullEvery = 700 * time.Millisecond
 	// callTimeout bounds one exchange, dialTimeout a new connection.
 	callTimeout = 600 * time.Millisecond
 	dialTimeout = 500 * time.Millisecond
 	// maxBackoff bounds the pause between calls to a peer that does not answer.
 	maxBackoff = 2 * time.Second
+	// membersEvery is the pause between two computations of who talks to whom.
+	membersEvery = 200 * time.Millisecond
 	// serviceName is the name of the calls.
 	serviceName = "Fleet"
 )
 
 // Node is the VM that takes part.
 type Node interface {
-	// Digest returns what the VM tells its peers now, with the evidence on
-	// rollouts if asked for.
-	Digest(evidence bool) Digest
-	// Take takes over what a peer told.
-	Take(d Digest, now time.Time)
-	// Table returns a copy of a table if it is newer.
+	// Report returns what the VM has in flight and has seen.
+	Report(evidence bool) Report
+	// Revisions returns those of the copies of the store's tables, by table.
+	Revisions() map[string]int64
+	// Lost reports whether the VM cannot reach the store.
+	Lost() bool
+	// Take takes over the report of a source: a VM, a zone or all others.
+	Take(source string, r Report, now time.Time)
+	// Behind is told the revisions of a peer.
+	Behind(vm string, revisions map[string]int64)
+	// Table returns what is newer in a table.
 	Table(r TableRequest) TableReply
 }
 
 // Options configures a Fleet.
 type Options struct {
-	// VM, AvailabilityZone and Address are those of this VM.
-	VM, AvailabilityZone, Address string
-	Seeds                         []string
-	Node                          Node
-	Log                           *zap.Logger
+	// Self is this VM; its Age is ignored.
+	Self Member
+	// Incarnation is the start of the process.
+	Incarnation int64
+	Seeds       []string
+	Node        Node
+	Log         *zap.Logger
 }
 
 // peer is what is known of another VM.
 type peer struct {
-	address  string
-	vm, zone string
-	// heard is the last exchange in either direction, found when the address
-	// was first known.
-	heard, found time.Time
-	stopping     bool
-	client       *rpc.Client
-	next         time.Time
-	backoff      time.Duration
-	busy         bool
-	// evidence is when the evidence on rollouts was told last.
-	evidence time.Time
+	Member
+	// heard is the last exchange in either direction, relayed the last time that
+	// another VM has heard of it, found when the address was first known.
+	heard, relayed, found time.Time
+	client                *rpc.Client
+	next                  time.Time
+	backoff               time.Duration
+	busy                  bool
+	// kicked says that a change is to be told at once.
+	kicked bool
+	// full is when a full digest was sent last.
+	full time.Time
 }
 
 // Fleet exchanges digests with peers. It is safe for concurrent use.
@@ -81,11 +90,15 @@
 	mu    sync.Mutex
 	peers map[string]*peer
 	conns map[net.Conn]bool
+	board *board
+	// members are the VMs that are alive, with this one, as of membersAt.
+	members   []Member
+	membersAt time.Time
 }
 
 // New returns a fleet that does nothing until Run and Serve.
 func New(o Options) *Fleet {
-	f := &Fleet{o: o, peers: map[string]*peer{}, conns: map[net.Conn]bool{}}
+	f := &Fleet{o: o, peers: map[string]*peer{}, conns: map[net.Conn]bool{}, board: newBoard()}
 	now := time.Now()
 	for _, seed := range o.Seeds {
 		f.find(seed, now)
@@ -95,12 +108,12 @@
 
 // find adds an address that is not known yet.
 func (f *Fleet) find(address string, now time.Time) *peer {
-	if address == f.o.Address {
+	if address == f.o.Self.Address {
 		return nil
 	}
 	p := f.peers[address]
 	if p == nil {
-		p = &peer{address: address, found: now}
+		p = &peer{Member: Member{Address: address}, found: now}
 		f.peers[address] = p
 	}
 	return p
@@ -112,11 +125,11 @@
 // Exchange takes the digest of a peer and returns that of this VM.
 func (h *handler) Exchange(in Digest, out *Digest) error {
 	h.f.take(in)
-	*out = h.f.digest(in.Address)
+	*out = h.f.digest(in.From)
 	return nil
 }
 
-// Table returns a copy of a table.
+// Table returns what is newer in a table.
 func (h *handler) Table(in TableRequest, out *TableReply) error {
 	*out = h.f.o.Node.Table(in)
 	return nil
@@ -165,68 +178,169 @@
 	}
 }
 
-// evidenceEvery is the pause between two digests with evidence on rollouts to
-// one peer: evidence is long and is needed within seconds only.
-const evidenceEvery = 700 * time.Millisecond
+// self is this VM as peers see it.
+func (f *Fleet) self() Member {
+	m := f.o.Self
+	m.Lost = f.o.Node.Lost()
+	return m
+}
+
+// SetStopping tells peers that this VM stops.
+func (f *Fleet) SetStopping() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.o.Self.Stopping = true
+}
 
-// digest is the node's digest for a peer, with the addresses of the peers that
-// are alive.
-func (f *Fleet) digest(address string) Digest {
+// digest is what this VM tells a peer now.
+func (f *Fleet) digest(to Member) Digest {
 	now := time.Now()
 	f.mu.Lock()
-	var peers []string
-	for _, p := range f.peers {
-		if p.alive(now) {
-			peers = append(peers, p.address)
-		}
-	}
-	p := f.peers[address]
-	evidence := p != nil && now.Sub(p.evidence) >= evidenceEvery
-	if evidence {
-		p.evidence = now
-	} else {
-		peers = nil
+	d := Digest{From: f.self(), Incarnation: f.o.Incarnation}
+	full := false
+	if p := f.peers[to.Address]; p != nil && now.Sub(p.full) >= fullEvery {
+		p.full, full = now, true
 	}
+	members := f.alive(now)
 	f.mu.Unlock()
-	d := f.o.Node.Digest(evidence)
-	d.VM, d.AvailabilityZone, d.Address, d.Peers = f.o.VM, f.o.AvailabilityZone, f.o.Address, peers
+	own := f.o.Node.Report(full)
+	d.Revisions = f.o.Node.Revisions()
+	d.Scope = scope(members, d.From, to)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch d.Scope {
+	case OwnScope:
+		d.Report = own
+	case ZoneScope:
+		d.Report = f.board.zoneSum(own, full, now)
+	case OthersScope:
+		d.Report = f.board.othersSum(own, to.VM, full, now)
+	}
+	if full {
+		d.Members = members
+	}
 	return d
 }
 
-func (p *peer) alive(now time.Time) bool {
-	return !p.heard.IsZero() && now.Sub(p.heard) < aliveFor
+// source names whose report a digest holds.
+func (d *Digest) source() string {
+	switch d.Scope {
+	case ZoneScope:
+		return "zone/" + d.From.AvailabilityZone
+	case OthersScope:
+		return "others"
+	}
+	return incarnationName(d.From.VM, d.Incarnation)
 }
 
-// take notes that a peer is alive and hands its digest to the node.
+// incarnationName names one incarnation of a VM.
+func incarnationName(vm string, incarnation int64) string {
+	return vm + "@" + strconv.FormatInt(incarnation, 36)
+}
+
+// take takes over the digest of a peer.
 func (f *Fleet) take(d Digest) {
 	now := time.Now()
 	f.mu.Lock()
-	if p := f.find(d.Address, now); p != nil {
+	if p := f.find(d.From.Address, now); p != nil {
 		if !p.alive(now) {
-			f.o.Log.Info("peer regained", zap.String("peer", d.VM), zap.String("address", d.Address))
+			f.o.Log.Info("peer regained", zap.String("peer", d.From.VM), zap.String("address", d.From.Address))
 		}
-		p.vm, p.zone, p.heard, p.stopping, p.backoff = d.VM, d.AvailabilityZone, now, d.Stopping, 0
+		p.Member, p.heard, p.backoff = d.From, now, 0
 	}
-	for _, address := range d.Peers {
-		f.find(address, now)
+	for _, m := range d.Members {
+		f.relay(m, now)
 	}
+	f.board.put(d, incarnationName(d.From.VM, d.Incarnation), f.o.Self.AvailabilityZone, now)
 	f.mu.Unlock()
-	f.o.Node.Take(d, now)
+	f.o.Node.Take(d.source(), d.Report, now)
+	f.o.Node.Behind(d.From.VM, d.Revisions)
+}
+
+// relay notes what a peer told of another VM.
+func (f *Fleet) relay(m Member, now time.Time) {
+	p := f.find(m.Address, now)
+	if p == nil {
+		return
+	}
+	at := now.Add(-m.Age)
+	if at.After(p.relayed) && at.After(p.heard) {
+		p.relayed, p.Member = at, m
+	}
+}
+
+func (p *peer) alive(now time.Time) bool {
+	return now.Sub(p.heard) < aliveFor || now.Sub(p.relayed) < relayedFor
+}
+
+// alive returns the VMs that are alive, with this one. The caller holds the lock.
+func (f *Fleet) alive(now time.Time) []Member {
+	if now.Sub(f.membersAt) < membersEvery && f.members != nil {
+		return f.members
+	}
+	list := []Member{f.self()}
+	for _, p := range f.peers {
+		if !p.alive(now) {
+			continue
+		}
+		m := p.Member
+		m.Age = now.Sub(maxTime(p.heard, p.relayed))
+		list = append(list, m)
+	}
+	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.VM, b.VM) })
+	f.members, f.membersAt = list, now
+	f.board.drop(now)
+	return list
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
-// Alive returns the names of the VMs that are alive and not stopping, with this
-// one, in order.
-func (f *Fleet) Alive(now time.Time) []string {
+// Size returns the number of VMs that are alive, with this one.
+func (f *Fleet) Size(now time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.alive(now))
+}
+
+// Rank is the place of this VM among those that are alive and not stopping.
+func (f *Fleet) Rank(now time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rank := 0
+	for _, m := range f.alive(now) {
+		if m.VM < f.o.Self.VM && !m.Stopping && !m.Lost {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Follows reports whether this VM reads the store itself.
+func (f *Fleet) Follows(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	self := f.self()
+	if self.Lost || self.Stopping {
+		return true
+	}
+	return slices.Contains(followers(f.alive(now), self.AvailabilityZone), self.VM)
+}
+
+// Kick makes the next exchange with the peers of this zone due at once, because
+// a table of the store has changed.
+func (f *Fleet) Kick() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	names := []string{f.o.VM}
 	for _, p := range f.peers {
-		if p.alive(now) && !p.stopping {
-			names = append(names, p.vm)
+		if p.AvailabilityZone == f.o.Self.AvailabilityZone && p.backoff == 0 {
+			p.next, p.kicked = time.Time{}, true
 		}
 	}
-	slices.Sort(names)
-	return names
 }
 
 // Run calls peers until ctx ends.
@@ -250,35 +364,48 @@
 func (f *Fleet) due(now time.Time) []*peer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	pause := max(interval, time.Duration(len(f.peers))*perPeer)
+	members, self := f.alive(now), f.self()
 	var list []*peer
 	for address, p := range f.peers {
 		if p.busy || now.Before(p.next) {
 			continue
 		}
-		if p.heard.IsZero() && now.Sub(p.found) > forgetAfter || !p.heard.IsZero() && now.Sub(p.heard) > forgetAfter {
-			if !slices.Contains(f.o.Seeds, address) {
-				delete(f.peers, address)
-				continue
-			}
+		if now.Sub(maxTime(maxTime(p.heard, p.relayed), p.found)) > forgetAfter && !slices.Contains(f.o.Seeds, address) {
+			delete(f.peers, address)
+			continue
 		}
-		if f.o.Address > address && now.Sub(p.heard) < silentAfter {
+		if !f.calls(members, self, p, now) {
 			continue
 		}
-		wait := pause
-		if p.zone != f.o.AvailabilityZone {
-			wait = time.Duration(farFactor * float64(pause))
+		wait := interval
+		if p.AvailabilityZone != self.AvailabilityZone {
+			wait = time.Duration(farFactor * float64(wait))
 		}
-		p.busy, p.next = true, now.Add(max(wait, p.backoff))
+		p.busy, p.kicked, p.next = true, false, now.Add(max(wait, p.backoff))
 		list = append(list, p)
 	}
 	return list
 }
 
+// calls reports whether this VM calls a peer itself.
+func (f *Fleet) calls(members []Member, self Member, p *peer, now time.Time) bool {
+	if p.VM == "" {
+		// A seed that never answered: whoever it is, it knows the others.
+		return true
+	}
+	if !partner(members, self, p.Member) {
+		return false
+	}
+	return self.Address < p.Address || p.kicked || now.Sub(p.heard) > silentAfter
+}
+
 // exchange makes one exchange with a peer.
 func (f *Fleet) exchange(p *peer) {
+	f.mu.Lock()
+	to := p.Member
+	f.mu.Unlock()
 	var reply Digest
-	err := f.call(p, "Exchange", f.digest(p.address), &reply)
+	err := f.call(p, "Exchange", f.digest(to), &reply)
 	if err == nil {
 		f.take(reply)
 	}
@@ -289,7 +416,7 @@
 		return
 	}
 	if p.backoff == 0 {
-		f.o.Log.Info("peer lost", zap.String("peer", p.vm), zap.String("address", p.address), zap.Error(err))
+		f.o.Log.Info("peer lost", zap.String("peer", p.VM), zap.String("address", p.Address), zap.String("cause", err.Error()))
 	}
 	p.backoff = min(maxBackoff, max(interval, 2*p.backoff))
 	p.next = time.Now().Add(p.backoff)
@@ -331,7 +458,7 @@
 	if client != nil {
 		return client, nil
 	}
-	conn, err := net.DialTimeout("tcp4", p.address, dialTimeout)
+	conn, err := net.DialTimeout("tcp4", p.Address, dialTimeout)
 	if err != nil {
 		return nil, oops.Wrap(err)
 	}
@@ -347,7 +474,7 @@
 	f.mu.Lock()
 	var from *peer
 	for _, p := range f.peers {
-		if p.vm == vm && p.alive(time.Now()) {
+		if p.VM == vm && p.alive(time.Now()) {
 			from = p
 		}
 	}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -1,11 +1,27 @@
 package fleet
 
 import (
+	"time"
+
 	"github.com/savoryshift/savoryshift/mirror"
 	"github.com/savoryshift/savoryshift/placement"
 	"github.com/savoryshift/savoryshift/rollout"
 )
 
+// Member is what is known of one VM.
+type Member struct {
+	VM, AvailabilityZone string
+	// Address is where the VM takes calls of peers.
+	Address string
+	// Capacity is the processor share of the VM in cores.
+	Capacity float64
+	// Stopping VMs take no new connections and write nothing to the store; Lost
+	// ones cannot reach it.
+	Stopping, Lost bool
+	// Age is the time since the VM was heard of.
+	Age time.Duration
+}
+
 // LoadReport is a placement.Load in whole numbers, which are shorter on the wire.
 type LoadReport struct {
 	Upstream string
@@ -14,36 +30,53 @@
 	ReadingMs, RunningPct int
 }
 
-// Digest is what a VM tells its peers.
+// Scope says whose reports a digest holds.
+type Scope int
+
+// Scopes.
+const (
+	// OwnScope digests hold what the sender itself has in flight and has seen.
+	OwnScope Scope = iota
+	// ZoneScope digests hold the sum over the zone of the sender.
+	ZoneScope
+	// OthersScope digests hold the sum over all VMs but the receiver.
+	OthersScope
+)
+
+// Report is what one VM, or several together, have in flight and have seen.
+type Report struct {
+	Loads    []LoadReport
+	Uses     []placement.CacheUse
+	Sessions []rollout.SessionUse
+	Rollouts []rollout.Evidence
+}
+
+// Digest is what a VM tells a peer.
 type Digest struct {
-	VM, AvailabilityZone string
-	// Address is where the VM takes calls of peers.
-	Address string
+	From Member
 	// Incarnation is the start of the process; counts begin anew with each.
 	Incarnation int64
-	// Stopping VMs take no new connections and write nothing to the store.
-	Stopping bool
-	// Peers are addresses of other VMs that are alive.
-	Peers []string
+	Scope       Scope
+	Report      Report
+	// Members are other VMs that are alive; they are not in every digest.
+	Members []Member
 	// Revisions are those of the copies of the store's tables, by table.
 	Revisions map[string]int64
-	Loads     []LoadReport
-	Uses      []placement.CacheUse
-	Sessions  []rollout.SessionUse
-	Rollouts  []rollout.Evidence
 }
 
-// TableRequest asks for a copy of a table.
+// TableRequest asks for what is newer in a table.
 type TableRequest struct {
 	Table string
-	// After is the revision that the caller has.
-	After int64
+	// After is the revision that the caller has; Loaded says that it has any.
+	After  int64
+	Loaded bool
 }
 
-// TableReply is a copy of a table; it is empty when the callee knows nothing newer.
+// TableReply is what changed, or the whole table; it is empty when the callee
+// knows nothing newer.
 type TableReply struct {
-	Newer bool
-	Copy  mirror.Copy
+	Newer, Whole bool
+	Page         mirror.Page
 }
 
 // EncodeLoads converts loads for a digest.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -21,6 +21,11 @@
 	maxBackoff = 800 * time.Millisecond
 	// staleBackoff is the pause after an answer that is older than what is known.
 	staleBackoff = 200 * time.Millisecond
+	// maxRemoved bounds the deleted rows that are remembered for peers.
+	maxRemoved = 1000
+	// passivePause is the pause between two looks whether this VM is to read the
+	// store itself.
+	passivePause = 100 * time.Millisecond
 )
 
 // ErrHistoryGone says that changes after the given revision are not kept any
@@ -69,7 +74,9 @@
 	// Settle is the pause after a change before the next one is asked for, so
 	// that changes that come together cost one call.
 	Settle time.Duration
-	Log    *zap.Logger
+	// Passive tells that peers read the store for this VM; it may be nil.
+	Passive func() bool
+	Log     *zap.Logger
 }
 
 // Mirror follows one table. It is safe for concurrent use.
@@ -80,6 +87,9 @@
 	rows     map[string]Row
 	revision int64
 	loaded   bool
+	// removed are rows that were deleted after the revision floor.
+	removed map[string]int64
+	floor   int64
 	// answered is the time of the last answer of the store, lost the time of the
 	// first failure since, zero while the store answers.
 	answered time.Time
@@ -93,7 +103,9 @@
 }
 
 // New returns an empty mirror.
-func New(o Options) *Mirror { return &Mirror{o: o, rows: map[string]Row{}} }
+func New(o Options) *Mirror {
+	return &Mirror{o: o, rows: map[string]Row{}, removed: map[string]int64{}}
+}
 
 // Run follows the table until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
@@ -130,6 +142,10 @@
 	if !loaded {
 		return m.reload(ctx)
 	}
+	if m.o.Passive != nil && m.o.Passive() {
+		pause(ctx, passivePause)
+		return nil
+	}
 	page, err := m.o.Table.Follow(ctx, after, feedWait)
 	if errors.Is(err, ErrHistoryGone) {
 		m.o.Log.Info("history of the store is gone", zap.String("table", m.o.Name), zap.Int64("revision", after))
@@ -202,8 +218,10 @@
 		changed = changed || known || !r.Deleted
 		if r.Deleted {
 			delete(rows, r.Key)
+			m.removed[r.Key] = r.Revision
 		} else {
 			rows[r.Key] = r
+			delete(m.removed, r.Key)
 		}
 	}
 	if whole {
@@ -213,22 +231,48 @@
 				changed = true
 			}
 		}
-		m.loaded = true
+		// Which rows disappeared before this page is not known.
+		m.loaded, m.floor = true, page.Revision
+		clear(m.removed)
+	}
+	if len(m.removed) > maxRemoved {
+		clear(m.removed)
+		m.floor = page.Revision
 	}
 	m.rows, m.revision = rows, page.Revision
 	return Copy{Rows: rows, Revision: m.revision}, changed, true
 }
 
-// Offer takes over what a peer knows, if it is newer.
-func (m *Mirror) Offer(c Copy) bool {
-	page := Page{Revision: c.Revision}
-	for _, r := range c.Rows {
-		page.Rows = append(page.Rows, r)
-	}
+// Offer takes over what a peer knows, if it is newer: the whole table, or the
+// rows that changed after a revision that this copy has.
+func (m *Mirror) Offer(page Page, whole bool) bool {
 	m.mu.Lock()
-	newer := c.Revision > m.revision
+	fits := page.Revision > m.revision || page.Revision == m.revision && !m.loaded
+	fits = fits && (whole || m.loaded)
 	m.mu.Unlock()
-	return newer && m.apply(page, true)
+	return fits && m.apply(page, whole)
+}
+
+// Since returns what changed after a revision, or the whole table if that is not
+// known any more.
+func (m *Mirror) Since(after int64) (page Page, whole bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	whole = after < m.floor
+	page.Revision = m.revision
+	for _, r := range m.rows {
+		if whole || r.Revision > after {
+			page.Rows = append(page.Rows, r)
+		}
+	}
+	if !whole {
+		for key, revision := range m.removed {
+			if revision > after {
+				page.Rows = append(page.Rows, Row{Key: key, Revision: revision, Deleted: true})
+			}
+		}
+	}
+	return page, whole
 }
 
 // Copy returns the present content; ok is false before the first answer.
--- a/placement/call.go
+++ b/placement/call.go
@@ -83,8 +83,9 @@
 	}
 	for i, p := range c.parts {
 		c.e.cached[cacheKey{c.model, p.ID}] = now
-		// The last part is the request's own; no other request has it.
-		if i < len(c.parts)-1 {
+		// The last part is the request's own; no other request has it. Short ones
+		// are not worth telling.
+		if i < len(c.parts)-1 && p.Tokens >= minToldTokens {
 			c.b.uses = append(c.b.uses, cacheEvent{CacheUse{Upstream: c.e.ID, Model: c.model, Part: p.ID}, now})
 		}
 	}
@@ -147,6 +148,9 @@
 	return z
 }
 
+// minToldTokens is the length from which a part of a prompt is worth a message.
+const minToldTokens = 200
+
 // CacheUse says that an upstream read a part of a prompt some time ago.
 type CacheUse struct {
 	Upstream, Model, Part string
--- a/policy/guard/counts.go
+++ b/policy/guard/counts.go
@@ -37,8 +37,27 @@
 	return Counts{Base: map[Stratum]Tally{}, Candidate: map[Stratum]Tally{}}
 }
 
-func (c Counts) clone() Counts {
-	return Counts{Base: maps.Clone(c.Base), Candidate: maps.Clone(c.Candidate)}
+// Clone returns a copy.
+func (c Counts) Clone() Counts {
+	out := newCounts()
+	maps.Copy(out.Base, c.Base)
+	maps.Copy(out.Candidate, c.Candidate)
+	return out
+}
+
+// Add adds the counts of another daemon.
+func (c Counts) Add(o Counts) {
+	addTallies(c.Base, o.Base)
+	addTallies(c.Candidate, o.Candidate)
+}
+
+func addTallies(to, from map[Stratum]Tally) {
+	for s, t := range from {
+		sum := to[s]
+		sum.N += t.N
+		sum.Bad += t.Bad
+		to[s] = sum
+	}
 }
 
 func (t *Tally) add(bad bool) {
--- a/policy/guard/guard.go
+++ b/policy/guard/guard.go
@@ -98,7 +98,7 @@
 func (g *Guard) Counts() Counts {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.own.clone()
+	return g.own.Clone()
 }
 
 // Merge takes the cumulative counts of a peer. Only what has been added since
--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -396,3 +396,25 @@
 	v *= 0xff51afd7ed558ccd
 	return v ^ v>>33
 }
+
+// SumEvidence adds up evidence by service; of several orders the newest counts.
+func SumEvidence(lists [][]Evidence) []Evidence {
+	sums := map[string]*Evidence{}
+	for _, list := range lists {
+		for _, e := range list {
+			s := sums[e.Service]
+			switch {
+			case s == nil || s.Order < e.Order:
+				sums[e.Service] = &Evidence{Service: e.Service, Order: e.Order, Counts: e.Counts.Clone(), Halted: e.Halted}
+			case s.Order == e.Order:
+				s.Counts.Add(e.Counts)
+				s.Halted = s.Halted || e.Halted
+			}
+		}
+	}
+	out := make([]Evidence, 0, len(sums))
+	for _, s := range sums {
+		out = append(out, *s)
+	}
+	return out
+}
