--- a/cmd/savoryshift/main.go
+++ b/cmd/savoryshift/main.go
@@ -24,7 +24,7 @@
 type options struct {
 	Settings string `long:"settings" description:"path of the JSON settings file"`
 
-	Entry struct{} `command:"entry" description:"run on the users' platform, with the settings file that SAVORYSHIFT_CONFIG names"`
+	Entry struct{} `command:"entry" description:"run on the users' platform, with the settings file that its environment variable names"`
 }
 
 func main() {
--- a/logging/sink.go
+++ b/logging/sink.go
@@ -1,6 +1,7 @@
 package logging
 
 import (
+	"bytes"
 	"io"
 	"sync/atomic"
 	"time"
@@ -25,12 +26,13 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Uint64
+	stop    chan struct{}
 	done    chan struct{}
 }
 
 // NewSink starts a sink that writes to out.
 func NewSink(out io.Writer) *Sink {
-	s := &Sink{out: out, lines: make(chan []byte, queuedLines), done: make(chan struct{})}
+	s := &Sink{out: out, lines: make(chan []byte, queuedLines), stop: make(chan struct{}), done: make(chan struct{})}
 	go s.run()
 	return s
 }
@@ -51,10 +53,10 @@
 // Dropped returns the number of lines that were lost.
 func (s *Sink) Dropped() uint64 { return s.dropped.Load() }
 
-// Close writes what is queued, for at most the given time. No line may be
-// written afterwards.
+// Close writes what is queued, for at most the given time. Later lines are
+// dropped without being counted.
 func (s *Sink) Close(limit time.Duration) {
-	close(s.lines)
+	close(s.stop)
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
@@ -63,36 +65,63 @@
 	}
 }
 
+// run writes lines in batches until Close, and then what is queued.
 func (s *Sink) run() {
 	defer close(s.done)
 	batch := make([]byte, 0, batchBytes)
-	for line := range s.lines {
-		batch = append(batch[:0], line...)
-		timer := time.NewTimer(batchDelay)
-		open := true
-		for open && len(batch) < batchBytes {
-			select {
-			case next, ok := <-s.lines:
-				open = ok
-				batch = append(batch, next...)
-				continue
-			case <-timer.C:
+	for {
+		select {
+		case line := <-s.lines:
+			batch = s.collect(append(batch[:0], line...))
+			s.write(batch)
+		case <-s.stop:
+			for {
+				select {
+				case line := <-s.lines:
+					s.write(line)
+				default:
+					return
+				}
 			}
-			break
 		}
-		timer.Stop()
-		// A reader that is gone is no reason to stop; the lines are lost.
-		if _, err := s.out.Write(batch); err != nil {
-			s.dropped.Add(1)
+	}
+}
+
+// collect adds the lines that come within batchDelay.
+func (s *Sink) collect(batch []byte) []byte {
+	timer := time.NewTimer(batchDelay)
+	defer timer.Stop()
+	for len(batch) < batchBytes {
+		select {
+		case line := <-s.lines:
+			batch = append(batch, line...)
+		case <-timer.C:
+			return batch
+		case <-s.stop:
+			return batch
 		}
 	}
+	return batch
+}
+
+// write hands a batch to the output. A reader that is gone is no reason to stop:
+// its lines are lost and counted.
+func (s *Sink) write(batch []byte) {
+	if _, err := s.out.Write(batch); err != nil {
+		s.dropped.Add(uint64(bytes.Count(batch, []byte{'\n'})))
+	}
 }
 
 // New returns a logger that writes JSON lines to the sink.
 func New(s *Sink, fields ...zap.Field) *zap.Logger {
 	c := zap.NewProductionEncoderConfig()
 	c.EncodeTime = zapcore.ISO8601TimeEncoder
-	c.EncodeDuration = zapcore.MillisDurationEncoder
+	c.EncodeDuration = encodeMillis
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(c), s, zapcore.InfoLevel)
 	return zap.New(core).With(fields...)
 }
+
+// encodeMillis writes a duration in milliseconds with its fraction.
+func encodeMillis(d time.Duration, enc zapcore.PrimitiveArrayEncoder) {
+	enc.AppendFloat64(float64(d) / float64(time.Millisecond))
+}
--- /dev/null
+++ b/logging/sink_test.go
@@ -0,0 +1,54 @@
+package logging
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+)
+
+// A reader that stops reading must not hold up requests: lines are dropped and
+// counted instead.
+func TestStuckReaderDoesNotBlock(t *testing.T) {
+	r, w := io.Pipe()
+	defer r.Close()
+	sink := NewSink(w)
+	log := New(sink)
+	const lines = 4 * queuedLines
+	began := time.Now()
+	for range lines {
+		log.Info("line", zap.String("request", "r1"))
+	}
+	assert.Assert(t, time.Since(began) < 5*time.Second)
+	assert.Assert(t, sink.Dropped() > lines/4, "%d dropped", sink.Dropped())
+	sink.Close(10 * time.Millisecond)
+	log.Info("after the end")
+}
+
+// Every line that was taken is written whole, also those at the end.
+func TestLinesAreWrittenWhole(t *testing.T) {
+	var out bytes.Buffer
+	sink := NewSink(&out)
+	log := New(sink, zap.String("vm", "vm-1"))
+	for i := range 100 {
+		log.Info("line", zap.Int("n", i), zap.Duration("took", 1500*time.Microsecond))
+	}
+	sink.Close(5 * time.Second)
+	lines := bytes.Split(bytes.TrimSpace(out.Bytes()), []byte("\n"))
+	assert.Equal(t, len(lines), 100)
+	for i, line := range lines {
+		var got struct {
+			VM   string  `json:"vm"`
+			N    int     `json:"n"`
+			Took float64 `json:"took"`
+		}
+		assert.NilError(t, json.Unmarshal(line, &got))
+		assert.Equal(t, got.N, i)
+		assert.Equal(t, got.Took, 1.5)
+	}
+	assert.Equal(t, sink.Dropped(), uint64(0))
+}
