entry, savoryctl: metrics, settings that are followed, explanations of failed requests

Cause: on-call engineers have only logs and metrics. Counters, histograms and ages are served as text at the address of the deploy file; the settings file is followed with and without a signal, and a bad one is refused; savoryctl explain prints the story of one request over the logs of several VMs, or lists failed requests by cause. Ruled out: expvar for these metrics, because the platform fetches text.

--- /dev/null
+++ b/cmd/savoryctl/explain.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/samber/oops"
+)
+
+var explainCommand = command{name: "explain", short: "Explain a request from the log files of several VMs, or list the failed ones by cause",
+	new: func(e *env) flags.Commander { return &explainOptions{env: e} }}
+
+type explainOptions struct {
+	env     *env
+	Request string `long:"request" description:"ID of the request to explain"`
+	Failed  bool   `long:"failed" description:"list failed requests by cause"`
+	Args    struct {
+		Files []string `positional-arg-name:"FILE" required:"1"`
+	} `positional-args:"yes"`
+}
+
+// maxLogLine bounds one line; longer ones are skipped and counted.
+const maxLogLine = 1 << 20
+
+// logLine is a line of a VM's log.
+type logLine struct {
+	Time    string  `json:"ts"`
+	VM      string  `json:"vm"`
+	Message string  `json:"msg"`
+	Request string  `json:"request"`
+	Status  int     `json:"status"`
+	Reason  string  `json:"reason"`
+	Event   string  `json:"event"`
+	Pause   float64 `json:"pause"`
+	fields  map[string]any
+}
+
+// logs are the lines that name a request, and what could not be read.
+type logs struct {
+	lines   []logLine
+	skipped int
+}
+
+// Execute implements flags.Commander.
+func (o *explainOptions) Execute([]string) error {
+	if (o.Request == "") != o.Failed {
+		return oops.Errorf("give either --request ID or --failed")
+	}
+	var all logs
+	for _, name := range o.Args.Files {
+		if err := all.readFile(name); err != nil {
+			return err
+		}
+	}
+	slices.SortStableFunc(all.lines, func(a, b logLine) int { return cmp.Compare(a.Time, b.Time) })
+	if o.Failed {
+		all.printFailed(o.env.out)
+	} else if err := all.printRequest(o.env.out, o.Request); err != nil {
+		return err
+	}
+	if all.skipped > 0 {
+		fmt.Fprintf(o.env.out, "%d lines could not be read and were skipped\n", all.skipped)
+	}
+	return nil
+}
+
+func (l *logs) readFile(name string) error {
+	f, err := os.Open(name)
+	if err != nil {
+		return oops.Wrap(err)
+	}
+	defer f.Close()
+	return oops.Wrapf(l.read(f), "file %s", name)
+}
+
+// read takes the lines that name a request. Text before the first brace, such as
+// a time stamp of the collector, is ignored.
+func (l *logs) read(r io.Reader) error {
+	reader := bufio.NewReaderSize(r, maxLogLine)
+	for {
+		text, err := reader.ReadSlice('\n')
+		if err == bufio.ErrBufferFull {
+			l.skipped++
+			for err == bufio.ErrBufferFull {
+				_, err = reader.ReadSlice('\n')
+			}
+			text = nil
+		}
+		l.take(string(text))
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (l *logs) take(text string) {
+	at := strings.IndexByte(text, '{')
+	if at < 0 {
+		if strings.TrimSpace(text) != "" {
+			l.skipped++
+		}
+		return
+	}
+	var line logLine
+	data := []byte(strings.TrimSpace(text[at:]))
+	if json.Unmarshal(data, &line) != nil || json.Unmarshal(data, &line.fields) != nil {
+		l.skipped++
+		return
+	}
+	if line.Request != "" {
+		l.lines = append(l.lines, line)
+	}
+}
+
+// printRequest prints the lines of one request with its cause in the last line.
+func (l *logs) printRequest(w io.Writer, id string) error {
+	var cause string
+	var last logLine
+	for _, line := range l.lines {
+		if line.Request != id {
+			continue
+		}
+		fmt.Fprintf(w, "%s %s %s%s\n", line.Time, line.VM, line.Message, line.details())
+		if line.Message == "request" {
+			cause = causeOf(line, last)
+		}
+		last = line
+	}
+	if last.Request == "" {
+		return oops.Errorf("no line names the request %q", id)
+	}
+	if cause == "" {
+		cause = "the request had not ended when the log ends, or its process was killed"
+	}
+	fmt.Fprintf(w, "cause: %s\n", cause)
+	return nil
+}
+
+// details are the other fields in a fixed order.
+func (l *logLine) details() string {
+	var b strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(l.fields)) {
+		switch name {
+		case "ts", "vm", "msg", "level", "request", "errorVerbose":
+			continue
+		}
+		fmt.Fprintf(&b, " %s=%v", name, l.fields[name])
+	}
+	return b.String()
+}
+
+// lateMs is the pause between events, in milliseconds, from which a whole answer
+// is called late.
+const lateMs = 1000
+
+// causeOf names the cause of the outcome; before is the line before the last one.
+func causeOf(end, before logLine) string {
+	call := ""
+	if before.Message == "call" {
+		call = fmt.Sprintf("; the last call at upstream %v ended with %q", before.fields["upstream"], before.Event)
+	}
+	switch {
+	case end.Reason != "":
+		return fmt.Sprintf("status %d, %s%s", end.Status, end.Reason, call)
+	case end.Status >= 500:
+		return fmt.Sprintf("the upstream answered with status %d, which was passed on", end.Status)
+	case end.Pause > lateMs:
+		return fmt.Sprintf("answered whole, with a pause of %.0f ms", end.Pause)
+	}
+	return fmt.Sprintf("answered with status %d", end.Status)
+}
+
+// printFailed lists the requests that failed, grouped by cause.
+func (l *logs) printFailed(w io.Writer) {
+	groups := map[string][]string{}
+	for _, line := range l.lines {
+		if line.Message == "request" && (line.Reason != "" || line.Status >= 500) {
+			cause := cmp.Or(line.Reason, "failure of the upstream")
+			key := fmt.Sprintf("%d %s", line.Status, cause)
+			groups[key] = append(groups[key], line.Request)
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(groups)) {
+		fmt.Fprintf(w, "%s: %d\n", key, len(groups[key]))
+		for _, id := range groups[key] {
+			fmt.Fprintf(w, "  %s\n", id)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/savoryctl/explain_test.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const logText = `  1.05 vm-1 {"level":"info","ts":"2026-06-06T08:00:02.000Z","msg":"call","vm":"vm-1","request":"r1","event":"unanswered","upstream":"u1","error":"dial timeout"}
+garbage without a brace
+{"level":"info","ts":"2026-06-06T08:00:03.000Z","msg":"request","vm":"vm-1","request":"r1","status":503,"reason":"no_capacity"}
+{"level":"info","ts":"2026-06-06T08:00:03.5
+{"level":"info","ts":"2026-06-06T08:00:04.000Z","msg":"request","vm":"vm-1","request":"r2","status":200,"reason":"","pause":1500.5}
+{"level":"info","ts":"2026-06-06T08:00:04.000Z","msg":"started","vm":"vm-1"}
+`
+
+const otherLog = `{"level":"info","ts":"2026-06-06T08:00:01.000Z","msg":"call","vm":"vm-2","request":"r1","event":"silent","upstream":"u0"}
+{"level":"info","ts":"2026-06-06T08:00:05.000Z","msg":"request","vm":"vm-2","request":"r3","status":500,"reason":""}
+`
+
+func writeLogs(t *testing.T) []string {
+	t.Helper()
+	dir := t.TempDir()
+	first, second := filepath.Join(dir, "1.log"), filepath.Join(dir, "2.log")
+	assert.NilError(t, os.WriteFile(first, []byte(logText), 0o600))
+	assert.NilError(t, os.WriteFile(second, []byte(otherLog), 0o600))
+	return []string{first, second}
+}
+
+// The story of a request is in order of time over several VMs, ends with its
+// cause, and is not spoilt by lines that cannot be read.
+func TestExplainRequest(t *testing.T) {
+	var out, errOut strings.Builder
+	code := execute(t.Context(), append([]string{"explain", "--request", "r1"}, writeLogs(t)...), &out, &errOut)
+	assert.Equal(t, code, exitOK, errOut.String())
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	assert.Equal(t, len(lines), 5)
+	assert.Assert(t, strings.Contains(lines[0], "vm-2") && strings.Contains(lines[0], "silent"))
+	assert.Equal(t, lines[3], `cause: status 503, no_capacity; the last call at upstream u1 ended with "unanswered"`)
+	assert.Equal(t, lines[4], "2 lines could not be read and were skipped")
+}
+
+// Failed requests are listed by cause.
+func TestExplainFailed(t *testing.T) {
+	var out, errOut strings.Builder
+	code := execute(t.Context(), append([]string{"explain", "--failed"}, writeLogs(t)...), &out, &errOut)
+	assert.Equal(t, code, exitOK, errOut.String())
+	assert.Assert(t, strings.Contains(out.String(), "503 no_capacity: 1\n  r1\n"))
+	assert.Assert(t, strings.Contains(out.String(), "500 failure of the upstream: 1\n  r3\n"))
+}
+
+// Missing files, unknown requests and contradicting flags are clear errors.
+func TestExplainBadInput(t *testing.T) {
+	files := writeLogs(t)
+	for _, args := range [][]string{
+		{"explain", "--request", "none", files[0]}, {"explain", files[0]}, {"explain", "--failed", "--request", "r1", files[0]},
+		{"explain", "--failed", filepath.Join(t.TempDir(), "missing")},
+	} {
+		var out, errOut strings.Builder
+		assert.Assert(t, execute(t.Context(), args, &out, &errOut) != exitOK, "%v", args)
+	}
+}
+
+// FuzzLogs guards against log files that crash the reader.
+func FuzzLogs(f *testing.F) {
+	f.Add(logText)
+	f.Add("{\"request\":5}\n{")
+	f.Fuzz(func(t *testing.T, text string) {
+		var l logs
+		assert.NilError(t, l.read(strings.NewReader(text)))
+	})
+}
--- a/cmd/savoryctl/main.go
+++ b/cmd/savoryctl/main.go
@@ -50,7 +50,7 @@
 func commands() []command {
 	return []command{
 		getCommand, setCommand, diffCommand, historyCommand, rolloutCommand, withdrawCommand, haltCommand,
-		drainCommand, statusCommand, auditCommand, checkCommand, keyCommand,
+		drainCommand, statusCommand, auditCommand, checkCommand, keyCommand, explainCommand,
 	}
 }
 
--- a/cmd/savoryshift/main.go
+++ b/cmd/savoryshift/main.go
@@ -24,7 +24,7 @@
 type options struct {
 	Settings string `long:"settings" description:"path of the JSON settings file"`
 
-	Entry struct{} `command:"entry" description:"run on the users' platform, with the settings file that its environment variable names"`
+	Entry entryOptions `command:"entry" description:"run on the users' platform, with the settings file that its environment variable names"`
 }
 
 func main() {
@@ -44,7 +44,7 @@
 		return exitBadSettings
 	}
 	if parser.Active != nil {
-		return startEntry()
+		return startEntry(o.Entry)
 	}
 	if o.Settings == "" {
 		fmt.Fprintln(os.Stderr, "--settings: not set, want the path of the JSON settings file")
--- a/entry/budget.go
+++ b/entry/budget.go
@@ -35,6 +35,16 @@
 	return &retryBudget{bounds: b, vms: 1, services: map[string]*budgetWindow{}}
 }
 
+// setBounds replaces the bounds.
+func (b *retryBudget) setBounds(bounds platform.Bounds) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if bounds.RetryWindow != b.bounds.RetryWindow {
+		clear(b.services)
+	}
+	b.bounds = bounds
+}
+
 // SetVMs tells how many VMs share the bound.
 func (b *retryBudget) SetVMs(n int) {
 	b.mu.Lock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -43,6 +43,10 @@
 type Options struct {
 	Settings platform.Settings
 	Log      *zap.Logger
+	// SettingsPath is the file that Settings came from; it is followed if set.
+	SettingsPath string
+	// MetricsAddress is IP:PORT of the metrics, empty for none.
+	MetricsAddress string
 	// Dropped returns the number of log lines that were lost.
 	Dropped func() uint64
 }
@@ -57,6 +61,7 @@
 	gateway *gateway.Server
 	budget  *retryBudget
 
+	metrics  *gateway.Metrics
 	rollouts *rollout.Manager
 	fleet    *fleet.Fleet
 	started  time.Time
@@ -77,22 +82,24 @@
 func New(o Options) *Entry {
 	s := o.Settings
 	e := &Entry{
-		o: o, log: o.Log, started: time.Now(), store: platform.NewStore(s.StoreAddress), pool: exchange.NewPool(), stop: make(chan struct{}),
+		o: o, log: o.Log, started: time.Now(), metrics: gateway.NewMetrics(), pool: exchange.NewPool(), stop: make(chan struct{}),
 		book:   placement.NewBook(placement.Options{AvailabilityZone: s.AvailabilityZone, CacheLifetime: s.Bounds.CacheLifetime}),
 		budget: newRetryBudget(s.Bounds),
 	}
+	e.store = platform.NewStore(s.StoreAddress, e.storeCalled)
 	e.rollouts = rollout.New(rollout.Options{SessionIdle: s.Bounds.SessionIdle, Log: o.Log})
 	e.fleet = fleet.New(fleet.Options{
 		Self:        fleet.Member{VM: s.VM, AvailabilityZone: s.AvailabilityZone, Address: s.Peer, Capacity: s.Cores},
 		Incarnation: e.started.UnixNano(), Seeds: s.Seeds, Node: e, Log: o.Log,
 	})
 	e.gateway = gateway.New(gateway.Options{
-		Codec: platform.Codec{}, Book: e.book, Pool: e.pool, Splitter: e.rollouts, Budget: e.budget, Log: o.Log,
+		Codec: platform.Codec{}, Book: e.book, Pool: e.pool, Splitter: e.rollouts, Budget: e.budget, Log: o.Log, Metrics: e.metrics,
 	})
 	e.tables = map[string]*table{}
 	e.orders = e.follow("orders", e.store.Orders(), 0, e.ordersChanged)
 	e.upstreams = e.follow("upstreams", e.store.Upstreams(), settleUpstreams, e.upstreamsChanged)
 	e.status = e.follow("status", e.store.Status(), 0, e.statusChanged)
+	e.publish(e.metrics.Set())
 	return e
 }
 
@@ -122,7 +129,11 @@
 	for _, m := range []*mirror.Mirror{e.orders, e.upstreams, e.status} {
 		e.addLoop(&g, m.Run)
 	}
+	if err := e.addMetrics(&g); err != nil {
+		return err
+	}
 	e.addLoop(&g, e.control)
+	e.addLoop(&g, e.watchSettings)
 	if err := e.addFleet(&g); err != nil {
 		return err
 	}
@@ -154,16 +165,21 @@
 		if err != nil {
 			return oops.Wrapf(err, "listening at %s", l.address)
 		}
-		g.Add(func() error {
-			if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-				return oops.Wrapf(err, "serving at %s", l.address)
-			}
-			return nil
-		}, func(error) { _ = l.server.Close() })
+		addServer(g, l.server, listener)
 	}
 	return nil
 }
 
+// addServer adds an HTTP server as an actor.
+func addServer(g *run.Group, server *http.Server, l net.Listener) {
+	g.Add(func() error {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return oops.Wrapf(err, "serving at %s", l.Addr())
+		}
+		return nil
+	}, func(error) { _ = server.Close() })
+}
+
 // serveReady answers the balancer's question whether new connections may come.
 func (e *Entry) serveReady(w http.ResponseWriter, r *http.Request) {
 	status := http.StatusServiceUnavailable
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/oklog/run"
+	"github.com/samber/oops"
+)
+
+// addMetrics adds the listener that serves the metrics as text.
+func (e *Entry) addMetrics(g *run.Group) error {
+	if e.o.MetricsAddress == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp4", e.o.MetricsAddress)
+	if err != nil {
+		return oops.Wrapf(err, "listening at %s", e.o.MetricsAddress)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(e.serveMetrics), ReadHeaderTimeout: headerTimeout}
+	addServer(g, server, listener)
+	return nil
+}
+
+func (e *Entry) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	e.metrics.Write(w)
+}
+
+// publish registers the gauges of the process.
+func (e *Entry) publish(set *metrics.Set) {
+	gauge := func(name string, value func() float64) { set.NewGauge(name, value) }
+	gauge("savoryshift_requests_in_flight", func() float64 { return float64(e.gateway.Active()) })
+	gauge("savoryshift_log_lines_dropped_total", func() float64 {
+		if e.o.Dropped == nil {
+			return 0
+		}
+		return float64(e.o.Dropped())
+	})
+	gauge("savoryshift_vms_alive", func() float64 { return float64(e.fleet.Size(time.Now())) })
+	gauge("savoryshift_peer_age_seconds_max", func() float64 { return e.fleet.OldestPeer(time.Now()).Seconds() })
+	gauge("savoryshift_configuration_version", func() float64 { return float64(e.gateway.Version()) })
+	for name, t := range e.tables {
+		gauge(`savoryshift_table_revision{table="`+name+`"}`, func() float64 {
+			c, _ := t.Copy()
+			return float64(c.Revision)
+		})
+		gauge(`savoryshift_table_age_seconds{table="`+name+`"}`, func() float64 { return t.Age(time.Now()).Seconds() })
+	}
+}
+
+// storeCalled counts a call to the store.
+func (e *Entry) storeCalled(kind, outcome string, took time.Duration) {
+	e.metrics.Set().GetOrCreateCounter(`savoryshift_store_calls_total{kind="` + kind + `",outcome="` + outcome + `"}`).Inc()
+	e.metrics.Set().GetOrCreateHistogram(`savoryshift_store_call_seconds{kind="` + kind + `"}`).Update(took.Seconds())
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -307,6 +307,29 @@
 	return len(f.alive(now))
 }
 
+// AddSeeds adds addresses at which other VMs may be found.
+func (f *Fleet) AddSeeds(seeds []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, seed := range seeds {
+		f.find(seed, time.Now())
+		if !slices.Contains(f.o.Seeds, seed) {
+			f.o.Seeds = append(f.o.Seeds, seed)
+		}
+	}
+}
+
+// OldestPeer is the longest time since a VM that is alive was heard of.
+func (f *Fleet) OldestPeer(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	oldest := time.Duration(0)
+	for _, m := range f.alive(now) {
+		oldest = max(oldest, m.Age)
+	}
+	return oldest
+}
+
 // Rank is the place of this VM among those that are alive and not stopping.
 func (f *Fleet) Rank(now time.Time) int {
 	f.mu.Lock()
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -65,6 +65,14 @@
 // SetState replaces the configuration.
 func (s *Server) SetState(st *State) { s.state.Store(st) }
 
+// Version returns the version of the configuration in force, 0 before there is one.
+func (s *Server) Version() int64 {
+	if st := s.state.Load(); st != nil {
+		return st.Snapshot.Version
+	}
+	return 0
+}
+
 // Active returns the number of requests in progress.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -94,7 +94,6 @@
 	// first failure since, zero while the store answers.
 	answered time.Time
 	lost     time.Time
-	regained time.Time
 	// clock and clockAt relate the store's clock to that of this process.
 	clock   time.Duration
 	clockAt time.Time
@@ -290,7 +289,7 @@
 	m.clock, m.clockAt = page.Clock, now
 	if !m.lost.IsZero() {
 		m.o.Log.Info("store regained", zap.String("table", m.o.Name), zap.Duration("away", now.Sub(m.lost)), zap.Int64("revision", page.Revision))
-		m.lost, m.regained = time.Time{}, now
+		m.lost = time.Time{}
 	}
 }
 
@@ -310,11 +309,12 @@
 	return m.lost, !m.lost.IsZero()
 }
 
-// Regained is when the store answered again after the last outage.
-func (m *Mirror) Regained() time.Time {
+// Age is the time since the store or a peer last answered with this copy or
+// confirmed it.
+func (m *Mirror) Age(now time.Time) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.regained
+	return now.Sub(m.answered)
 }
 
 // StoreClock estimates the store's steady clock; ok is false before the first
