gateway, entry: a stopping VM closes idle connections once the balancer has turned away

Idle connections are closed after 2.2 s, when two questions of the balancer have gone unanswered, and bookings are taken until 5 s. Ruled out: refusals for want of an upstream, which were true (the only upstream of the service was behind the cut).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -64,6 +64,7 @@
 	metrics  *gateway.Metrics
 	rollouts *rollout.Manager
 	fleet    *fleet.Fleet
+	front    *http.Server
 	started  time.Time
 
 	orders, upstreams, status *mirror.Mirror
@@ -152,7 +153,7 @@
 // addServers adds the listeners for callers and for the balancer.
 func (e *Entry) addServers(g *run.Group) error {
 	s := e.o.Settings
-	front := &http.Server{
+	e.front = &http.Server{
 		Handler: e.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(e.log),
 	}
@@ -160,7 +161,7 @@
 	for _, l := range []struct {
 		server  *http.Server
 		address string
-	}{{front, s.Front}, {ready, s.Ready}} {
+	}{{e.front, s.Front}, {ready, s.Ready}} {
 		listener, err := net.Listen("tcp4", l.address)
 		if err != nil {
 			return oops.Wrapf(err, "listening at %s", l.address)
@@ -199,6 +200,9 @@
 	// minDrain is how long a stopping VM serves at least: the balancer asks once
 	// a second and turns away after two misses.
 	minDrain = 3500 * time.Millisecond
+	// closeIdleAfter is when a stopping VM closes kept connections without a
+	// request: the balancer has turned away, so their clients come to other VMs.
+	closeIdleAfter = 2200 * time.Millisecond
 	// graceMargin is left of the grace period for the end of the process.
 	graceMargin = 300 * time.Millisecond
 )
@@ -219,6 +223,9 @@
 	tick := time.NewTicker(drainPoll)
 	defer tick.Stop()
 	for since := time.Duration(0); since < e.o.Settings.Bounds.Grace-graceMargin; since = time.Since(now) {
+		if since >= closeIdleAfter {
+			e.front.SetKeepAlivesEnabled(false)
+		}
 		if since >= minDrain && e.gateway.Active() == 0 {
 			break
 		}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -224,10 +224,16 @@
 	s.server.Stop(time.Now())
 	r := s.call("/safe/x")
 	assert.Equal(t, r.body, "ok")
+	// A stream could be cut by the end of the grace period, a booking is short.
+	s.server.Stop(time.Now().Add(-4 * time.Second))
+	assert.Equal(t, s.call("/safe/x").body, "ok")
+	r = s.call("/stream/x", "Model: large")
+	assert.Equal(t, r.status, http.StatusServiceUnavailable)
+	assert.Equal(t, len(u.seen()), 2)
 	s.server.Stop(time.Now().Add(-10 * time.Second))
 	r = s.call("/unsafe/x")
 	assert.Equal(t, r.status, http.StatusServiceUnavailable)
-	assert.Equal(t, len(u.seen()), 1)
+	assert.Equal(t, len(u.seen()), 2)
 }
 
 // A request that a failing new release could not answer goes back to the old
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -77,12 +77,29 @@
 func (s *Server) Active() int { return int(s.active.Load()) }
 
 // Stop makes the server announce the end of connections. Requests on kept
-// connections are still served for acceptAfterStop.
+// connections are still served for a while.
 func (s *Server) Stop(now time.Time) { s.stopping.Store(now.UnixNano()) }
 
-// acceptAfterStop is how long after the request to stop new requests are still
-// taken. The balancer turns away within two questions, a second apart.
-const acceptAfterStop = 3 * time.Second
+const (
+	// streamsAfterStop and othersAfterStop are how long after the request to stop
+	// new streams and other requests are still taken. A later stream could be cut
+	// by the end of the grace period, which other requests are far from.
+	streamsAfterStop = 3 * time.Second
+	othersAfterStop  = 5 * time.Second
+)
+
+// refusesAfterStop reports whether a stopping server takes a request no more.
+func (s *Server) refusesAfterStop(kind routing.Kind, now time.Time) bool {
+	at := s.stopping.Load()
+	if at == 0 {
+		return false
+	}
+	limit := othersAfterStop
+	if kind == routing.Stream {
+		limit = streamsAfterStop
+	}
+	return now.Sub(time.Unix(0, at)) > limit
+}
 
 // ServeHTTP handles one request of a caller.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -90,12 +107,8 @@
 	defer s.active.Add(-1)
 	x := &execution{s: s, w: w, start: time.Now(), ctx: r.Context(), confidence: -1}
 	defer x.finish()
-	if at := s.stopping.Load(); at != 0 {
+	if s.stopping.Load() != 0 {
 		w.Header().Set("Connection", "close")
-		if x.start.Sub(time.Unix(0, at)) > acceptAfterStop {
-			x.refuse(errkind.ShuttingDown, stopRetryAfter)
-			return
-		}
 	}
 	st := s.state.Load()
 	if st == nil {
@@ -111,6 +124,10 @@
 	if !x.admit(st) {
 		return
 	}
+	if s.refusesAfterStop(x.route.Kind, x.start) {
+		x.refuse(errkind.ShuttingDown, stopRetryAfter)
+		return
+	}
 	if !x.readBody(r, st.Snapshot.Limits.MaxBodyBytes) {
 		return
 	}
