rollout, entry: a release that fails one route; requests that cross a close

The guard now also sums by route, and no further sessions move while failures speak against the release. Connections are now closed in a way that leaves a request either unread or answered.

Ruled out: lost evidence between VMs (each VM alone had the counts); the upstreams (they saw the request and the close within 1 ms).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -64,7 +64,7 @@
 	metrics  *gateway.Metrics
 	rollouts *rollout.Manager
 	fleet    *fleet.Fleet
-	front    *http.Server
+	idle     *idleCloser
 	started  time.Time
 
 	orders, upstreams, status *mirror.Mirror
@@ -153,19 +153,23 @@
 // addServers adds the listeners for callers and for the balancer.
 func (e *Entry) addServers(g *run.Group) error {
 	s := e.o.Settings
-	e.front = &http.Server{
-		Handler: e.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	e.idle = newIdleCloser()
+	front := &http.Server{
+		Handler: e.gateway, ConnState: e.idle.state, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(e.log),
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(e.log)}
 	for _, l := range []struct {
 		server  *http.Server
 		address string
-	}{{e.front, s.Front}, {ready, s.Ready}} {
+	}{{front, s.Front}, {ready, s.Ready}} {
 		listener, err := net.Listen("tcp4", l.address)
 		if err != nil {
 			return oops.Wrapf(err, "listening at %s", l.address)
 		}
+		if l.server == front {
+			listener = e.idle.wrap(listener)
+		}
 		addServer(g, l.server, listener)
 	}
 	return nil
@@ -224,7 +228,7 @@
 	defer tick.Stop()
 	for since := time.Duration(0); since < e.o.Settings.Bounds.Grace-graceMargin; since = time.Since(now) {
 		if since >= closeIdleAfter {
-			e.front.SetKeepAlivesEnabled(false)
+			e.idle.CloseIdle()
 		}
 		if since >= minDrain && e.gateway.Active() == 0 {
 			break
--- /dev/null
+++ b/entry/idle_test.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// A request that crosses the close of its idle connection is either answered
+// whole or never handled: a caller must not lose a booking that ran.
+func TestRequestsThatCrossTheClose(t *testing.T) {
+	closer := newIdleCloser()
+	var handled atomic.Int32
+	server := &http.Server{ConnState: closer.state, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handled.Add(1)
+		_, _ = w.Write([]byte("ok"))
+	})}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = server.Serve(closer.wrap(l)) }()
+	t.Cleanup(func() { _ = server.Close() })
+
+	closedUnread, answered := 0, 0
+	for i := range 400 {
+		conn, err := net.Dial("tcp4", l.Addr().String())
+		assert.NilError(t, err)
+		reader := bufio.NewReader(conn)
+		assert.Assert(t, exchangeOnce(conn, reader))
+		before := handled.Load()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			time.Sleep(time.Duration(i%40) * 2 * time.Microsecond)
+			closer.CloseIdle()
+		}()
+		ok := exchangeOnce(conn, reader)
+		<-done
+		ran := handled.Load() - before
+		switch {
+		case ok:
+			answered++
+			assert.Equal(t, ran, int32(1))
+		default:
+			closedUnread++
+			assert.Equal(t, ran, int32(0), "round %d: handled and not answered", i)
+		}
+		_ = conn.Close()
+	}
+	t.Logf("%d answered, %d closed unread", answered, closedUnread)
+	assert.Assert(t, answered > 0 && closedUnread > 0)
+}
+
+// exchangeOnce sends one request and reports whether its whole answer came.
+func exchangeOnce(conn net.Conn, reader *bufio.Reader) bool {
+	if _, err := conn.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n")); err != nil {
+		return false
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return false
+	}
+	var body [2]byte
+	n, _ := resp.Body.Read(body[:])
+	_, _ = resp.Body.Read(body[:])
+	return n == 2
+}
+
+// A connection in the middle of a request stays open.
+func TestBusyConnectionsStayOpen(t *testing.T) {
+	closer := newIdleCloser()
+	reached, release := make(chan struct{}), make(chan struct{})
+	server := &http.Server{ConnState: closer.state, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(reached)
+		<-release
+		_, _ = w.Write([]byte("ok"))
+	})}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = server.Serve(closer.wrap(l)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	conn, err := net.Dial("tcp4", l.Addr().String())
+	assert.NilError(t, err)
+	go func() {
+		<-reached
+		closer.CloseIdle()
+		close(release)
+	}()
+	assert.Assert(t, exchangeOnce(conn, bufio.NewReader(conn)))
+}
--- a/policy/guard/guard.go
+++ b/policy/guard/guard.go
@@ -42,6 +42,12 @@
 // are noisy and could not reach a higher one within 200 requests.
 var thresholds = [signals]float64{Errors: 11, Ratings: 8.7, Latency: 11}
 
+// classThreshold is the evidence of failures in one class at which the candidate
+// is halted. It is lower than that of all classes together, because a version
+// that fails on one route only must not be hidden by the successes of the others
+// until it has all traffic.
+const classThreshold = 7.5
+
 // Guard compares a candidate with its base. It is safe for concurrent use.
 type Guard struct {
 	relief float64
@@ -51,6 +57,8 @@
 	seen   map[string]Counts
 	base   map[Stratum]Tally
 	sums   [signals][len(worse)]float64
+	// failures is the evidence of failures by class.
+	failures map[string]float64
 	halted bool
 	cause  Signal
 }
@@ -63,7 +71,7 @@
 	}
 	return &Guard{
 		relief: math.Max(-maxRelief, math.Min(maxRelief, relief)),
-		own:    newCounts(), seen: map[string]Counts{}, base: map[Stratum]Tally{},
+		own:    newCounts(), seen: map[string]Counts{}, base: map[Stratum]Tally{}, failures: map[string]float64{},
 	}
 }
 
@@ -147,11 +155,35 @@
 		*sum = math.Max(0, *sum+step)
 		evidence += math.Exp(math.Min(*sum, 600)) / float64(len(worse))
 	}
+	if s.Signal == Errors {
+		g.addFailures(s.Class, usual, d)
+	}
 	if !g.halted && math.Log(evidence) >= thresholds[s.Signal]-g.relief {
 		g.halted, g.cause = true, s.Signal
 	}
 }
 
+// addFailures adds to the evidence of one class.
+func (g *Guard) addFailures(class string, usual float64, d Tally) {
+	bad := usual + worse[0]*(1-usual)
+	step := float64(d.Bad)*math.Log(bad/usual) + float64(d.N-d.Bad)*math.Log((1-bad)/(1-usual))
+	g.failures[class] = math.Max(0, g.failures[class]+step)
+	if !g.halted && g.failures[class] >= classThreshold-g.relief {
+		g.halted, g.cause = true, Errors
+	}
+}
+
+// Suspicion returns the largest evidence of failures in one class, as a logarithm.
+func (g *Guard) Suspicion() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	most := 0.0
+	for _, evidence := range g.failures {
+		most = math.Max(most, evidence)
+	}
+	return most
+}
+
 // usualRate is a cautious estimate of the base rate of bad events.
 func usualRate(t Tally, s Signal) float64 {
 	prior := priorBad
--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -185,7 +185,7 @@
 	part := s.part(now)
 	use, seen := m.sessions[session]
 	active := seen && now.Sub(use.at) <= m.o.SessionIdle
-	onNew := float64(session>>11)/(1<<53) < share(part)
+	onNew := float64(session>>11)/(1<<53) < s.share(part)
 	switch {
 	case active && use.onNew:
 		onNew = true
@@ -195,6 +195,15 @@
 	return onNew
 }
 
+// share is the part of the sessions that get the new release. It does not grow
+// while failures speak against the release.
+func (s *service) share(part float64) float64 {
+	if part < suspectedUntil && s.guard.Suspicion() >= suspicious {
+		return min(firstShare, share(part))
+	}
+	return share(part)
+}
+
 // Served notes which release served a session.
 func (m *Manager) Served(name, session, release string, now time.Time) {
 	m.mu.Lock()
--- a/rollout/schedule.go
+++ b/rollout/schedule.go
@@ -14,6 +14,11 @@
 	// comparedUntil is the part of the duration in which latencies are compared.
 	// Later most traffic is on the new release, whose load explains them.
 	comparedUntil = 0.58
+	// suspicious is the evidence of failures, as a logarithm, from which no further
+	// sessions move: about two failures of one route without a success between.
+	// suspectedUntil is the part of the duration after which it holds nothing up.
+	suspicious     = 3.0
+	suspectedUntil = 0.75
 	// drainedBy is the part of the duration at which a rollout is done even if
 	// calls to the old release are still running.
 	drainedBy = 0.9
