rollout: a release that is still suspected near the end is rolled back

Ruled out: a sharper test, whose false halts pass the guard's bound. Conclusion: after three quarters of the time a doubt is enough.

--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -198,7 +198,7 @@
 // share is the part of the sessions that get the new release. It does not grow
 // while failures speak against the release.
 func (s *service) share(part float64) float64 {
-	if part < suspectedUntil && s.guard.Suspicion() >= suspicious {
+	if s.guard.Suspicion() >= suspicious {
 		return min(firstShare, share(part))
 	}
 	return share(part)
@@ -388,7 +388,7 @@
 	}
 	part := s.part(now)
 	switch {
-	case s.halted:
+	case s.halted, part >= suspectedUntil && s.guard.Suspicion() >= suspicious:
 		return RolledBack, true
 	case part >= drainedBy, part >= movedAt && oldCalls() == 0:
 		return Done, true
--- a/rollout/manager_test.go
+++ b/rollout/manager_test.go
@@ -250,6 +250,9 @@
 	}
 	assert.Assert(t, m.Allow("s", "x", at(0.6)).Accept == nil, "two failures prove nothing")
 	assert.Assert(t, sharePreferred(m, at(0.6)) < 0.15)
+	m.SetProgress(Progress{Service: "s", Release: "v2", State: Running, Order: 10}, 11, begin)
+	due := m.Due(at(0.8), 0, 0, func(string, string) int { return 0 })
+	assert.Equal(t, due[0].Progress.State, RolledBack, "still suspected near the end")
 	for range 20 {
 		m.Observe("s", "v2", "a", false, 0, 0, at(0.62))
 	}
--- a/rollout/schedule.go
+++ b/rollout/schedule.go
@@ -15,8 +15,9 @@
 	// Later most traffic is on the new release, whose load explains them.
 	comparedUntil = 0.58
 	// suspicious is the evidence of failures, as a logarithm, from which no further
-	// sessions move: about two failures of one route without a success between.
-	// suspectedUntil is the part of the duration after which it holds nothing up.
+	// sessions move: about two failures of one route without a success between. A
+	// release that is still suspected after suspectedUntil of the duration is
+	// rolled back: a good release that comes later costs less than a bad one.
 	suspicious     = 3.0
 	suspectedUntil = 0.75
 	// drainedBy is the part of the duration at which a rollout is done even if
