fleet: a VM without an exchange with a reader reads the store itself

A VM now trusts readers that it has exchanged with in the last 0.7 s, and does not choose delegates that it fails to reach. Ruled out: the store and the cut VMs (the other zones had the version within 0.13 s).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -23,14 +23,18 @@
 	farFactor = 2.5
 	// silentAfter is the time without an exchange after which the higher of two
 	// VMs also calls the lower one; usually only the lower one calls.
-	silentAfter = 5 * interval
+	silentAfter = 3 * interval
+	// confirmedFor is how long a VM that does not read the store trusts the last
+	// exchange with one that does. It is a small part of the time in which a
+	// configuration must be in force (2 s).
+	confirmedFor = 700 * time.Millisecond
 	// forgetAfter is the time after which an address that never answers is dropped.
 	forgetAfter = 20 * time.Second
 	// fullEvery is the pause between two digests to one peer that also hold the
 	// members and the evidence on rollouts, which are long.
 	fullEvery = 700 * time.Millisecond
 	// callTimeout bounds one exchange, dialTimeout a new connection.
-	callTimeout = 600 * time.Millisecond
+	callTimeout = 500 * time.Millisecond
 	dialTimeout = 500 * time.Millisecond
 	// maxBackoff bounds the pause between calls to a peer that does not answer.
 	maxBackoff = 2 * time.Second
@@ -201,11 +205,11 @@
 	if p := f.peers[to.Address]; p != nil && now.Sub(p.full) >= fullEvery {
 		p.full, full = now, true
 	}
-	members := f.alive(now)
+	members, reachable := f.alive(now), f.reachable(now)
 	f.mu.Unlock()
 	own := f.o.Node.Report(full)
 	d.Revisions = f.o.Node.Revisions()
-	d.Scope = scope(members, d.From, to)
+	d.Scope = scope(reachable, d.From, to)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch d.Scope {
@@ -343,7 +347,8 @@
 	return rank
 }
 
-// Follows reports whether this VM reads the store itself.
+// Follows reports whether this VM reads the store itself: it is one of the readers
+// of its zone, or has not heard from any of them for a moment.
 func (f *Fleet) Follows(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -351,7 +356,25 @@
 	if self.Lost || self.Stopping {
 		return true
 	}
-	return slices.Contains(followers(f.alive(now), self.AvailabilityZone), self.VM)
+	readers := followers(f.reachable(now), self.AvailabilityZone)
+	if slices.Contains(readers, self.VM) {
+		return true
+	}
+	for _, p := range f.peers {
+		if slices.Contains(readers, p.VM) && now.Sub(p.heard) < confirmedFor {
+			return false
+		}
+	}
+	return true
+}
+
+// reachable returns the VMs that are alive but for those that this VM fails to
+// reach itself, whatever others tell. The caller holds the lock.
+func (f *Fleet) reachable(now time.Time) []Member {
+	return slices.DeleteFunc(slices.Clone(f.alive(now)), func(m Member) bool {
+		p := f.peers[m.Address]
+		return p != nil && p.backoff > 0 && now.Sub(p.heard) > silentAfter
+	})
 }
 
 // Kick makes the next exchange with the peers of this zone due at once, because
@@ -387,7 +410,7 @@
 func (f *Fleet) due(now time.Time) []*peer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	members, self := f.alive(now), f.self()
+	members, self := f.reachable(now), f.self()
 	var list []*peer
 	for address, p := range f.peers {
 		if p.busy || now.Before(p.next) {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -220,3 +220,26 @@
 		return names[0] != "vm4" && names[1] != "vm4"
 	})
 }
+
+// When all readers of a zone are cut off from a VM, it reads the store itself
+// within a second, although others still tell that the readers are alive: a
+// revoked key must not stay valid for want of a reader.
+func TestVMWithoutReadersFollowsTheStore(t *testing.T) {
+	f := New(Options{
+		Self: Member{VM: "vm9", AvailabilityZone: "z", Address: "127.0.0.1:1", Capacity: 0.1},
+		Node: &node{heard: map[string]int{}}, Log: zap.NewNop(),
+	})
+	hear := func() {
+		for i, vm := range []string{"vm0", "vm1"} {
+			f.take(Digest{From: Member{VM: vm, AvailabilityZone: "z", Address: fmt.Sprint("127.0.0.1:", i+2), Capacity: 1}})
+		}
+	}
+	hear()
+	now := time.Now()
+	assert.Assert(t, !f.Follows(now))
+	later := now.Add(confirmedFor + 100*time.Millisecond)
+	f.mu.Lock()
+	f.relay(Member{VM: "vm0", AvailabilityZone: "z", Address: "127.0.0.1:2", Capacity: 1}, later)
+	f.mu.Unlock()
+	assert.Assert(t, f.Follows(later))
+}
