entrytest, platform/standin: whole VMs against stand-ins of the users' platform

A row store and runners speak the published protocol from memory, with faults; whole VMs run against them in one process over loopback. Ruled out: virtual time for these tests, because the sockets are real.

--- a/daemon/daemontest/partition_test.go
+++ b/daemon/daemontest/partition_test.go
@@ -204,7 +204,11 @@
 	if acceptedAt.IsZero() {
 		return 0, false
 	}
-	return len(s.Runs(daemontest.Base, acceptedAt)), true
+	runs := s.Runs(daemontest.Base, acceptedAt)
+	for _, r := range runs {
+		s.T.Logf("ran %v after the report: %+v", r.At.Sub(acceptedAt), r)
+	}
+	return len(runs), true
 }
 
 // Guards invariant 2 for a halted roll-out: wherever the halt is set, and
--- /dev/null
+++ b/entry/entrytest/system.go
@@ -0,0 +1,148 @@
+package entrytest
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryshift/savoryshift/entry"
+	"github.com/savoryshift/savoryshift/platform"
+	"github.com/savoryshift/savoryshift/platform/standin"
+)
+
+// System is a store with VMs and upstreams around it.
+type System struct {
+	T     *testing.T
+	Store *standin.RowStore
+	VMs   []*VM
+
+	storeAddress string
+	requests     int
+}
+
+// VM is a running entry VM.
+type VM struct {
+	Settings platform.Settings
+	stop     context.CancelFunc
+	ended    chan error
+}
+
+// New starts a store with a configuration of three routes for the services
+// "model" and "desk", and no VM.
+func New(t *testing.T) *System {
+	t.Helper()
+	s := &System{T: t, Store: standin.NewRowStore()}
+	server := httptest.NewServer(s.Store)
+	t.Cleanup(server.Close)
+	s.storeAddress = strings.TrimPrefix(server.URL, "http://")
+	s.Configure(1, "desk")
+	return s
+}
+
+// Configure writes a version of the configuration; bookings go to a service.
+func (s *System) Configure(version int, bookings string) {
+	s.Store.Put("op", "config", standin.Configuration(version, bookings))
+}
+
+// Runner starts an upstream.
+func (s *System) Runner(id, service, release string, b standin.Behaviour) *standin.Runner {
+	s.T.Helper()
+	r, err := standin.StartRunner(s.Store, id, service, release, "z", b)
+	assert.NilError(s.T, err)
+	return r
+}
+
+// freeAddress returns an address at which nothing listens.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// Start starts a VM that knows the VMs before it as seeds, and waits until it is
+// ready.
+func (s *System) Start() *VM {
+	s.T.Helper()
+	vm := &VM{ended: make(chan error, 1), Settings: platform.Settings{
+		VM: fmt.Sprintf("vm%d", len(s.VMs)), AvailabilityZone: "z", Front: freeAddress(s.T), Ready: freeAddress(s.T), Peer: freeAddress(s.T),
+		StoreAddress: s.storeAddress, MemoryBytes: 1 << 30, Cores: 1,
+		Bounds: platform.Bounds{
+			Drain: 2 * time.Second, Grace: 5 * time.Second, RetryRatio: 0.9, RetryWindow: 10 * time.Second, RetrySlack: 500,
+			ExposureShare: 0.15, SessionIdle: 5 * time.Second, CacheLifetime: 10 * time.Second,
+		},
+	}}
+	for _, other := range s.VMs {
+		vm.Settings.Seeds = append(vm.Settings.Seeds, other.Settings.Peer)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	vm.stop = stop
+	e := entry.New(entry.Options{Settings: vm.Settings, Log: zap.NewNop()})
+	go func() { vm.ended <- e.Run(ctx) }()
+	s.T.Cleanup(func() { stop() })
+	s.VMs = append(s.VMs, vm)
+	s.Eventually("the VM is ready", vm.Ready)
+	return vm
+}
+
+// Stop asks the VM to stop, as SIGTERM does.
+func (vm *VM) Stop() { vm.stop() }
+
+// Ended waits until the VM has stopped.
+func (vm *VM) Ended() error { return <-vm.ended }
+
+// Ready asks the VM as the balancer does.
+func (vm *VM) Ready() bool {
+	resp, err := http.Get("http://" + vm.Settings.Ready + platform.ReadyPath)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Eventually waits for a condition for at most ten seconds.
+func (s *System) Eventually(what string, ok func() bool) {
+	s.T.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !ok(); {
+		if time.Now().After(deadline) {
+			s.T.Fatalf("not within ten seconds: %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Answer is what a caller got; Whole is false if the connection broke.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   string
+	Whole  bool
+}
+
+// Call sends a request with an identifier of its own over a new connection.
+func (s *System) Call(vm *VM, path, key string) Answer {
+	s.T.Helper()
+	s.requests++
+	header := standin.ClientHeader(fmt.Sprintf("r%d", s.requests), key, fmt.Sprintf("session%d", s.requests))
+	req, err := http.NewRequestWithContext(s.T.Context(), http.MethodPost, "http://"+vm.Settings.Front+path, strings.NewReader("body"))
+	assert.NilError(s.T, err)
+	req.Host, req.Header, req.Close = standin.Host, header, true
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return Answer{}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: string(body), Whole: err == nil}
+}
