--- a/policy/guard/guard.go
+++ b/policy/guard/guard.go
@@ -52,15 +52,15 @@
 type Guard struct {
 	relief float64
 
-	mu     sync.Mutex
-	own    Counts
-	seen   map[string]Counts
-	base   map[Stratum]Tally
-	sums   [signals][len(worse)]float64
+	mu   sync.Mutex
+	own  Counts
+	seen map[string]Counts
+	base map[Stratum]Tally
+	sums [signals][len(worse)]float64
 	// failures is the evidence of failures by class.
 	failures map[string]float64
-	halted bool
-	cause  Signal
+	halted   bool
+	cause    Signal
 }
 
 // New returns a guard without evidence.
