--- a/cmd/savoryctl/check.go
+++ b/cmd/savoryctl/check.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/samber/oops"
 
 	"github.com/savoryshift/savoryshift/internal/check"
+	"github.com/savoryshift/savoryshift/platform"
 	"github.com/savoryshift/savoryshift/settings"
 	"github.com/savoryshift/savoryshift/tree"
 )
@@ -20,7 +22,7 @@
 
 type checkOptions struct {
 	env  *env
-	Kind string `long:"kind" choice:"auto" choice:"settings" choice:"tree" default:"auto" description:"kind of the file"`
+	Kind string `long:"kind" choice:"auto" choice:"settings" choice:"tree" choice:"platform" choice:"deploy" default:"auto" description:"kind of the file"`
 	Args struct {
 		File string `positional-arg-name:"FILE" required:"true"`
 	} `positional-args:"yes"`
@@ -39,19 +41,18 @@
 	if err != nil {
 		return oops.Wrap(err)
 	}
-	if o.Kind == "auto" {
+	switch {
+	case o.Kind == "auto" && strings.HasSuffix(o.Args.File, ".toml"):
+		o.Kind = "deploy"
+	case o.Kind == "auto":
 		o.Kind = kindOfFile(data)
 	}
-	if o.Kind == "tree" {
-		_, err = tree.ParseValid(data)
-	} else {
-		_, err = settings.Parse(data)
-	}
+	err = checkFile(o.Kind, data)
 	result := checkResult{File: o.Args.File, Kind: o.Kind, Problems: []check.Problem{}}
 	if problems, ok := errors.AsType[check.Problems](err); ok {
 		result.Problems = problems
 	} else if err != nil {
-		result.Problems = []check.Problem{{Value: err.Error(), Allowed: "one JSON document"}}
+		result.Problems = []check.Problem{{Value: err.Error(), Allowed: documentOf(o.Kind)}}
 	}
 	if printErr := o.env.print(result, func(w io.Writer) { printCheck(w, result) }); printErr != nil {
 		return printErr
@@ -83,3 +84,27 @@
 	}
 	return "settings"
 }
+
+// checkFile checks a file of a kind.
+func checkFile(kind string, data []byte) error {
+	var err error
+	switch kind {
+	case "tree":
+		_, err = tree.ParseValid(data)
+	case "platform":
+		_, err = platform.ParseSettings(data)
+	case "deploy":
+		err = platform.CheckDeployFile(data)
+	default:
+		_, err = settings.Parse(data)
+	}
+	return err
+}
+
+// documentOf is what a file of a kind must be.
+func documentOf(kind string) string {
+	if kind == "deploy" {
+		return "one TOML document"
+	}
+	return "one JSON document"
+}
