gateway, entry: the steady clock for all spans; refused callers return spread

Refused callers were all told the same time. Ruled out: durations elsewhere, which use time.Time with its steady reading. Found by the new test: a request that came before any configuration had no identifier in its log line, and the spread panicked on it.

--- a/entry/budget.go
+++ b/entry/budget.go
@@ -20,8 +20,10 @@
 type retryBudget struct {
 	bounds platform.Bounds
 
-	mu       sync.Mutex
-	vms      int
+	mu  sync.Mutex
+	vms int
+	// begun is when the steps are counted from, by the steady clock.
+	begun    time.Time
 	services map[string]*budgetWindow
 }
 
@@ -32,7 +34,7 @@
 }
 
 func newRetryBudget(b platform.Bounds) *retryBudget {
-	return &retryBudget{bounds: b, vms: 1, services: map[string]*budgetWindow{}}
+	return &retryBudget{bounds: b, begun: time.Now(), vms: 1, services: map[string]*budgetWindow{}}
 }
 
 // setBounds replaces the bounds.
@@ -55,14 +57,15 @@
 // window returns the window of a service, moved on to now.
 func (b *retryBudget) window(service string, now time.Time) *budgetWindow {
 	w := b.services[service]
-	step := now.UnixNano() / int64(b.bounds.RetryWindow/budgetSteps)
+	step := int64(now.Sub(b.begun) / (b.bounds.RetryWindow / budgetSteps))
 	if w == nil {
 		w = &budgetWindow{step: step}
 		b.services[service] = w
 	}
 	for range min(budgetSteps, max(0, step-w.step)) {
 		w.step++
-		w.requests[w.step%budgetSteps], w.repeats[w.step%budgetSteps] = 0, 0
+		i := w.step % budgetSteps
+		w.requests[i], w.repeats[i] = 0, 0
 	}
 	w.step = max(w.step, step)
 	return w
--- a/entry/budget_test.go
+++ b/entry/budget_test.go
@@ -20,7 +20,7 @@
 		b.SetVMs(vms)
 		all = append(all, b)
 	}
-	begin := time.Unix(1000, 0)
+	begin := time.Now()
 	const tick = 100 * time.Millisecond
 	const steps = 300
 	var repeats, requests [steps]int
@@ -55,7 +55,7 @@
 func TestRetryBudgetAtTheStart(t *testing.T) {
 	b := newRetryBudget(platform.Bounds{RetryRatio: 0.9, RetryWindow: 10 * time.Second, RetrySlack: 58})
 	b.SetVMs(9)
-	now := time.Unix(1000, 0)
+	now := time.Now()
 	b.Request("s", now)
 	assert.Assert(t, b.Repeat("s", now))
 	assert.Assert(t, b.Repeat("other", now))
--- a/entry/control.go
+++ b/entry/control.go
@@ -133,9 +133,8 @@
 // table is the copy of one table with what is known of newer ones.
 type table struct {
 	*mirror.Mirror
-	// behind is since when a peer is known to have a newer copy, in Unix
-	// nanoseconds, 0 if none has.
-	behind   atomic.Int64
+	// behind is since when a peer is known to have a newer copy, nil if none has.
+	behind   atomic.Pointer[time.Time]
 	fetching atomic.Bool
 }
 
@@ -171,16 +170,16 @@
 		c, loaded := t.Copy()
 		theirs, known := revisions[name]
 		if !known || loaded && theirs <= c.Revision {
-			t.behind.Store(0)
+			t.behind.Store(nil)
 			continue
 		}
 		since := t.behind.Load()
-		if since == 0 {
-			since = now.UnixNano()
+		if since == nil {
+			since = &now
 			t.behind.Store(since)
 		}
 		_, lost := t.Mirror.Lost()
-		if loaded && !lost && !e.passive() && now.Sub(time.Unix(0, since)) < ownReadDelay {
+		if loaded && !lost && !e.passive() && now.Sub(*since) < ownReadDelay {
 			continue
 		}
 		e.fetch(vm, name, t)
@@ -222,7 +221,7 @@
 			return
 		}
 		if reply.Newer && t.Offer(reply.Page, reply.Whole) {
-			t.behind.Store(0)
+			t.behind.Store(nil)
 			e.log.Info("table taken from a peer", zap.String("table", name), zap.String("peer", vm), zap.Int64("revision", reply.Page.Revision), zap.Bool("whole", reply.Whole))
 		}
 	}()
--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -25,6 +25,10 @@
 	// noUpstreamRetryAfter is about the time until a lapsed registration is back
 	// or another instance is started.
 	noUpstreamRetryAfter = 400 * time.Millisecond
+	// minSpread and spreadRange spread the return of refused callers, as parts of
+	// the time that they are told.
+	minSpread   = 0.75
+	spreadRange = 0.75
 	// maxSends bounds the calls of one request, including those that upstreams
 	// refused without running them.
 	maxSends = 6
@@ -79,9 +83,6 @@
 // finish logs the outcome of the request.
 func (x *execution) finish() {
 	now := time.Now()
-	if x.req == nil {
-		x.req = &Request{}
-	}
 	route := ""
 	if x.route != nil {
 		route = x.route.Name
@@ -123,7 +124,7 @@
 	h := x.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if after > 0 {
-		x.s.o.Codec.Refusal(h, x.req, after)
+		x.s.o.Codec.Refusal(h, x.req, spread(after, x.req.ID))
 	}
 	body := "savoryshift: " + string(kind) + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(body)))
@@ -132,6 +133,12 @@
 	_, _ = x.w.Write([]byte(body))
 }
 
+// spread varies the time after which a refused caller returns, so that callers
+// that were refused together do not return together.
+func spread(after time.Duration, id string) time.Duration {
+	return time.Duration(float64(after) * (minSpread + spreadRange*point(id)))
+}
+
 // giveUp ends a request for which no further call can be made.
 func (x *execution) giveUp() {
 	if x.ctx.Err() != nil {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -248,3 +248,17 @@
 	}
 	assert.Assert(t, len(a.seen())+len(b.seen()) > 0)
 }
+
+// Callers that are refused together are told to return at different times.
+func TestRefusedCallersReturnSpread(t *testing.T) {
+	s := newSystem(t)
+	times := map[string]bool{}
+	for i := range 20 {
+		r := s.call("/safe/x", fmt.Sprintf("Id: r%d", i))
+		d, err := time.ParseDuration(r.header.Get("Retry-After"))
+		assert.NilError(t, err)
+		assert.Assert(t, d > 100*time.Millisecond && d < time.Second, d)
+		times[d.String()] = true
+	}
+	assert.Assert(t, len(times) > 15, "%v", times)
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -47,9 +47,9 @@
 type Server struct {
 	o     Options
 	state atomic.Pointer[State]
-	// stopping is the time at which the process was asked to stop, in Unix
-	// nanoseconds, 0 before.
-	stopping atomic.Int64
+	// stopping is the time at which the process was asked to stop, nil before. It
+	// keeps the steady clock's reading, because the time of day may jump.
+	stopping atomic.Pointer[time.Time]
 	active   atomic.Int64
 	sizes    sizes
 }
@@ -78,7 +78,7 @@
 
 // Stop makes the server announce the end of connections. Requests on kept
 // connections are still served for a while.
-func (s *Server) Stop(now time.Time) { s.stopping.Store(now.UnixNano()) }
+func (s *Server) Stop(now time.Time) { s.stopping.Store(&now) }
 
 const (
 	// streamsAfterStop and othersAfterStop are how long after the request to stop
@@ -91,14 +91,14 @@
 // refusesAfterStop reports whether a stopping server takes a request no more.
 func (s *Server) refusesAfterStop(kind routing.Kind, now time.Time) bool {
 	at := s.stopping.Load()
-	if at == 0 {
+	if at == nil {
 		return false
 	}
 	limit := othersAfterStop
 	if kind == routing.Stream {
 		limit = streamsAfterStop
 	}
-	return now.Sub(time.Unix(0, at)) > limit
+	return now.Sub(*at) > limit
 }
 
 // ServeHTTP handles one request of a caller.
@@ -107,17 +107,17 @@
 	defer s.active.Add(-1)
 	x := &execution{s: s, w: w, start: time.Now(), ctx: r.Context(), confidence: -1}
 	defer x.finish()
-	if s.stopping.Load() != 0 {
+	if s.stopping.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
+	req, err := s.o.Codec.Decode(r)
+	x.req = &req
 	st := s.state.Load()
-	if st == nil {
+	switch {
+	case st == nil:
 		x.refuse(errkind.NoConfiguration, noConfigurationRetryAfter)
 		return
-	}
-	req, err := s.o.Codec.Decode(r)
-	x.req = &req
-	if err != nil {
+	case err != nil:
 		x.reject(errkind.BadRequest)
 		return
 	}
--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -36,7 +36,7 @@
 	mu       sync.Mutex
 	services map[string]*service
 	sessions map[uint64]sessionUse
-	recent   []SessionUse
+	recent   []servedSession
 }
 
 // service is the state of one service's rollout.
--- a/rollout/sessions.go
+++ b/rollout/sessions.go
@@ -6,6 +6,13 @@
 	"time"
 )
 
+// servedSession is a use of a session by this VM.
+type servedSession struct {
+	session uint64
+	onNew   bool
+	at      time.Time
+}
+
 // Served notes which release served a session.
 func (m *Manager) Served(name, session, release string, now time.Time) {
 	m.mu.Lock()
@@ -17,7 +24,7 @@
 	// Peers need only the sessions that the schedule may move in its first part,
 	// and those that have moved.
 	if onNew || float64(h>>11)/(1<<53) < firstShare {
-		m.recent = append(m.recent, SessionUse{Session: h, New: onNew, Age: time.Duration(now.UnixNano())})
+		m.recent = append(m.recent, servedSession{session: h, onNew: onNew, at: now})
 	}
 }
 
@@ -28,12 +35,12 @@
 	var out []SessionUse
 	kept := m.recent[:0]
 	for _, u := range m.recent {
-		age := time.Duration(now.UnixNano()) - u.Age
+		age := now.Sub(u.at)
 		if age > window {
 			continue
 		}
 		kept = append(kept, u)
-		out = append(out, SessionUse{Session: u.Session, New: u.New, Age: age})
+		out = append(out, SessionUse{Session: u.session, New: u.onNew, Age: age})
 	}
 	m.recent = kept
 	return out
