--- a/entry/entry.go
+++ b/entry/entry.go
@@ -94,7 +94,7 @@
 		Incarnation: e.started.UnixNano(), Seeds: s.Seeds, Node: e, Log: o.Log,
 	})
 	e.gateway = gateway.New(gateway.Options{
-		Codec: platform.Codec{}, Book: e.book, Pool: e.pool, Splitter: e.rollouts, Budget: e.budget, Log: o.Log, Metrics: e.metrics,
+		Codec: platform.Codec{}, Book: e.book, Pool: e.pool, Splitter: e.rollouts, Budget: e.budget, Log: o.Log, Metrics: e.metrics, Announce: e.fleet.Announce,
 	})
 	e.tables = map[string]*table{}
 	e.orders = e.follow("orders", e.store.Orders(), 0, e.ordersChanged)
--- a/fleet/alive.go
+++ b/fleet/alive.go
@@ -125,11 +125,26 @@
 // Kick makes the next exchange with the peers of this zone due at once, because
 // a table of the store has changed.
 func (f *Fleet) Kick() {
+	f.kick(func(p *peer) bool { return p.AvailabilityZone == f.o.Self.AvailabilityZone })
+}
+
+// Announce makes the next exchange with all peers due at once, because this VM
+// has sent an engine much work: peers that do not know of it would send theirs
+// to the same engine.
+func (f *Fleet) Announce() {
+	f.kick(func(*peer) bool { return true })
+}
+
+func (f *Fleet) kick(which func(*peer) bool) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	for _, p := range f.peers {
-		if p.AvailabilityZone == f.o.Self.AvailabilityZone && p.backoff == 0 {
+		if p.backoff == 0 && !p.heard.IsZero() && which(p) {
 			p.next, p.kicked = time.Time{}, true
 		}
 	}
+	f.mu.Unlock()
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
 }
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -21,10 +21,11 @@
 		case <-ctx.Done():
 			f.Close()
 			return
-		case now := <-tick.C:
-			for _, p := range f.due(now) {
-				go f.exchange(p)
-			}
+		case <-tick.C:
+		case <-f.wake:
+		}
+		for _, p := range f.due(time.Now()) {
+			go f.exchange(p)
 		}
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -91,6 +91,8 @@
 	peers map[string]*peer
 	conns map[net.Conn]bool
 	board *board
+	// wake tells that exchanges are due before the next tick.
+	wake chan struct{}
 	// members are the VMs that are alive, with this one, as of membersAt.
 	members   []Member
 	membersAt time.Time
@@ -98,7 +100,7 @@
 
 // New returns a fleet that does nothing until Run and Serve.
 func New(o Options) *Fleet {
-	f := &Fleet{o: o, peers: map[string]*peer{}, conns: map[net.Conn]bool{}, board: newBoard()}
+	f := &Fleet{o: o, peers: map[string]*peer{}, conns: map[net.Conn]bool{}, board: newBoard(), wake: make(chan struct{}, 1)}
 	now := time.Now()
 	for _, seed := range o.Seeds {
 		f.find(seed, now)
--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -29,6 +29,9 @@
 	// the time that they are told.
 	minSpread   = 0.75
 	spreadRange = 0.75
+	// announcedReading is the engine time in seconds from which peers are told of
+	// a call at once; it is about what a request may wait without being noticed.
+	announcedReading = 0.25
 	// maxSends bounds the calls of one request, including those that upstreams
 	// refused without running them.
 	maxSends = 6
@@ -201,6 +204,9 @@
 	if call == nil {
 		return nil
 	}
+	if choice.Reading >= announcedReading && x.s.o.Announce != nil {
+		x.s.o.Announce()
+	}
 	x.sends++
 	x.last = choice.ID
 	a := &attempt{x: x, choice: choice, call: call, model: model, start: now}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -33,6 +33,8 @@
 	Budget   Budget
 	Log      *zap.Logger
 	Metrics  *Metrics
+	// Announce tells peers of much work that was just sent; it may be nil.
+	Announce func()
 }
 
 // Budget bounds calls beyond the first of a request.
