gateway: a booking that has begun outlives its caller

Cause: the call of a booking was cancelled when its caller left, in the middle of its run; nobody knew then how far it got. It is finished now, and the answer is dropped. Also, the later of two calls to a plain service was counted as a failure of its upstream when the first one won. Ruled out: work for callers that left on other routes, which is still cancelled at once.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -193,6 +194,36 @@
 	}
 }
 
+// sendAndLeave sends a request and closes the connection once it has reached
+// the upstream.
+func (s *system) sendAndLeave(u *upstream, path string) {
+	s.t.Helper()
+	conn, err := net.Dial("tcp4", strings.TrimPrefix(s.url, "http://"))
+	assert.NilError(s.t, err)
+	fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: key\r\nModel: large\r\nContent-Length: 0\r\n\r\n", path)
+	for len(u.seen()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.NilError(s.t, conn.Close())
+}
+
+// A booking that has begun is finished when its caller leaves: broken off, nobody
+// would know how far it got.
+func TestBookingOutlivesItsCaller(t *testing.T) {
+	open := make(chan bool, 1)
+	u := start(t, "a", func(r *http.Request, w io.Writer) bool {
+		conn := w.(net.Conn)
+		_ = conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+		_, err := conn.Read(make([]byte, 1))
+		var timeout net.Error
+		open <- errors.As(err, &timeout) && timeout.Timeout()
+		return false
+	})
+	s := newSystem(t, of(u, "v1")).configure()
+	s.sendAndLeave(u, "/unsafe/x")
+	assert.Assert(t, <-open, "the booking was broken off")
+}
+
 // When a caller leaves, the work at the upstream is cancelled at once.
 func TestCallerLeaves(t *testing.T) {
 	var u *upstream
@@ -202,13 +233,7 @@
 		return false
 	})
 	s := newSystem(t, of(u, "v1")).configure()
-	conn, err := net.Dial("tcp4", strings.TrimPrefix(s.url, "http://"))
-	assert.NilError(t, err)
-	fmt.Fprint(conn, "POST /stream/x HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: key\r\nModel: large\r\nContent-Length: 0\r\n\r\n")
-	for len(u.seen()) == 0 {
-		time.Sleep(time.Millisecond)
-	}
-	assert.NilError(t, conn.Close())
+	s.sendAndLeave(u, "/stream/x")
 	select {
 	case <-u.gone:
 	case <-time.After(time.Second):
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -207,7 +207,13 @@
 
 // run serves an admitted request.
 func (x *execution) run() {
-	ctx, cancel := context.WithDeadline(x.ctx, x.end)
+	ctx := x.ctx
+	if x.route.Kind == routing.Unsafe {
+		// A booking that has begun is not broken off because its caller has left:
+		// how far it got would not be known.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, x.end)
 	defer cancel()
 	x.s.o.Budget.Request(x.service.Name, x.start)
 	x.allow = x.s.o.Splitter.Allow(x.service.Name, x.sessionKey(), x.start)
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -88,8 +88,10 @@
 				continue
 			}
 			for _, a := range running {
-				// An upstream that loses against a later call is slow or silent.
-				a.call.End(placement.Failed, time.Now())
+				if a == first {
+					// It lost against a later call, so it is slow or silent.
+					a.call.End(placement.Failed, time.Now())
+				}
 				a.cancel()
 			}
 			return o, true
