gateway: the watchdog takes the number of moves when it starts

Cause: its timer read a counter that the goroutine of the request may change at the same moment. Ruled out: a visible effect; the race detector had not met it.

--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -32,6 +32,9 @@
 	// announcedReading is the engine time in seconds from which peers are told of
 	// a call at once; it is about what a request may wait without being noticed.
 	announcedReading = 0.25
+	// statusCallerLeft stands in log lines for requests without an answer, because
+	// their callers left.
+	statusCallerLeft = 499
 	// maxSends bounds the calls of one request, including those that upstreams
 	// refused without running them.
 	maxSends = 6
@@ -146,7 +149,7 @@
 func (x *execution) giveUp() {
 	if x.ctx.Err() != nil {
 		x.reason = "caller left"
-		x.status = 499
+		x.status = statusCallerLeft
 		panic(http.ErrAbortHandler)
 	}
 	switch {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -94,7 +94,7 @@
 // try makes one call and passes its events on. It returns true when the request
 // is finished.
 func (t *streaming) try(a *attempt) bool {
-	dog := a.watch(max(minFirstPatience, time.Duration(patienceFactor*a.choice.FirstEvent*float64(time.Second))), false)
+	dog := a.watch(max(minFirstPatience, time.Duration(patienceFactor*a.choice.FirstEvent*float64(time.Second))), t.runs+1)
 	v := a.send(t.lastEvent, t.urgency())
 	dog.stop()
 	t.settle(a, v)
@@ -181,27 +181,22 @@
 	}
 }
 
-// movesLeft is the number of further calls that a silent one may be given up
-// for. settled says that the silent one has been counted among the runs.
-func (x *execution) movesLeft(a *attempt, settled bool) int {
-	runs := x.runs
-	if !settled {
-		runs++
-	}
-	if !x.route.Idempotent() || x.s.o.Book.Alternatives(a.choice.Service, a.choice.ID, x.allow.Prefer, time.Now()) == 0 {
-		return 0
-	}
-	return max(0, x.route.MaxAttempts-runs)
-}
+const (
+	// firstUrgency and urgencyStep map the priority of a route to that at the
+	// engine and leave room for repeats in between; maxUrgency is the last one.
+	firstUrgency = 2
+	urgencyStep  = 2
+	maxUrgency   = 9
+)
 
 // urgency is the scheduling priority at the engine. A call that replaces a
 // dropped answer, or resumes a stream, goes before others of its route.
 func (t *streaming) urgency() int {
-	u := 2 + 2*t.priority
+	u := firstUrgency + urgencyStep*t.priority
 	if t.runs > 0 {
 		u--
 	}
-	return max(0, min(9, u))
+	return max(0, min(maxUrgency, u))
 }
 
 // passFailure passes on an answer that is neither a success nor worth repeating.
@@ -269,7 +264,7 @@
 	if patience <= 0 {
 		patience = defaultGapPatience
 	}
-	dog := a.watch(patience, true)
+	dog := a.watch(patience, t.runs)
 	defer dog.stop()
 	events := newEventReader(a.reply)
 	for {
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -38,8 +38,9 @@
 // silent, or no progress for much longer.
 type watchdog struct {
 	a        *attempt
-	settled  bool
 	patience time.Duration
+	// moves is the number of further calls that this one may be given up for.
+	moves    int
 	progress atomic.Int64
 	// longest is the longest pause between two steps.
 	longest atomic.Int64
@@ -47,10 +48,13 @@
 	timer   *time.Timer
 }
 
-// watch starts a watchdog for a call that makes progress now. settled says that
-// the call has been counted among the runs of its request.
-func (a *attempt) watch(patience time.Duration, settled bool) *watchdog {
-	d := &watchdog{a: a, patience: patience, settled: settled}
+// watch starts a watchdog for a call that makes progress now. runs is the number
+// of runs of the request, this one included.
+func (a *attempt) watch(patience time.Duration, runs int) *watchdog {
+	d := &watchdog{a: a, patience: patience}
+	if a.x.route.Idempotent() {
+		d.moves = max(0, a.x.route.MaxAttempts-runs)
+	}
 	d.progress.Store(int64(time.Since(a.start)))
 	d.timer = time.AfterFunc(patience, d.check)
 	return d
@@ -70,8 +74,7 @@
 	now := time.Now()
 	idle := now.Sub(d.a.start) - time.Duration(d.progress.Load())
 	patience := max(d.patience, gapPatienceFactor*time.Duration(d.longest.Load()))
-	moves := d.a.x.movesLeft(d.a, d.settled)
-	if moves == 1 && !d.a.call.CutOff(now) {
+	if d.moves == 1 && !d.a.call.CutOff(now) {
 		patience *= lastMoveFactor
 	}
 	switch {
@@ -79,7 +82,7 @@
 		d.timer.Reset(patience - idle)
 	case d.a.call.SilentFor(now) < silentUpstream && idle < slowFactor*patience:
 		d.timer.Reset(silentUpstream)
-	case moves == 0:
+	case d.moves == 0 || !d.a.hasAlternative(now):
 		d.timer.Reset(d.patience)
 	default:
 		d.fired.Store(true)
@@ -88,3 +91,8 @@
 		d.a.cancel()
 	}
 }
+
+// hasAlternative reports whether another upstream may take the call over.
+func (a *attempt) hasAlternative(now time.Time) bool {
+	return a.x.s.o.Book.Alternatives(a.choice.Service, a.choice.ID, a.x.allow.Prefer, now) > 0
+}
