rollout, placement, exchange: bounds of the settings instead of fixed figures

Cause: the first share of a rollout (0.12) and the grace of a lapsed registration did not follow the deployment's bounds; on the grown sites a bad release may get 0.12 of the requests in all. Idle connections of many VMs together could pass what an upstream accepts.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -76,19 +76,21 @@
 	configurationRevision int64
 	statusKnown           atomic.Bool
 	stopping              atomic.Bool
-	stop                  chan struct{}
 }
 
 // New returns an entry that is not running.
 func New(o Options) *Entry {
 	s := o.Settings
 	e := &Entry{
-		o: o, log: o.Log, started: time.Now(), metrics: gateway.NewMetrics(), pool: exchange.NewPool(), stop: make(chan struct{}),
-		book:   placement.NewBook(placement.Options{AvailabilityZone: s.AvailabilityZone, CacheLifetime: s.Bounds.CacheLifetime}),
+		o: o, log: o.Log, started: time.Now(), metrics: gateway.NewMetrics(), pool: exchange.NewPool(),
+		book: placement.NewBook(placement.Options{
+			AvailabilityZone: s.AvailabilityZone, CacheLifetime: s.Bounds.CacheLifetime,
+			LapseGrace: min(placement.DefaultLapseGrace, s.Bounds.Drain*3/4),
+		}),
 		budget: newRetryBudget(s.Bounds),
 	}
 	e.store = platform.NewStore(s.StoreAddress, e.storeCalled)
-	e.rollouts = rollout.New(rollout.Options{SessionIdle: s.Bounds.SessionIdle, Log: o.Log})
+	e.rollouts = rollout.New(rollout.Options{SessionIdle: s.Bounds.SessionIdle, Exposure: s.Bounds.ExposureShare, Log: o.Log})
 	e.fleet = fleet.New(fleet.Options{
 		Self:        fleet.Member{VM: s.VM, AvailabilityZone: s.AvailabilityZone, Address: s.Peer, Capacity: s.Cores},
 		Incarnation: e.started.UnixNano(), Seeds: s.Seeds, Node: e, Log: o.Log,
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -27,8 +27,10 @@
 	// idleShare is the part of the stated idle timeout that is used, so that a
 	// request does not cross the upstream's close.
 	idleShare = 0.6
-	// maxIdlePerAddress bounds the idle connections to one upstream.
-	maxIdlePerAddress = 16
+	// maxIdlePerAddress bounds the idle connections to one upstream, so that those
+	// of all VMs together (up to 100) stay below what it accepts (370 and more for
+	// engines).
+	maxIdlePerAddress = 4
 	// readBufferBytes fits a header and a few events.
 	readBufferBytes = 4096
 )
--- a/placement/book.go
+++ b/placement/book.go
@@ -74,8 +74,16 @@
 	// CacheLifetime is the age at which a prefix that was read no longer counts
 	// as kept.
 	CacheLifetime time.Duration
+	// LapseGrace is how long an upstream whose registration disappeared serves as
+	// a last resort. Registrations that lapsed during an outage of the store
+	// return within two seconds. Default: DefaultLapseGrace.
+	LapseGrace time.Duration
 }
 
+// DefaultLapseGrace is below the two seconds for which an upstream that left may
+// be sent work.
+const DefaultLapseGrace = 1500 * time.Millisecond
+
 // Book holds the state of all upstreams. It is safe for concurrent use.
 type Book struct {
 	o Options
@@ -93,6 +101,9 @@
 	if o.CacheLifetime == 0 {
 		o.CacheLifetime = 10 * time.Second
 	}
+	if o.LapseGrace == 0 {
+		o.LapseGrace = DefaultLapseGrace
+	}
 	return &Book{
 		o: o, entries: map[string]*entry{}, service: map[string][]*entry{},
 		peers: map[string]peerState{}, zones: map[string]*zone{},
@@ -225,7 +236,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.entries[id]
-	return e != nil && !e.Draining && (e.unregistered.IsZero() || now.Sub(e.unregistered) < lapseGrace)
+	return e != nil && !e.Draining && (e.unregistered.IsZero() || now.Sub(e.unregistered) < b.o.LapseGrace)
 }
 
 // Alternatives counts the upstreams of a service, other than one, that may take
@@ -236,7 +247,7 @@
 	q := &Query{Allow: allow, Now: now}
 	n := 0
 	for _, e := range b.service[service] {
-		if e.ID != other && e.usable(q, false) && !b.zones[e.AvailabilityZone].suspect(now) {
+		if e.ID != other && b.usable(e, q, false) && !b.zones[e.AvailabilityZone].suspect(now) {
 			n++
 		}
 	}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -74,7 +74,7 @@
 	bestScore := math.Inf(1)
 	candidates := 0
 	for _, e := range b.service[q.Service] {
-		if !e.usable(q, desperate) {
+		if !b.usable(e, q, desperate) {
 			continue
 		}
 		candidates++
@@ -102,21 +102,16 @@
 // usable reports whether a call may be placed at an upstream. Upstreams that
 // cannot be reached are left out also when nothing else is left: such a request
 // is better refused at once.
-func (e *entry) usable(q *Query, desperate bool) bool {
+func (b *Book) usable(e *entry, q *Query, desperate bool) bool {
 	if e.Draining || q.Exclude[e.ID] || q.Allow != nil && !q.Allow(e.Release) || e.health.dark(q.Now) {
 		return false
 	}
 	if !e.unregistered.IsZero() {
-		return desperate && q.Now.Sub(e.unregistered) < lapseGrace
+		return desperate && q.Now.Sub(e.unregistered) < b.o.LapseGrace
 	}
 	return desperate || !e.health.ejected(q.Now)
 }
 
-// lapseGrace is how long an upstream whose registration disappeared serves as a
-// last resort. Registrations that lapsed during an outage of the store return
-// within two seconds; upstreams that left may be sent work for as long.
-const lapseGrace = 1500 * time.Millisecond
-
 // predict predicts a call at an upstream.
 func (b *Book) predict(e *entry, q *Query) Choice {
 	total := e.own
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -198,7 +198,7 @@
 	_, c = place(t, b, query(100))
 	assert.Equal(t, c.ID, "e1")
 	q := query(100)
-	q.Now = after(lapseGrace + time.Millisecond)
+	q.Now = after(DefaultLapseGrace + time.Millisecond)
 	_, ok := b.Choose(q)
 	assert.Assert(t, !ok)
 	assert.Assert(t, !b.Usable("e1", q.Now))
--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -26,12 +26,16 @@
 type Options struct {
 	// SessionIdle is the longest pause within a session.
 	SessionIdle time.Duration
-	Log         *zap.Logger
+	// Exposure is the part of a service's requests that a bad release may get.
+	Exposure float64
+	Log      *zap.Logger
 }
 
 // Manager follows the rollouts of all services. It is safe for concurrent use.
 type Manager struct {
 	o Options
+	// first is the part of the sessions that tries a new release first.
+	first float64
 
 	mu       sync.Mutex
 	services map[string]*service
@@ -70,7 +74,10 @@
 
 // New returns a manager without rollouts.
 func New(o Options) *Manager {
-	return &Manager{o: o, services: map[string]*service{}, sessions: map[uint64]sessionUse{}}
+	if o.Exposure <= 0 {
+		o.Exposure = defaultExposure
+	}
+	return &Manager{o: o, first: exposureUse * o.Exposure, services: map[string]*service{}, sessions: map[uint64]sessionUse{}}
 }
 
 func (m *Manager) service(name string) *service {
@@ -183,7 +190,7 @@
 	part := s.part(now)
 	use, seen := m.sessions[session]
 	active := seen && now.Sub(use.at) <= m.o.SessionIdle
-	onNew := float64(session>>11)/(1<<53) < s.share(part)
+	onNew := float64(session>>11)/(1<<53) < s.share(part, m.first)
 	switch {
 	case active && use.onNew:
 		onNew = true
@@ -195,11 +202,11 @@
 
 // share is the part of the sessions that get the new release. It does not grow
 // while failures speak against the release.
-func (s *service) share(part float64) float64 {
+func (s *service) share(part, first float64) float64 {
 	if s.guard.Suspicion() >= suspicious {
-		return min(firstShare, share(part))
+		return first
 	}
-	return share(part)
+	return share(part, first)
 }
 
 // Write is a change of a rollout's state that the store should keep.
--- a/rollout/schedule.go
+++ b/rollout/schedule.go
@@ -3,9 +3,12 @@
 import "time"
 
 const (
-	// firstShare is the part of the sessions that try the new release first. It
-	// is below the part of the requests that a bad release may get in all.
-	firstShare = 0.12
+	// exposureUse is the part of the sessions that try the new release first, as a
+	// share of what a bad release may get of all requests; the rest is for sessions
+	// that move before a late fault is noticed.
+	exposureUse = 0.8
+	// defaultExposure is used where no bound is set.
+	defaultExposure = 0.15
 	// pinnedUntil is the part of the duration in which sessions stay on the
 	// release that they have; only new sessions may get the new release.
 	pinnedUntil = 0.5
@@ -26,15 +29,15 @@
 )
 
 // share is the part of the sessions that get the new release after a part of
-// the duration.
-func share(part float64) float64 {
+// the duration, first being the part that tries it from the beginning.
+func share(part, first float64) float64 {
 	switch {
 	case part < pinnedUntil:
-		return firstShare
+		return first
 	case part >= movedAt:
 		return 1
 	}
-	return firstShare + (1-firstShare)*(part-pinnedUntil)/(movedAt-pinnedUntil)
+	return first + (1-first)*(part-pinnedUntil)/(movedAt-pinnedUntil)
 }
 
 // Order is the operator's order to move a service to a release.
--- a/rollout/sessions.go
+++ b/rollout/sessions.go
@@ -23,7 +23,7 @@
 	m.sessions[h] = sessionUse{at: now, onNew: onNew}
 	// Peers need only the sessions that the schedule may move in its first part,
 	// and those that have moved.
-	if onNew || float64(h>>11)/(1<<53) < firstShare {
+	if onNew || float64(h>>11)/(1<<53) < m.first {
 		m.recent = append(m.recent, servedSession{session: h, onNew: onNew, at: now})
 	}
 }
