rollout, gateway: no false halt from the first upstreams of a release

The share now follows the number of upstreams of the new release, and a silent call is no evidence against a release. Also, the race detector found an address of a peer read without its lock.

--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -123,12 +123,12 @@
 
 func (f *Fleet) client(p *peer) (*rpc.Client, error) {
 	f.mu.Lock()
-	client := p.client
+	client, address := p.client, p.Address
 	f.mu.Unlock()
 	if client != nil {
 		return client, nil
 	}
-	conn, err := net.DialTimeout("tcp4", p.Address, dialTimeout)
+	conn, err := net.DialTimeout("tcp4", address, dialTimeout)
 	if err != nil {
 		return nil, oops.Wrap(err)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -128,7 +128,7 @@
 			t.kept = o
 		}
 	}
-	if dog.fired.Load() || t.ctx.Err() == nil {
+	if !dog.fired.Load() && t.ctx.Err() == nil {
 		a.observe(true, 0)
 	}
 }
@@ -219,7 +219,7 @@
 		t.status, t.wrote = a.answer.Status, true
 		t.w.WriteHeader(t.status)
 	}
-	err := t.copyEvents(a)
+	silent, err := t.copyEvents(a)
 	switch {
 	case err == nil:
 		a.end(placement.Answered)
@@ -230,7 +230,9 @@
 		t.breakOff(a, placement.Failed, string(errkind.UpstreamTimeout))
 	}
 	a.end(placement.Failed)
-	a.observe(true, 0)
+	if !silent {
+		a.observe(true, 0)
+	}
 	a.log("stream broke", zap.Error(err), zap.String("last_event", t.lastEvent))
 	t.exclude(a.choice.ID)
 	return false
@@ -257,30 +259,34 @@
 // errCallerGone says that an event could not be written to the caller.
 var errCallerGone = errors.New("caller is gone")
 
-// copyEvents passes whole events on. It returns nil at the proper end of the
-// stream.
-func (t *streaming) copyEvents(a *attempt) error {
+// copyEvents passes whole events on. The error is nil at the proper end of the
+// stream; silent says that the upstream was given up because it sent nothing,
+// which speaks of its load rather than of its release.
+func (t *streaming) copyEvents(a *attempt) (silent bool, err error) {
 	patience := time.Duration(gapPatienceShare * float64(t.route.MaxPause))
 	if patience <= 0 {
 		patience = defaultGapPatience
 	}
 	dog := a.watch(patience, t.runs)
-	defer dog.stop()
+	defer func() {
+		dog.stop()
+		silent = dog.fired.Load()
+	}()
 	events := newEventReader(a.reply)
 	for {
 		data, id, err := events.next()
 		if err == io.EOF && a.reply.Whole() {
-			return nil
+			return false, nil
 		}
 		if err != nil {
-			return err
+			return false, err
 		}
 		now := time.Now()
 		dog.step()
 		a.call.Heard(now)
 		t.timing(now)
 		if _, err := t.w.Write(data); err != nil {
-			return errors.Join(errCallerGone, err)
+			return false, errors.Join(errCallerGone, err)
 		}
 		if id != "" {
 			t.lastEvent = id
@@ -289,7 +295,7 @@
 			continue
 		}
 		if err := t.out.Flush(); err != nil {
-			return errors.Join(errCallerGone, err)
+			return false, errors.Join(errCallerGone, err)
 		}
 	}
 }
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -29,6 +29,9 @@
 	// lastMoveFactor is how much longer a call is waited for that could be given
 	// up for one last call only: when that fails, the answer is lost.
 	lastMoveFactor = 2
+	// aloneFactor is how much longer the first event of a call is waited for that
+	// is the only one of this VM at its upstream: its silence says little.
+	aloneFactor = 2
 	// slowFactor is how much longer a stream may pause while its upstream still
 	// serves other calls.
 	slowFactor = 4
@@ -74,6 +77,9 @@
 	now := time.Now()
 	idle := now.Sub(d.a.start) - time.Duration(d.progress.Load())
 	patience := max(d.patience, gapPatienceFactor*time.Duration(d.longest.Load()))
+	if d.longest.Load() == 0 && d.a.call.Alone() {
+		patience *= aloneFactor
+	}
 	if d.moves == 1 && !d.a.call.CutOff(now) {
 		patience *= lastMoveFactor
 	}
--- a/placement/call.go
+++ b/placement/call.go
@@ -55,6 +55,13 @@
 	return c.e.AvailabilityZone != c.b.o.AvailabilityZone && c.b.zones[c.e.AvailabilityZone].suspect(now)
 }
 
+// Alone reports whether no other call of this VM is at the upstream.
+func (c *Call) Alone() bool {
+	c.b.mu.Lock()
+	defer c.b.mu.Unlock()
+	return c.e.own.Calls <= 1
+}
+
 // SilentFor returns how long no call of this VM got a byte from the upstream,
 // at most the time since this call was sent.
 func (c *Call) SilentFor(now time.Time) time.Duration {
--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -56,8 +56,10 @@
 	// due is since when a change of the store's state is due.
 	due     time.Time
 	written time.Time
-	// first are the releases that were registered before any order was known.
-	first map[string]bool
+	// first are the releases that were registered before any order was known,
+	// registered counts the upstreams of each release now.
+	first      map[string]bool
+	registered map[string]int
 }
 
 type sessionUse struct {
@@ -132,14 +134,28 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.service(name)
-	if s.known {
+	s.registered = releases
+	if s.known || len(s.first) > 0 {
 		return
 	}
-	if len(s.first) == 0 {
-		for r := range releases {
-			s.first[r] = true
+	for r := range releases {
+		s.first[r] = true
+	}
+}
+
+// capacity is the part of the sessions that the upstreams of the new release can
+// carry: the first of many must not get what all of them are meant for.
+func (s *service) capacity() float64 {
+	others := 0
+	for release, n := range s.registered {
+		if release != s.order.Release {
+			others += n
 		}
 	}
+	if others == 0 {
+		return 1
+	}
+	return min(1, float64(s.registered[s.order.Release])/float64(others))
 }
 
 // Filter tells which releases may serve a request; nil functions allow all.
@@ -200,13 +216,13 @@
 	return onNew
 }
 
-// share is the part of the sessions that get the new release. It does not grow
-// while failures speak against the release.
+// share is the part of the sessions that get the new release, at most what its
+// upstreams can carry. It does not grow while failures speak against the release.
 func (s *service) share(part, first float64) float64 {
 	if s.guard.Suspicion() >= suspicious {
-		return first
+		return min(first, s.capacity())
 	}
-	return share(part, first)
+	return min(share(part, first), s.capacity())
 }
 
 // Write is a change of a rollout's state that the store should keep.
--- a/rollout/manager_test.go
+++ b/rollout/manager_test.go
@@ -23,9 +23,11 @@
 	return m
 }
 
+// ordered is a manager with an order; the new release is as large as the old one.
 func ordered() *Manager {
 	m := manager()
 	m.SetOrder(Order{Service: "s", Release: "v2", Duration: duration, Revision: 10}, begin)
+	m.SetReleases("s", map[string]int{"v1": 3, "v2": 3})
 	return m
 }
 
@@ -174,6 +176,7 @@
 	restarted := at(0.7)
 	m.SetOrder(Order{Service: "s", Release: "v2", Duration: duration, Revision: 10}, restarted)
 	m.SetProgress(Progress{Service: "s", Release: "v2", State: Running, Order: 10}, 11, begin)
+	m.SetReleases("s", map[string]int{"v1": 3, "v2": 3})
 	assert.Equal(t, sharePreferred(m, restarted), 1.0)
 }
 
@@ -258,3 +261,18 @@
 	}
 	assert.Assert(t, sharePreferred(m, at(0.65)) > 0.5)
 }
+
+// The first upstream of a new release must not get the share of all of them: it
+// would be overloaded, and a good release be taken for a bad one.
+func TestShareFollowsTheUpstreams(t *testing.T) {
+	m := ordered()
+	for n, most := range map[int]float64{0: 0, 1: 0.03, 45: 0.13} {
+		m.SetReleases("s", map[string]int{"v1": 90, "v2": n})
+		got := sharePreferred(m, at(0.3))
+		assert.Assert(t, got <= most && (n == 0 || got > 0), "share %v with %d of 90", got, n)
+	}
+	m.SetReleases("s", map[string]int{"v1": 90, "v2": 90})
+	assert.Equal(t, sharePreferred(m, at(0.7)), 1.0)
+	m.SetReleases("s", map[string]int{"v2": 90})
+	assert.Equal(t, sharePreferred(m, at(0.7)), 1.0)
+}
