entry: a silent reader remembers that other zones are ahead

Ruled out: the exchange between zones (both readers got digests of other zones in between, see "halted by a peer"); the store's pushes to other zones (0.1 s).

Conclusion: what is known to be newer is kept until the own copy has reached it.

--- a/entry/control.go
+++ b/entry/control.go
@@ -133,11 +133,36 @@
 // table is the copy of one table with what is known of newer ones.
 type table struct {
 	*mirror.Mirror
-	// behind is since when a peer is known to have a newer copy, nil if none has.
-	behind   atomic.Pointer[time.Time]
+	// newer is what peers are known to have, nil if nothing newer was told.
+	newer    atomic.Pointer[newerCopy]
 	fetching atomic.Bool
 }
 
+// newerCopy is a revision that a peer has, and since when that is known.
+type newerCopy struct {
+	revision int64
+	since    time.Time
+}
+
+// behindSince notes that a peer has a revision and returns since when a newer one
+// than that of this VM is known. Peers that are no further than this VM change
+// nothing: they may be behind as well.
+func (t *table) behindSince(theirs, own int64, now time.Time) (since time.Time, behind bool) {
+	known := t.newer.Load()
+	if known != nil && known.revision <= own {
+		known = nil
+		t.newer.Store(nil)
+	}
+	if theirs <= own {
+		return time.Time{}, false
+	}
+	if known == nil {
+		known = &newerCopy{revision: theirs, since: now}
+		t.newer.Store(known)
+	}
+	return known.since, true
+}
+
 // Revisions implements fleet.Node.
 func (e *Entry) Revisions() map[string]int64 {
 	out := map[string]int64{}
@@ -169,17 +194,19 @@
 	for name, t := range e.tables {
 		c, loaded := t.Copy()
 		theirs, known := revisions[name]
-		if !known || loaded && theirs <= c.Revision {
-			t.behind.Store(nil)
+		if !known {
 			continue
 		}
-		since := t.behind.Load()
-		if since == nil {
-			since = &now
-			t.behind.Store(since)
+		own := c.Revision
+		if !loaded {
+			own = -1
+		}
+		since, behind := t.behindSince(theirs, own, now)
+		if !behind {
+			continue
 		}
 		_, lost := t.Mirror.Lost()
-		if loaded && !lost && !e.passive() && now.Sub(*since) < ownReadDelay {
+		if loaded && !lost && !e.passive() && now.Sub(since) < ownReadDelay {
 			continue
 		}
 		e.fetch(vm, name, t)
@@ -221,7 +248,6 @@
 			return
 		}
 		if reply.Newer && t.Offer(reply.Page, reply.Whole) {
-			t.behind.Store(nil)
 			e.log.Info("table taken from a peer", zap.String("table", name), zap.String("peer", vm), zap.Int64("revision", reply.Page.Revision), zap.Bool("whole", reply.Whole))
 		}
 	}()
