--- a/entry/entrytest/system.go
+++ b/entry/entrytest/system.go
@@ -53,10 +53,10 @@
 	s.Store.Put("op", "config", standin.Configuration(version, bookings))
 }
 
-// Runner starts an upstream.
-func (s *System) Runner(id, service, release string, b standin.Behaviour) *standin.Runner {
+// Upstream starts an upstream.
+func (s *System) Upstream(id, service, release string, b standin.Behaviour) *standin.Upstream {
 	s.T.Helper()
-	r, err := standin.StartRunner(s.Store, id, service, release, "z", b)
+	r, err := standin.StartUpstream(s.Store, id, service, release, "z", b)
 	assert.NilError(s.T, err)
 	return r
 }
--- a/entry/entrytest/system_test.go
+++ b/entry/entrytest/system_test.go
@@ -20,9 +20,9 @@
 // the store.
 func TestWholePath(t *testing.T) {
 	s := New(t)
-	s.Runner("d1", "desk", "v1", whole)
-	other := s.Runner("e1", "desk2", "v1", whole)
-	s.Runner("m1", "model", "v1", stream)
+	s.Upstream("d1", "desk", "v1", whole)
+	other := s.Upstream("e1", "desk2", "v1", whole)
+	s.Upstream("m1", "model", "v1", stream)
 	var vms []*VM
 	for range 4 {
 		vms = append(vms, s.Start())
@@ -49,7 +49,7 @@
 // A leaving upstream gets no more work within its bound.
 func TestDrainingUpstreamGetsNothing(t *testing.T) {
 	s := New(t)
-	d1, d2 := s.Runner("d1", "desk", "v1", whole), s.Runner("d2", "desk", "v1", whole)
+	d1, d2 := s.Upstream("d1", "desk", "v1", whole), s.Upstream("d2", "desk", "v1", whole)
 	vm := s.Start()
 	for range 10 {
 		assert.Equal(t, s.Call(vm, "/book/x", standin.Key).Status, 200)
@@ -68,7 +68,7 @@
 // configuration from its peers.
 func TestStoreIsAway(t *testing.T) {
 	s := New(t)
-	s.Runner("d1", "desk", "v1", whole)
+	s.Upstream("d1", "desk", "v1", whole)
 	vm := s.Start()
 	s.Store.SetFault(standin.Fault{Down: true})
 	assert.Equal(t, s.Call(vm, "/book/x", standin.Key).Status, 200)
@@ -80,10 +80,10 @@
 // the answers of the store are lost after the write.
 func TestGoodRolloutIsDoneInTime(t *testing.T) {
 	s := New(t)
-	s.Runner("m1", "model", "v1", stream)
+	s.Upstream("m1", "model", "v1", stream)
 	vms := []*VM{s.Start(), s.Start()}
 	s.Store.SetFault(standin.Fault{LoseWrites: true})
-	m2 := s.Runner("m2", "model", "v2", stream)
+	m2 := s.Upstream("m2", "model", "v2", stream)
 	const seconds = 6
 	s.Store.Put("op", "rollout/model", standin.Rollout("model", "v2", seconds))
 	ordered := time.Now()
@@ -106,9 +106,9 @@
 // route whose requests may be repeated.
 func TestBadRolloutIsRolledBack(t *testing.T) {
 	s := New(t)
-	s.Runner("m1", "model", "v1", stream)
+	s.Upstream("m1", "model", "v1", stream)
 	vm := s.Start()
-	m2 := s.Runner("m2", "model", "v2", standin.Behaviour{Fail: true})
+	m2 := s.Upstream("m2", "model", "v2", standin.Behaviour{Fail: true})
 	s.Store.Put("op", "rollout/model", standin.Rollout("model", "v2", 20))
 	for deadline := time.Now().Add(15 * time.Second); !strings.Contains(string(s.Store.Get("status", "rollout/model")), "rolled_back"); {
 		assert.Assert(t, time.Now().Before(deadline), "not rolled back after %d failures", m2.Total())
@@ -125,8 +125,8 @@
 // Changes whose history the store has dropped are not missed.
 func TestHistoryIsDropped(t *testing.T) {
 	s := New(t)
-	s.Runner("d1", "desk", "v1", whole)
-	s.Runner("e1", "desk2", "v1", whole)
+	s.Upstream("d1", "desk", "v1", whole)
+	s.Upstream("e1", "desk2", "v1", whole)
 	vm := s.Start()
 	s.Configure(2, "desk2")
 	s.Store.Compact()
@@ -137,7 +137,7 @@
 // and ends without a failure.
 func TestPlannedStop(t *testing.T) {
 	s := New(t)
-	s.Runner("m1", "model", "v1", standin.Behaviour{Events: 20, EventEvery: 50 * time.Millisecond, Confidence: 100})
+	s.Upstream("m1", "model", "v1", standin.Behaviour{Events: 20, EventEvery: 50 * time.Millisecond, Confidence: 100})
 	vm := s.Start()
 	got := make(chan Answer)
 	go func() { got <- s.Call(vm, "/stream/x", standin.Key) }()
