--- /dev/null
+++ b/soak/link_test.go
@@ -0,0 +1,84 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// dialEcho connects through a link to a listener that sends back what it gets.
+func dialEcho(t *testing.T) (*Link, net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, _ = io.Copy(c, c) // ends with the connection
+			}()
+		}
+	}()
+	link, err := NewLink(listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(link.Close)
+	c, err := net.Dial("tcp4", link.Address())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return link, c
+}
+
+func exchange(c net.Conn, wait time.Duration) error {
+	if _, err := c.Write([]byte("x")); err != nil {
+		return err
+	}
+	_ = c.SetReadDeadline(time.Now().Add(wait))
+	_, err := io.ReadFull(c, make([]byte, 1))
+	return err
+}
+
+// Guards against a soak whose links disturb nothing, which would pass for that
+// reason.
+func TestLinkDisturbs(t *testing.T) {
+	for name, d := range map[string]Disturbance{"forward": {HoldForward: true}, "back": {HoldBack: true}} {
+		t.Run("holds "+name, func(t *testing.T) {
+			link, c := dialEcho(t)
+			assert.NilError(t, exchange(c, time.Second))
+			link.Disturb(d)
+			assert.ErrorContains(t, exchange(c, 100*time.Millisecond), "timeout")
+			link.Disturb(Disturbance{})
+			_ = c.SetReadDeadline(time.Now().Add(time.Second))
+			_, err := io.ReadFull(c, make([]byte, 1))
+			assert.NilError(t, err)
+		})
+	}
+	t.Run("delays", func(t *testing.T) {
+		link, c := dialEcho(t)
+		link.Disturb(Disturbance{Delay: 50 * time.Millisecond})
+		begun := time.Now()
+		assert.NilError(t, exchange(c, time.Second))
+		assert.Assert(t, time.Since(begun) >= 100*time.Millisecond)
+	})
+	t.Run("resets", func(t *testing.T) {
+		link, c := dialEcho(t)
+		assert.NilError(t, exchange(c, time.Second))
+		link.Reset()
+		assert.Assert(t, exchange(c, time.Second) != nil)
+	})
+	t.Run("refuses", func(t *testing.T) {
+		link, _ := dialEcho(t)
+		link.Disturb(Disturbance{Refuse: true})
+		c, err := net.Dial("tcp4", link.Address())
+		assert.NilError(t, err)
+		defer c.Close()
+		assert.Assert(t, exchange(c, time.Second) != nil)
+	})
+}
