infra: the client of the own interface's services leaves package platform

Cause: package platform held two clients of two protocols, that of the users' store and that of the services on which the daemons of the own interface stand. A reader could not tell which one a name belongs to.

Ruled out: one client for both. The first protocol has prefix scans, objects and services that the users' store lacks.

--- a/cmd/savoryctl/standin.go
+++ b/cmd/savoryctl/standin.go
@@ -6,7 +6,7 @@
 
 	"github.com/jessevdk/go-flags"
 
-	platformstandin "github.com/savoryshift/savoryshift/platform/standin"
+	platformstandin "github.com/savoryshift/savoryshift/infra/standin"
 	"github.com/savoryshift/savoryshift/standin/engine"
 	"github.com/savoryshift/savoryshift/standin/service"
 	"github.com/savoryshift/savoryshift/workload"
--- a/control/system/leaving.go
+++ b/control/system/leaving.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/savoryshift/savoryshift/control/table"
-	"github.com/savoryshift/savoryshift/platform"
+	"github.com/savoryshift/savoryshift/infra"
 )
 
 // Leaving stops new work to an upstream as soon as one of three sources reports
@@ -20,14 +20,14 @@
 	for _, u := range t.Upstreams.All() {
 		vm := t.VMs.Get(u.Settings.VM)
 		// A VM that was never listed may be newer than the list.
-		gone := vm != nil && (!vm.Listed || vm.State == platform.VMLeaving)
+		gone := vm != nil && (!vm.Listed || vm.State == infra.VMLeaving)
 		u.Leaving.Set(table.PlatformList, gone, now)
 		u.Leaving.Set(table.FailedProbes, !u.Health.Up, now)
 	}
 	return nil
 }
 
-func listVMs(t *table.Tables, vms []platform.VM) {
+func listVMs(t *table.Tables, vms []infra.VM) {
 	for _, vm := range t.VMs.All() {
 		vm.Listed = false
 	}
--- a/control/system/system.go
+++ b/control/system/system.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/savoryshift/savoryshift/control/table"
-	"github.com/savoryshift/savoryshift/platform"
+	"github.com/savoryshift/savoryshift/infra"
 	"github.com/savoryshift/savoryshift/tree"
 	"github.com/savoryshift/savoryshift/upstream"
 )
@@ -17,7 +17,7 @@
 	// Tree is the settings tree when it has changed, nil otherwise.
 	Tree *tree.Tree
 	// VMs is the platform's list when it was read; nil otherwise.
-	VMs       []platform.VM
+	VMs       []infra.VM
 	Probes    []ProbeResult
 	Sends     []Send
 	Calls     []CallResult
--- a/control/table/entities.go
+++ b/control/table/entities.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/savoryshift/savoryshift/platform"
+	"github.com/savoryshift/savoryshift/infra"
 	"github.com/savoryshift/savoryshift/tree"
 	"github.com/savoryshift/savoryshift/upstream"
 )
@@ -12,8 +12,8 @@
 // longer listed.
 type VM struct {
 	AvailabilityZone string
-	Kind             platform.VMKind
-	State            platform.VMState
+	Kind             infra.VMKind
+	State            infra.VMState
 	// Listed says whether the last list contained the VM.
 	Listed bool
 }
--- a/daemon/adapters.go
+++ b/daemon/adapters.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/savoryshift/savoryshift/platform"
+	"github.com/savoryshift/savoryshift/infra"
 	"github.com/savoryshift/savoryshift/proxy"
 )
 
@@ -14,7 +14,7 @@
 
 // rater implements proxy.Rater on the platform's rating service.
 type rater struct {
-	platform *platform.Client
+	platform *infra.Client
 	// failed is told when the service gave no answer.
 	failed func()
 }
@@ -23,7 +23,7 @@
 func (r rater) Rate(ctx context.Context, j proxy.Judgement) (bool, error) {
 	limited, cancel := context.WithTimeout(ctx, ratingTimeout)
 	defer cancel()
-	reply, err := r.platform.Rate(limited, platform.RatingRequest{
+	reply, err := r.platform.Rate(limited, infra.RatingRequest{
 		RequestID: j.RequestID,
 		Model:     j.Model,
 		Version:   j.Version,
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -13,7 +13,7 @@
 	"github.com/savoryshift/savoryshift/coord/ledger"
 	"github.com/savoryshift/savoryshift/coord/member"
 	"github.com/savoryshift/savoryshift/coord/share"
-	"github.com/savoryshift/savoryshift/platform"
+	"github.com/savoryshift/savoryshift/infra"
 	"github.com/savoryshift/savoryshift/proxy"
 	"github.com/savoryshift/savoryshift/session"
 	"github.com/savoryshift/savoryshift/settings"
@@ -29,7 +29,7 @@
 // buildConfiguration builds what follows the change log.
 func (d *Daemon) buildConfiguration() {
 	s := d.o.Settings
-	d.platform = platform.New(platform.Options{
+	d.platform = infra.New(infra.Options{
 		URL:  s.PlatformURL,
 		HTTP: &http.Client{Transport: &http.Transport{DialContext: d.o.Dial, MaxIdleConnsPerHost: platformConns}},
 	})
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -14,7 +14,7 @@
 	"github.com/savoryshift/savoryshift/control/table"
 	"github.com/savoryshift/savoryshift/coord/member"
 	"github.com/savoryshift/savoryshift/errkind"
-	"github.com/savoryshift/savoryshift/platform"
+	"github.com/savoryshift/savoryshift/infra"
 	"github.com/savoryshift/savoryshift/policy"
 	"github.com/savoryshift/savoryshift/tree"
 	"github.com/savoryshift/savoryshift/upstream"
@@ -38,7 +38,7 @@
 	config   *configuration
 	routing  *routing
 	upstream *upstream.Client
-	platform *platform.Client
+	platform *infra.Client
 	advance  func(context.Context, system.Advance) error
 	lease    func(now time.Time) system.Lease
 	logger   *zap.Logger
@@ -242,7 +242,7 @@
 	}
 	var entry []string
 	for _, vm := range vms {
-		if vm.Kind == platform.EntryVM {
+		if vm.Kind == infra.EntryVM {
 			entry = append(entry, member.JoinID(vm.AvailabilityZone, vm.ID))
 		}
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,8 +15,8 @@
 	"github.com/savoryshift/savoryshift/coord/evidence"
 	"github.com/savoryshift/savoryshift/coord/ledger"
 	"github.com/savoryshift/savoryshift/coord/share"
+	"github.com/savoryshift/savoryshift/infra"
 	"github.com/savoryshift/savoryshift/peer"
-	"github.com/savoryshift/savoryshift/platform"
 	"github.com/savoryshift/savoryshift/proxy"
 	"github.com/savoryshift/savoryshift/settings"
 	"github.com/savoryshift/savoryshift/upstream"
@@ -44,7 +44,7 @@
 type Daemon struct {
 	o          Options
 	logger     *zap.Logger
-	platform   *platform.Client
+	platform   *infra.Client
 	config     *configuration
 	claimer    *claim.Claimer
 	ledger     *ledger.Ledger
--- a/daemon/daemontest/observe.go
+++ b/daemon/daemontest/observe.go
@@ -10,8 +10,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/savoryshift/savoryshift/coord/ledger"
+	"github.com/savoryshift/savoryshift/infra"
 	"github.com/savoryshift/savoryshift/operator"
-	"github.com/savoryshift/savoryshift/platform"
 	"github.com/savoryshift/savoryshift/standin/engine"
 	"github.com/savoryshift/savoryshift/upstream"
 )
@@ -146,7 +146,7 @@
 	s.mu.Lock()
 	d.retired = true
 	s.mu.Unlock()
-	s.VMs = slices.DeleteFunc(slices.Clone(s.VMs), func(vm platform.VM) bool {
+	s.VMs = slices.DeleteFunc(slices.Clone(s.VMs), func(vm infra.VM) bool {
 		return vm.AvailabilityZone+"/"+vm.ID == d.ID
 	})
 	s.Platform.SetVMs(s.VMs)
@@ -155,7 +155,7 @@
 // Join adds a new VM with a daemon.
 func (s *System) Join(zone, vm string) *Daemon {
 	s.T.Helper()
-	s.list(vm, zone, platform.EntryVM)
+	s.list(vm, zone, infra.EntryVM)
 	s.Platform.SetVMs(s.VMs)
 	return s.StartDaemon(zone, vm)
 }
--- a/daemon/daemontest/system.go
+++ b/daemon/daemontest/system.go
@@ -14,9 +14,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/savoryshift/savoryshift/infra"
+	"github.com/savoryshift/savoryshift/infra/standin"
 	"github.com/savoryshift/savoryshift/operator"
-	"github.com/savoryshift/savoryshift/platform"
-	"github.com/savoryshift/savoryshift/platform/standin"
 	"github.com/savoryshift/savoryshift/settings"
 	"github.com/savoryshift/savoryshift/standin/engine"
 	"github.com/savoryshift/savoryshift/standin/service"
@@ -75,7 +75,7 @@
 	Desks    map[string]*service.Service
 	Daemons  []*Daemon
 	// VMs is the platform's list; call Platform.SetVMs after a change.
-	VMs []platform.VM
+	VMs []infra.VM
 
 	o  Options
 	mu sync.Mutex // guards Daemons, their retired flags and sent
@@ -106,7 +106,7 @@
 	s.http = &http.Client{Transport: &http.Transport{DialContext: s.clients.Dial, DisableKeepAlives: true}}
 	s.Platform = standin.New(standin.Options{
 		VMListLag: vmListLag,
-		Rate:      func(r platform.RatingRequest) bool { return !strings.Contains(r.Answer, engine.PoorMarker) },
+		Rate:      func(r infra.RatingRequest) bool { return !strings.Contains(r.Answer, engine.PoorMarker) },
 	})
 	var handler http.Handler = s.Platform
 	if o.Platform != nil {
@@ -116,7 +116,7 @@
 	for _, zone := range Zones {
 		s.startUpstreams(zone)
 		for i := range daemonsPerZone {
-			s.list(fmt.Sprintf("entry-%d", i), zone, platform.EntryVM)
+			s.list(fmt.Sprintf("entry-%d", i), zone, infra.EntryVM)
 		}
 	}
 	s.Platform.SetVMs(s.VMs)
@@ -136,8 +136,8 @@
 	s.servers = append(s.servers, server)
 }
 
-func (s *System) list(id, zone string, kind platform.VMKind) {
-	s.VMs = append(s.VMs, platform.VM{ID: id, AvailabilityZone: zone, Kind: kind, State: platform.VMLive})
+func (s *System) list(id, zone string, kind infra.VMKind) {
+	s.VMs = append(s.VMs, infra.VM{ID: id, AvailabilityZone: zone, Kind: kind, State: infra.VMLive})
 }
 
 // startUpstreams adds the engine and the desk of a zone.
@@ -161,7 +161,7 @@
 func (s *System) startUpstream(id, zone string, h http.Handler) {
 	s.hosts[id] = s.Net.NewHost(id, zone)
 	s.serve(s.hosts[id], h)
-	s.list(id, zone, platform.UpstreamVM)
+	s.list(id, zone, infra.UpstreamVM)
 }
 
 // EngineOf returns the upstream id and host name of the engine of a zone.
--- a/demo/system.go
+++ b/demo/system.go
@@ -13,8 +13,8 @@
 	"go.uber.org/zap"
 
 	"github.com/savoryshift/savoryshift/daemon"
-	"github.com/savoryshift/savoryshift/platform"
-	"github.com/savoryshift/savoryshift/platform/standin"
+	"github.com/savoryshift/savoryshift/infra"
+	"github.com/savoryshift/savoryshift/infra/standin"
 	"github.com/savoryshift/savoryshift/settings"
 	"github.com/savoryshift/savoryshift/standin/engine"
 	"github.com/savoryshift/savoryshift/standin/service"
@@ -59,7 +59,7 @@
 	}
 	s.platform = standin.New(standin.Options{
 		VMListLag: listLag,
-		Rate: func(r platform.RatingRequest) bool {
+		Rate: func(r infra.RatingRequest) bool {
 			return !strings.Contains(r.Answer, engine.PoorMarker)
 		},
 	})
@@ -114,15 +114,15 @@
 }
 
 // listedVMs is the platform's list of VMs.
-func (s *system) listedVMs() []platform.VM {
-	var vms []platform.VM
+func (s *system) listedVMs() []infra.VM {
+	var vms []infra.VM
 	for _, spec := range engineSpecs {
-		vms = append(vms, platform.VM{ID: spec.id, AvailabilityZone: spec.zone, Kind: platform.UpstreamVM, State: platform.VMLive})
+		vms = append(vms, infra.VM{ID: spec.id, AvailabilityZone: spec.zone, Kind: infra.UpstreamVM, State: infra.VMLive})
 	}
 	for _, zone := range zones {
-		vms = append(vms, platform.VM{ID: "desk-" + zone, AvailabilityZone: zone, Kind: platform.UpstreamVM, State: platform.VMLive})
+		vms = append(vms, infra.VM{ID: "desk-" + zone, AvailabilityZone: zone, Kind: infra.UpstreamVM, State: infra.VMLive})
 		for i := range daemonsPerZone {
-			vms = append(vms, platform.VM{ID: vmName(i), AvailabilityZone: zone, Kind: platform.EntryVM, State: platform.VMLive})
+			vms = append(vms, infra.VM{ID: vmName(i), AvailabilityZone: zone, Kind: infra.EntryVM, State: infra.VMLive})
 		}
 	}
 	return vms
--- a/e2e/system.go
+++ b/e2e/system.go
@@ -16,8 +16,8 @@
 	"strings"
 	"testing"
 
+	"github.com/savoryshift/savoryshift/infra"
 	"github.com/savoryshift/savoryshift/operator"
-	"github.com/savoryshift/savoryshift/platform"
 	"github.com/savoryshift/savoryshift/settings"
 	"github.com/savoryshift/savoryshift/tree"
 )
@@ -142,12 +142,12 @@
 func (s *System) startDaemons() {
 	var files []settings.Settings
 	var seeds []settings.SeedPeer
-	var vms []platform.VM
+	var vms []infra.VM
 	for i, zone := range s.o.Zones {
 		f := s.settings(fmt.Sprintf("entry-%d", i), zone)
 		files = append(files, f)
 		seeds = append(seeds, settings.SeedPeer{VM: f.VM, AvailabilityZone: zone, Address: f.Listen.Peers})
-		vms = append(vms, platform.VM{ID: f.VM, AvailabilityZone: zone, Kind: platform.EntryVM, State: platform.VMLive})
+		vms = append(vms, infra.VM{ID: f.VM, AvailabilityZone: zone, Kind: infra.EntryVM, State: infra.VMLive})
 	}
 	s.Platform.Post("/standin/vms", vms)
 	for _, f := range files {
--- a/platform/client.go
+++ b/infra/client.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"bytes"
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -91,18 +90,18 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return answer{}, transportError(err, r.write)
+		return answer{}, store.TransportError(err, r.write)
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
 	if err != nil {
-		return answer{}, transportError(err, r.write)
+		return answer{}, store.TransportError(err, r.write)
 	}
 	switch resp.StatusCode {
 	case http.StatusServiceUnavailable:
 		return answer{}, store.ErrUnavailable
 	case http.StatusGatewayTimeout:
-		return answer{}, transportError(errors.New(resp.Status), r.write)
+		return answer{}, store.TransportError(errors.New(resp.Status), r.write)
 	}
 	return answer{request: r, status: resp.StatusCode, header: resp.Header, data: data}, nil
 }
@@ -124,17 +123,6 @@
 	return a.status, a.data, err
 }
 
-// transportError maps a failed exchange to the errors of package store. A
-// refused connection proves that nothing was sent.
-func transportError(err error, write bool) error {
-	var op *net.OpError
-	refused := errors.As(err, &op) && op.Op == "dial"
-	if write && !refused {
-		return errors.Join(store.ErrUnknown, err)
-	}
-	return errors.Join(store.ErrUnavailable, err)
-}
-
 func (c *Client) callJSON(ctx context.Context, method, path string, in, out any, write bool) (int, error) {
 	var body []byte
 	if in != nil {
--- a/platform/services.go
+++ b/infra/services.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"context"
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -104,7 +104,7 @@
 
 // send makes calls one after the other.
 func (c *callers) send(r *rand.Rand) {
-	transport := &http.Transport{DialContext: c.dial, MaxConnsPerHost: 1}
+	transport := &http.Transport{DialContext: c.dial}
 	defer transport.CloseIdleConnections()
 	for !c.ended(time.Duration(r.Int64N(int64(callPause)))) {
 		route := []string{"stream", "book", "book", "look"}[r.IntN(4)]
