gateway: the line about a second call is written before the call starts

Ruled out: a torn answer for the caller; answers pass over a channel.

TestSlowSafeRequestGetsASecondCall reports the race before and passes after (three runs of the package under the detector).

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -48,6 +48,19 @@
 	}
 }
 
+// A second call beside a slow one answers the request. Under the race detector
+// this guards against a log line about a call that its goroutine already changes.
+func TestSlowSafeRequestGetsASecondCall(t *testing.T) {
+	var slow *upstream
+	slow = start(t, "a", func(_ *http.Request, w io.Writer) bool { slow.hang(w); return false })
+	good := start(t, "b", answer(200, "ok"))
+	s := newSystem(t, of(slow, "v1"), of(good, "v1")).configure()
+	// Calls at the other upstream make the slow one the choice.
+	s.book.SetPeer("p", map[string]placement.Load{"b": {Calls: 4}}, time.Now())
+	assert.Equal(t, s.call("/safe/x").body, "ok")
+	assert.Equal(t, len(slow.seen()), 1)
+}
+
 // When every call fails, the caller gets the upstream's own failure, unchanged.
 func TestFailureIsPassedOn(t *testing.T) {
 	a, b := start(t, "a", answer(500, "bad")), start(t, "b", answer(500, "bad"))
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -64,10 +64,11 @@
 // the request may run twice.
 func (x *execution) race(ctx context.Context) (*outcome, bool) {
 	results := make(chan *outcome, 2)
-	first := x.launch(ctx, results)
+	first := x.place(ctx, "", 0)
 	if first == nil {
 		return nil, false
 	}
+	first.launch(results)
 	running := []*attempt{first}
 	var hedge <-chan time.Time
 	if x.route.Idempotent() {
@@ -99,8 +100,9 @@
 			hedge = nil
 			x.exclude(first.choice.ID)
 			if x.runs+1 < x.route.MaxAttempts && x.repeat() {
-				if second := x.launch(ctx, results); second != nil {
+				if second := x.place(ctx, "", 0); second != nil {
 					second.log("hedge")
+					second.launch(results)
 					running = append(running, second)
 				}
 			}
@@ -108,21 +110,17 @@
 	}
 }
 
-// launch starts a call in a goroutine of its own.
-func (x *execution) launch(ctx context.Context, results chan<- *outcome) *attempt {
-	a := x.place(ctx, "", 0)
-	if a == nil {
-		return nil
-	}
+// launch makes the call in a goroutine of its own, to which the answer belongs
+// until it is in results.
+func (a *attempt) launch(results chan<- *outcome) {
 	go func() {
 		o := &outcome{attempt: a}
-		o.verdict = a.send(x.req.LastEvent, -1)
+		o.verdict = a.send(a.x.req.LastEvent, -1)
 		if a.reply != nil && o.verdict != notRun {
 			a.read(o)
 		}
 		results <- o
 	}()
-	return a
 }
 
 // read reads the body of an answer to its end.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -16,14 +16,12 @@
 
 // Variables for runs by hand, for example
 //
-//	SOAK_FIRST=100 SOAK_SEEDS=50 SOAK_SECONDS=30 go test ./soak -run TestSoak/seeds -timeout 2h
+//	SOAK_FIRST=100 SOAK_SEEDS=50 SOAK_SECONDS=30 go test -race ./soak -run TestSoak/seeds -timeout 2h
 const (
 	firstVariable   = "SOAK_FIRST"
 	seedsVariable   = "SOAK_SEEDS"
 	secondsVariable = "SOAK_SECONDS"
 	vmsVariable     = "SOAK_VMS"
-	// raceVariable has the VMs run under the race detector if it is set.
-	raceVariable = "SOAK_RACE"
 	// seedsFile lists the seeds that ever failed, each with its cause.
 	seedsFile = "seeds.txt"
 )
@@ -43,7 +41,7 @@
 // overlap: a short run for each of the first seeds, and for each that ever failed.
 func TestSoak(t *testing.T) {
 	var flags []string
-	if os.Getenv(raceVariable) != "" {
+	if underRace {
 		flags = []string{"-race"}
 	}
 	binaries, output, err := e2e.Build(t.TempDir(), flags...)
