gateway: a refusal says what kept each upstream from the request

Engineers have only logs and metrics.

The line "no upstream" counts the upstreams of the service by what kept them from the request (tried, leaving, lapsed, other release, unreachable, failing) with the age of the list; savoryctl explain puts it into the cause, beside the last call.

Ruled out: counting for requests that have had all their calls; there the last call is the cause.

Tests: TestCensusNamesTheReasons, TestRefusalIsExplained, TestExplainRefusal.

--- a/cmd/savoryctl/explain.go
+++ b/cmd/savoryctl/explain.go
@@ -126,19 +126,25 @@
 // printRequest prints the lines of one request with its cause in the last line.
 func (l *logs) printRequest(w io.Writer, id string) error {
 	var cause string
-	var last logLine
+	var last, call, none logLine
 	for _, line := range l.lines {
 		if line.Request != id {
 			continue
 		}
 		fmt.Fprintf(w, "%s %s %s%s\n", line.Time, line.VM, line.Message, line.details())
-		if line.Message == "request" {
-			cause = causeOf(line, last)
+		switch line.Message {
+		case "request":
+			cause = causeOf(line, call, none)
+		case "call":
+			call = line
+		case "no upstream":
+			none = line
 		}
 		last = line
 	}
 	if last.Request == "" {
-		return oops.Errorf("no line names the request %q", id)
+		return oops.Errorf("no line names the request %q: it may have been sent to a process that was killed; "+
+			"look for lines \"started\" shortly after it", id)
 	}
 	if cause == "" {
 		cause = "the request had not ended when the log ends, or its process was killed"
@@ -164,15 +170,12 @@
 // is called late.
 const lateMs = 1000
 
-// causeOf names the cause of the outcome; before is the line before the last one.
-func causeOf(end, before logLine) string {
-	call := ""
-	if before.Message == "call" {
-		call = fmt.Sprintf("; the last call at upstream %v ended with %q", before.fields["upstream"], before.Event)
-	}
+// causeOf names the cause of the outcome from the last line, the last call, if
+// there was one, and the reason why there was no further one, if that is known.
+func causeOf(end, call, none logLine) string {
 	switch {
 	case end.Reason != "":
-		return fmt.Sprintf("status %d, %s%s", end.Status, end.Reason, call)
+		return fmt.Sprintf("status %d, %s%s%s", end.Status, end.Reason, call.ending(), none.counts())
 	case end.Status >= 500:
 		return fmt.Sprintf("the upstream answered with status %d, which was passed on", end.Status)
 	case end.Pause > lateMs:
@@ -181,6 +184,38 @@
 	return fmt.Sprintf("answered with status %d", end.Status)
 }
 
+// obstacles are the fields of a line "no upstream" that count upstreams by what
+// kept them from the request, with the words for them.
+var obstacles = []struct{ field, words string }{
+	{"tried", "had been tried"}, {"unreachable", "could not be reached"}, {"failing", "failed in a row"},
+	{"leaving", "were leaving"}, {"lapsed", "were no longer registered"}, {"other_release", "ran a release that may not serve it"},
+}
+
+// ending says how the call of a line ended.
+func (l *logLine) ending() string {
+	if l.Request == "" {
+		return ""
+	}
+	return fmt.Sprintf("; the last call at upstream %v ended with %q", l.fields["upstream"], l.Event)
+}
+
+// counts says what kept the upstreams from the request.
+func (l *logLine) counts() string {
+	if l.Request == "" {
+		return ""
+	}
+	var reasons []string
+	for _, o := range obstacles {
+		if n, ok := l.fields[o.field].(float64); ok && n > 0 {
+			reasons = append(reasons, fmt.Sprintf("%v %s", n, o.words))
+		}
+	}
+	if reasons == nil {
+		reasons = []string{"none was kept from it, so the budget of repeats was used up"}
+	}
+	return fmt.Sprintf("; of %v registered upstreams %s", l.fields["registered"], strings.Join(reasons, ", "))
+}
+
 // printFailed lists the requests that failed, grouped by cause.
 func (l *logs) printFailed(w io.Writer) {
 	groups := map[string][]string{}
--- a/cmd/savoryctl/explain_test.go
+++ b/cmd/savoryctl/explain_test.go
@@ -43,6 +43,24 @@
 	assert.Equal(t, lines[4], "2 lines could not be read and were skipped")
 }
 
+// A refusal without a call is explained by the counts of the upstreams.
+func TestExplainRefusal(t *testing.T) {
+	line := func(counts string) string {
+		return `{"ts":"2026-06-06T08:00:01.000Z","msg":"no upstream","vm":"vm-1","request":"r1",` + counts + "}\n" +
+			`{"ts":"2026-06-06T08:00:02.000Z","msg":"request","vm":"vm-1","request":"r1","status":503,"reason":"no_capacity"}` + "\n"
+	}
+	for counts, want := range map[string]string{
+		`"registered":3,"tried":0,"unreachable":2,"failing":1`: "of 3 registered upstreams 2 could not be reached, 1 failed in a row",
+		`"registered":3,"tried":0`:                             "of 3 registered upstreams none was kept from it",
+	} {
+		file := filepath.Join(t.TempDir(), "1.log")
+		assert.NilError(t, os.WriteFile(file, []byte(line(counts)), 0o600))
+		var out, errOut strings.Builder
+		assert.Equal(t, execute(t.Context(), []string{"explain", "--request", "r1", file}, &out, &errOut), exitOK, errOut.String())
+		assert.Assert(t, strings.Contains(out.String(), "cause: status 503, no_capacity; "+want), out.String())
+	}
+}
+
 // Failed requests are listed by cause.
 func TestExplainFailed(t *testing.T) {
 	var out, errOut strings.Builder
--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -156,12 +156,29 @@
 	case !time.Now().Before(x.end):
 		x.fail(errkind.UpstreamTimeout)
 	case x.mayHaveRun:
+		x.logUpstreams()
 		x.fail(errkind.UpstreamFailed)
 	default:
+		x.logUpstreams()
 		x.refuse(errkind.NoCapacity, noUpstreamRetryAfter)
 	}
 }
 
+// logUpstreams says why no upstream can take a further call, unless the request
+// has had all its calls.
+func (x *execution) logUpstreams() {
+	if x.spent() {
+		return
+	}
+	c := x.s.o.Book.Census(&placement.Query{Service: x.service.Name, Exclude: x.excluded, Allow: x.allow.Accept, Now: time.Now()})
+	x.s.o.Log.Info("no upstream",
+		zap.String("request", x.req.ID), zap.String("service", x.service.Name), zap.Int("registered", c.Registered),
+		zap.Int("tried", c.Tried), zap.Int("leaving", c.Leaving), zap.Int("lapsed", c.Lapsed), zap.Int("other_release", c.OtherRelease),
+		zap.Int("unreachable", c.Unreachable), zap.Int("failing", c.Failing), zap.Duration("list_age", c.ListAge),
+		zap.Int("runs", x.runs), zap.Int("most_runs", x.route.MaxAttempts),
+	)
+}
+
 // attempt is one call that has been placed.
 type attempt struct {
 	x      *execution
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"github.com/savoryshift/savoryshift/exchange"
@@ -134,6 +136,7 @@
 	book     *placement.Book
 	rollouts *rollout.Manager
 	budget   *budget
+	lines    *observer.ObservedLogs
 	url      string
 }
 
@@ -142,8 +145,10 @@
 	s := &system{t: t, budget: &budget{left: 100}, book: placement.NewBook(placement.Options{})}
 	s.rollouts = rollout.New(rollout.Options{SessionIdle: time.Second, Log: zap.NewNop()})
 	s.book.SetUpstreams(upstreams, time.Now())
+	var core zapcore.Core
+	core, s.lines = observer.New(zap.InfoLevel)
 	s.server = gateway.New(gateway.Options{
-		Codec: gatewaytest.Codec{}, Book: s.book, Pool: exchange.NewPool(), Splitter: s.rollouts, Budget: s.budget, Log: zap.NewNop(),
+		Codec: gatewaytest.Codec{}, Book: s.book, Pool: exchange.NewPool(), Splitter: s.rollouts, Budget: s.budget, Log: zap.New(core),
 	})
 	front := httptest.NewServer(s.server)
 	t.Cleanup(front.Close)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -115,6 +115,24 @@
 	assert.Assert(t, r.header.Get("Retry-After") != "")
 }
 
+// The log of a refusal says what kept each upstream from the request; "no
+// capacity" alone leaves the engineer without a cause.
+func TestRefusalIsExplained(t *testing.T) {
+	full := answer(503, "", "Not-Run: 1")
+	a, b := start(t, "a", full), start(t, "b", full)
+	leaving := of(b, "v1")
+	leaving.Draining = true
+	s := newSystem(t, of(a, "v1"), leaving).configure()
+	assert.Equal(t, s.call("/unsafe/x").status, http.StatusServiceUnavailable)
+	lines := s.lines.FilterMessage("no upstream").All()
+	assert.Equal(t, len(lines), 1)
+	fields := lines[0].ContextMap()
+	for name, want := range map[string]int64{"registered": 2, "tried": 1, "leaving": 1, "unreachable": 0, "runs": 0} {
+		assert.Equal(t, fields[name], want, name)
+	}
+	assert.Equal(t, fields["request"], "r1")
+}
+
 // A booking at an upstream that does not answer ends at the route's timeout
 // with an answer that promises nothing.
 func TestUnsafeRequestEndsAtTimeout(t *testing.T) {
--- a/placement/book.go
+++ b/placement/book.go
@@ -94,6 +94,8 @@
 	peers   map[string]peerState
 	uses    []cacheEvent
 	zones   map[string]*zone
+	// listed is when the list of upstreams last changed.
+	listed time.Time
 }
 
 // NewBook returns an empty book.
@@ -114,6 +116,7 @@
 func (b *Book) SetUpstreams(list []Upstream, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.listed = now
 	registered := make(map[string]bool, len(list))
 	for _, u := range list {
 		registered[u.ID] = true
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -157,6 +159,33 @@
 	assert.Assert(t, ok)
 }
 
+// Guards against a refusal whose cause the log cannot tell: each upstream that
+// cannot take a call is counted under one reason.
+func TestCensusNamesTheReasons(t *testing.T) {
+	b := engines(6)
+	q := query(100)
+	q.Now = after(time.Second)
+	assert.DeepEqual(t, b.Census(q), Census{Registered: 6, ListAge: time.Second})
+
+	list := make([]Upstream, 0, 6)
+	for id, e := range b.entries {
+		switch id {
+		case "e1":
+			e.health.unreachable(q.Now)
+		case "e2":
+			e.health.fail(q.Now)
+			e.health.fail(q.Now)
+		}
+		list = append(list, e.Upstream)
+	}
+	slices.SortFunc(list, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
+	list[3].Draining, list[4].Release = true, "v2"
+	b.SetUpstreams(list[:5], q.Now)
+	q.Exclude = map[string]bool{"e0": true}
+	q.Allow = func(release string) bool { return release != "v2" }
+	assert.DeepEqual(t, b.Census(q), Census{Registered: 5, Tried: 1, Unreachable: 1, Failing: 1, Leaving: 1, OtherRelease: 1, Lapsed: 1})
+}
+
 // A zone that is cut off is noticed by one failure or by the silence of all
 // calls there, and used again as soon as a byte comes.
 func TestCutZoneIsAvoided(t *testing.T) {
