--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -94,12 +94,12 @@
 // try makes one call and passes its events on. It returns true when the request
 // is finished.
 func (t *streaming) try(a *attempt) bool {
-	dog := a.watch(max(minFirstPatience, time.Duration(patienceFactor*a.choice.FirstEvent*float64(time.Second))), t.runs+1)
+	watch := a.watch(max(minFirstPatience, time.Duration(patienceFactor*a.choice.FirstEvent*float64(time.Second))), t.runs+1)
 	v := a.send(t.lastEvent, t.urgency())
-	dog.stop()
+	watch.stop()
 	t.settle(a, v)
 	if v == failed {
-		t.failure(a, dog)
+		t.failure(a, watch)
 		return false
 	}
 	if v == notRun {
@@ -120,7 +120,7 @@
 }
 
 // failure notes a call that failed before its first event.
-func (t *streaming) failure(a *attempt, dog *watchdog) {
+func (t *streaming) failure(a *attempt, watch *watchdog) {
 	if a.reply != nil && a.answer.Status >= 500 {
 		o := &outcome{attempt: a, verdict: failed}
 		a.read(o)
@@ -128,7 +128,7 @@
 			t.kept = o
 		}
 	}
-	if !dog.fired.Load() && t.ctx.Err() == nil {
+	if !watch.fired.Load() && t.ctx.Err() == nil {
 		a.observe(true, 0)
 	}
 }
@@ -267,10 +267,10 @@
 	if patience <= 0 {
 		patience = defaultGapPatience
 	}
-	dog := a.watch(patience, t.runs)
+	watch := a.watch(patience, t.runs)
 	defer func() {
-		dog.stop()
-		silent = dog.fired.Load()
+		watch.stop()
+		silent = watch.fired.Load()
 	}()
 	events := newEventReader(a.reply)
 	for {
@@ -282,7 +282,7 @@
 			return false, err
 		}
 		now := time.Now()
-		dog.step()
+		watch.step()
 		a.call.Heard(now)
 		t.timing(now)
 		if _, err := t.w.Write(data); err != nil {
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -69,12 +69,12 @@
 	return b.best(q, true)
 }
 
-func (b *Book) best(q *Query, desperate bool) (Choice, bool) {
+func (b *Book) best(q *Query, lastResort bool) (Choice, bool) {
 	var best Choice
 	bestScore := math.Inf(1)
 	candidates := 0
 	for _, e := range b.service[q.Service] {
-		if !b.usable(e, q, desperate) {
+		if !b.usable(e, q, lastResort) {
 			continue
 		}
 		candidates++
@@ -102,14 +102,14 @@
 // usable reports whether a call may be placed at an upstream. Upstreams that
 // cannot be reached are left out also when nothing else is left: such a request
 // is better refused at once.
-func (b *Book) usable(e *entry, q *Query, desperate bool) bool {
+func (b *Book) usable(e *entry, q *Query, lastResort bool) bool {
 	if e.Draining || q.Exclude[e.ID] || q.Allow != nil && !q.Allow(e.Release) || e.health.dark(q.Now) {
 		return false
 	}
 	if !e.unregistered.IsZero() {
-		return desperate && q.Now.Sub(e.unregistered) < b.o.LapseGrace
+		return lastResort && q.Now.Sub(e.unregistered) < b.o.LapseGrace
 	}
-	return desperate || !e.health.ejected(q.Now)
+	return lastResort || !e.health.ejected(q.Now)
 }
 
 // predict predicts a call at an upstream.
