gateway: a broken stream goes on at an upstream that failed it before

Both upstreams of the service had failed the request once, one by silence and one by a connection that was not made; a request never tries such an upstream again, so the streams were given up with one of three runs used.

A stream that the caller has begun to read may now go on there, and waits up to 2 s for an upstream. TestStreamIsResumedWhereItBroke fails before.

The soak notes from now on when its own process does not run.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -198,6 +199,26 @@
 	}
 }
 
+// A stream goes on at an upstream that failed it before when no other is left:
+// a broken stream is lost to its caller, who still has time.
+func TestStreamIsResumedWhereItBroke(t *testing.T) {
+	var broke atomic.Bool
+	a := start(t, "a", func(r *http.Request, w io.Writer) bool {
+		if broke.CompareAndSwap(false, true) {
+			return events(3, "")(r, w)
+		}
+		return events(6, end)(r, w)
+	})
+	gone := placement.Upstream{ID: "b", Service: "svc", Address: "127.0.0.1:1", Release: "v1", Slots: 4}
+	s := newSystem(t, of(a, "v1"), gone).configure()
+	// Load at the other upstream makes the first one the choice.
+	s.book.SetPeer("p", map[string]placement.Load{"b": {Calls: 1, Reading: 1}}, time.Now())
+	r := s.call("/stream/x", "Model: large")
+	assert.Assert(t, r.whole)
+	assert.DeepEqual(t, numbers(r.body), []string{"1", "2", "3", "4", "5", "6"})
+	assert.Equal(t, len(a.seen()), 2)
+}
+
 // A stream that may not be resumed breaks visibly: it must not look complete.
 func TestBrokenStreamLooksBroken(t *testing.T) {
 	a, b := start(t, "a", events(3, "")), start(t, "b", events(3, ""))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -56,7 +56,37 @@
 	if !t.repeat() {
 		return nil
 	}
-	return t.place(t.ctx, t.modelName(), t.rank)
+	a := t.place(t.ctx, t.modelName(), t.rank)
+	if a == nil && t.wrote {
+		a = t.waitForUpstream()
+	}
+	return a
+}
+
+const (
+	// resumeWait is how long a broken stream waits for an upstream: callers wait
+	// at least that long for the next event.
+	resumeWait = 2 * time.Second
+	// resumeLook is the time between two looks for one.
+	resumeLook = 100 * time.Millisecond
+)
+
+// waitForUpstream places the next call of a stream that the caller has begun to
+// read, also at an upstream that failed it before: one may be back in time, and a
+// stream that breaks is lost.
+func (t *streaming) waitForUpstream() *attempt {
+	clear(t.excluded)
+	for until := time.Now().Add(resumeWait); !t.spent() && time.Now().Before(until); {
+		if a := t.place(t.ctx, t.modelName(), t.rank); a != nil {
+			return a
+		}
+		select {
+		case <-t.ctx.Done():
+			return nil
+		case <-time.After(resumeLook):
+		}
+	}
+	return nil
 }
 
 // firstRank is the model to begin with. A caller that resumes a stream gets the
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -38,6 +38,9 @@
 	VMKill  Fault = "VM killed"
 	KillAll Fault = "all VMs killed"
 
+	// Stall is in no plan: it is noted when the soak itself does not run.
+	Stall Fault = "the soak did not run"
+
 	VMStop        Fault = "VM stopped as planned"
 	VMReload      Fault = "VM settings changed"
 	Configure     Fault = "configuration changed"
--- a/soak/steps.go
+++ b/soak/steps.go
@@ -25,6 +25,9 @@
 func (s *System) Run(seed uint64, plan []Step, length time.Duration) Record {
 	s.callers = newCallers(s, seed)
 	s.callers.start()
+	watched := make(chan struct{})
+	defer close(watched)
+	go s.watchStalls(watched)
 	var steps sync.WaitGroup
 	begun := time.Now()
 	for _, step := range plan {
@@ -44,6 +47,34 @@
 	return s.record
 }
 
+const (
+	// stallLook is the time between two looks at the clock, and longestStall how
+	// much more than that may pass: a part of the 600 ms after which a VM takes an
+	// upstream for silent.
+	stallLook    = 20 * time.Millisecond
+	longestStall = 200 * time.Millisecond
+)
+
+// watchStalls notes when the process of the soak itself does not run, because
+// then its links and upstreams are silent for all VMs.
+func (s *System) watchStalls(ended <-chan struct{}) {
+	for last := time.Now(); ; {
+		select {
+		case <-ended:
+			return
+		case <-time.After(stallLook):
+		}
+		now := time.Now()
+		if now.Sub(last) > stallLook+longestStall {
+			s.t.Logf("this process did not run for %v", now.Sub(last))
+			s.mu.Lock()
+			s.record.History = append(s.record.History, Interval{Step: Step{Fault: Stall}, From: last, To: now})
+			s.mu.Unlock()
+		}
+		last = now
+	}
+}
+
 // carryOut applies a step for its time.
 func (s *System) carryOut(step Step) {
 	s.mu.Lock()
