proxy: a call that an upstream refuses because of a newer configuration is planned anew

An engine unloads a withdrawn version; a call that a daemon sent just before is refused with "version s1 is not held", and the daemon passed that on as 503 although the version's successor serves. Versions were chosen anew only when the daemon itself noticed the withdrawal before it wrote. 2. The harness sent callers to a new daemon before it was ready; the balancer asks first. A joining daemon now gets callers once /readyz says so, and must within 5 s.

--- a/daemon/daemontest/daemons.go
+++ b/daemon/daemontest/daemons.go
@@ -40,7 +40,16 @@
 	return s.startDaemon(s.Net.NewHost(zone+"/"+vm, zone), zone, vm)
 }
 
+// startDaemon starts a daemon to which callers come at once.
 func (s *System) startDaemon(h *Host, zone, vm string) *Daemon {
+	s.T.Helper()
+	d := s.newDaemon(h, zone, vm)
+	s.replace(d)
+	return d
+}
+
+// newDaemon starts a daemon to which no callers come yet.
+func (s *System) newDaemon(h *Host, zone, vm string) *Daemon {
 	s.T.Helper()
 	d := &Daemon{
 		ID: zone + "/" + vm, Zone: zone, Host: h, system: s, url: "http://" + h.IP + ":1",
@@ -63,7 +72,6 @@
 		defer close(d.done)
 		d.err = built.Run(ctx)
 	}()
-	s.replace(d)
 	return d
 }
 
--- a/daemon/daemontest/observe.go
+++ b/daemon/daemontest/observe.go
@@ -157,5 +157,28 @@
 	s.T.Helper()
 	s.list(vm, zone, infra.EntryVM)
 	s.Platform.SetVMs(s.VMs)
-	return s.StartDaemon(zone, vm)
+	d := s.newDaemon(s.Net.NewHost(zone+"/"+vm, zone), zone, vm)
+	// The balancer sends callers only to a daemon that says it is ready.
+	for limit := time.Now().Add(joinLimit); !d.ready(); time.Sleep(joinLook) {
+		assert.Assert(s.T, time.Now().Before(limit), "%s is not ready after %v", d.ID, joinLimit)
+	}
+	s.replace(d)
+	return d
+}
+
+const (
+	// joinLimit is the time in which a new daemon must be ready, joinLook the pause
+	// between two questions of the balancer.
+	joinLimit = 5 * time.Second
+	joinLook  = 100 * time.Millisecond
+)
+
+// ready asks the daemon as the balancer does.
+func (d *Daemon) ready() bool {
+	resp, err := d.system.http.Get("http://" + d.Host.IP + ":2/readyz")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
 }
--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -117,9 +117,10 @@
 }
 
 // reroute chooses versions again when the one of the plan was withdrawn or
-// halted between the decision and the write.
+// halted between the decision and the write, or was unloaded by the upstreams
+// because of that before the call arrived.
 func (x *execution) reroute(err error) (Plan, bool) {
-	if err == nil || x.rerouted || x.delivered > 0 || errkind.Of(err) != errkind.NoAllowedVersion {
+	if err == nil || x.rerouted || x.delivered > 0 || !x.outdated(err) {
 		return Plan{}, false
 	}
 	x.rerouted = true
@@ -137,6 +138,13 @@
 	return plan, planErr == nil
 }
 
+// outdated tells whether an error may come from a plan that is older than the
+// configuration in force.
+func (x *execution) outdated(err error) bool {
+	kind := errkind.Of(err)
+	return kind == errkind.NoAllowedVersion || kind == errkind.UpstreamRefused && x.m.request.snapshot != x.s.o.Snapshot()
+}
+
 func errOr(err, other error) error {
 	if err != nil {
 		return err
