--- a/soak/steps.go
+++ b/soak/steps.go
@@ -16,6 +16,9 @@
 	callerDelay   = 80 * time.Millisecond
 	slowWork      = 1500 * time.Millisecond
 	slowEvents    = 400 * time.Millisecond
+	// afterCallers lets work that goes on without its caller be seen: twice the time
+	// that it is allowed.
+	afterCallers = 2 * goneBound
 	// cutAfter is the number of events after which a faulty upstream breaks a stream.
 	cutAfter = 4
 )
@@ -38,8 +41,7 @@
 	steps.Wait()
 	s.recovered()
 	s.callers.stop()
-	// Work that goes on after the callers must be seen too.
-	time.Sleep(time.Second)
+	time.Sleep(afterCallers)
 	s.stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/soak/system.go
+++ b/soak/system.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -31,6 +30,10 @@
 	// three heartbeats.
 	entryLapse = 1500 * time.Millisecond
 	memory     = 256 << 20
+	// probePause is the time between two looks whether a VM serves again, stopPause
+	// that between two looks whether a process has ended.
+	probePause = 100 * time.Millisecond
+	stopPause  = 10 * time.Millisecond
 )
 
 // System is a store, upstreams and VMs with links between them.
@@ -224,7 +227,7 @@
 				s.t.Errorf("%s does not serve %v after the last fault: %s", m.settings.VM, recoverBound, why)
 				break
 			}
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(probePause)
 		}
 	}
 }
@@ -233,8 +236,7 @@
 func (s *System) bookings() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	i := slices.IndexFunc(s.record.Changes, func(c Change) bool { return c.Service != "" })
-	service := s.record.Changes[i].Service
+	service := ""
 	for _, c := range s.record.Changes {
 		if c.Service != "" {
 			service = c.Service
@@ -253,7 +255,7 @@
 // stopPlanned asks a process to stop, and kills it after the time of grace.
 func (s *System) stopPlanned(name string, p *e2e.Process) {
 	p.Signal(syscall.SIGTERM)
-	for begun := time.Now(); p.Running(); time.Sleep(10 * time.Millisecond) {
+	for begun := time.Now(); p.Running(); time.Sleep(stopPause) {
 		if time.Since(begun) > grace {
 			p.Kill()
 			return
