internal/faultlink: the fault-injecting links of the soak become a package

The tests of package entry need the same links between VMs and the store to reproduce the incident. Files are moved and identifiers renamed; no check and no behaviour changes: TestLinkInjectsFaults moves with the code and passes.

--- a/internal/faultlink/faultlink.go
+++ b/internal/faultlink/faultlink.go
@@ -1,4 +1,4 @@
-package soak
+package faultlink
 
 import (
 	"net"
@@ -9,9 +9,9 @@
 // copyBuffer is the size in bytes of the copy buffer of each direction.
 const copyBuffer = 16 << 10
 
-// LinkFault is the fault that a Link injects into its connections. The zero value
+// Fault is the fault that a Link injects into its connections. The zero value
 // is no fault.
-type LinkFault struct {
+type Fault struct {
 	// Delay is added before each chunk of data is forwarded, in both directions.
 	Delay time.Duration
 	// HoldForward holds data from the client and HoldBack data from the target until
@@ -28,14 +28,14 @@
 	target   string
 
 	mu      sync.Mutex
-	fault   LinkFault
+	fault   Fault
 	changed chan struct{} // closed and replaced when fault changes
 	conns   map[*net.TCPConn]struct{}
 	wg      sync.WaitGroup
 }
 
-// NewLink starts a proxy that forwards connections to a target address.
-func NewLink(target string) (*Link, error) {
+// New starts a proxy that forwards connections to a target address.
+func New(target string) (*Link, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -49,7 +49,7 @@
 func (l *Link) Address() string { return l.listener.Addr().String() }
 
 // SetFault replaces the fault of the link.
-func (l *Link) SetFault(f LinkFault) {
+func (l *Link) SetFault(f Fault) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fault = f
@@ -70,13 +70,13 @@
 // Close stops the proxy and closes its connections.
 func (l *Link) Close() {
 	_ = l.listener.Close()
-	l.SetFault(LinkFault{})
+	l.SetFault(Fault{})
 	l.Reset()
 	l.wg.Wait()
 }
 
 // current returns the fault and a channel that is closed when the fault changes.
-func (l *Link) current() (LinkFault, <-chan struct{}) {
+func (l *Link) current() (Fault, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.fault, l.changed
@@ -107,8 +107,8 @@
 	to := c.(*net.TCPConn)
 	defer l.track(to)()
 	var directions sync.WaitGroup
-	directions.Go(func() { l.copyDirection(from, to, func(f LinkFault) bool { return f.HoldForward }) })
-	directions.Go(func() { l.copyDirection(to, from, func(f LinkFault) bool { return f.HoldBack }) })
+	directions.Go(func() { l.copyDirection(from, to, func(f Fault) bool { return f.HoldForward }) })
+	directions.Go(func() { l.copyDirection(to, from, func(f Fault) bool { return f.HoldBack }) })
 	directions.Wait()
 }
 
@@ -128,7 +128,7 @@
 
 // copyDirection copies data in one direction until that direction is closed. When
 // writing fails, it resets the connection from which it reads.
-func (l *Link) copyDirection(from, to *net.TCPConn, held func(LinkFault) bool) {
+func (l *Link) copyDirection(from, to *net.TCPConn, held func(Fault) bool) {
 	buffer := make([]byte, copyBuffer)
 	for {
 		n, err := from.Read(buffer)
@@ -149,7 +149,7 @@
 }
 
 // applyFault waits for the delay of the fault and for as long as held is true of it.
-func (l *Link) applyFault(held func(LinkFault) bool) {
+func (l *Link) applyFault(held func(Fault) bool) {
 	fault, changed := l.current()
 	time.Sleep(fault.Delay)
 	for held(fault) {
--- a/internal/faultlink/faultlink_test.go
+++ b/internal/faultlink/faultlink_test.go
@@ -1,4 +1,4 @@
-package soak
+package faultlink
 
 import (
 	"io"
@@ -27,7 +27,7 @@
 			}()
 		}
 	}()
-	link, err := NewLink(listener.Addr().String())
+	link, err := New(listener.Addr().String())
 	assert.NilError(t, err)
 	t.Cleanup(link.Close)
 	c, err := net.Dial("tcp4", link.Address())
@@ -46,15 +46,15 @@
 	return err
 }
 
-// Guards against a soak test that passes because its links inject no faults.
+// Guards against tests that pass because their links inject no faults.
 func TestLinkInjectsFaults(t *testing.T) {
-	for name, fault := range map[string]LinkFault{"forward": {HoldForward: true}, "back": {HoldBack: true}} {
+	for name, fault := range map[string]Fault{"forward": {HoldForward: true}, "back": {HoldBack: true}} {
 		t.Run("holds "+name, func(t *testing.T) {
 			link, c := dialEcho(t)
 			assert.NilError(t, exchange(c, time.Second))
 			link.SetFault(fault)
 			assert.ErrorContains(t, exchange(c, 100*time.Millisecond), "timeout")
-			link.SetFault(LinkFault{})
+			link.SetFault(Fault{})
 			_ = c.SetReadDeadline(time.Now().Add(time.Second))
 			_, err := io.ReadFull(c, make([]byte, 1))
 			assert.NilError(t, err)
@@ -62,7 +62,7 @@
 	}
 	t.Run("delays", func(t *testing.T) {
 		link, c := dialEcho(t)
-		link.SetFault(LinkFault{Delay: 50 * time.Millisecond})
+		link.SetFault(Fault{Delay: 50 * time.Millisecond})
 		begun := time.Now()
 		assert.NilError(t, exchange(c, time.Second))
 		assert.Assert(t, time.Since(begun) >= 100*time.Millisecond)
@@ -75,7 +75,7 @@
 	})
 	t.Run("refuses", func(t *testing.T) {
 		link, _ := dialEcho(t)
-		link.SetFault(LinkFault{Refuse: true})
+		link.SetFault(Fault{Refuse: true})
 		c, err := net.Dial("tcp4", link.Address())
 		assert.NilError(t, err)
 		defer c.Close()
--- a/soak/steps.go
+++ b/soak/steps.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/savoryshift/savoryshift/e2e"
+	"github.com/savoryshift/savoryshift/internal/faultlink"
 	"github.com/savoryshift/savoryshift/platform/standin"
 )
 
@@ -96,11 +97,11 @@
 			m.storeLink.Reset()
 		}
 	case StoreHold:
-		injectLinkFault(step, m.storeLink, LinkFault{HoldBack: true})
+		injectLinkFault(step, m.storeLink, faultlink.Fault{HoldBack: true})
 	case CallerDelay:
-		injectLinkFault(step, m.frontLink, LinkFault{Delay: callerDelay})
+		injectLinkFault(step, m.frontLink, faultlink.Fault{Delay: callerDelay})
 	case CallerHold:
-		injectLinkFault(step, m.frontLink, LinkFault{HoldForward: true})
+		injectLinkFault(step, m.frontLink, faultlink.Fault{HoldForward: true})
 	case CallerReset:
 		m.frontLink.Reset()
 	case VMPause:
@@ -128,10 +129,10 @@
 }
 
 // injectLinkFault applies a fault to a link for the duration of a step.
-func injectLinkFault(step Step, l *Link, f LinkFault) {
+func injectLinkFault(step Step, l *faultlink.Link, f faultlink.Fault) {
 	l.SetFault(f)
 	time.Sleep(step.For)
-	l.SetFault(LinkFault{})
+	l.SetFault(faultlink.Fault{})
 }
 
 // adjustActiveFaults changes the number of steps of a kind that are in effect and
@@ -194,11 +195,11 @@
 	case UpstreamReset:
 		u.link.Reset()
 	case UpstreamDelay:
-		injectLinkFault(step, u.link, LinkFault{Delay: upstreamDelay})
+		injectLinkFault(step, u.link, faultlink.Fault{Delay: upstreamDelay})
 	case UpstreamHold:
-		injectLinkFault(step, u.link, LinkFault{HoldForward: true, HoldBack: true})
+		injectLinkFault(step, u.link, faultlink.Fault{HoldForward: true, HoldBack: true})
 	case UpstreamHoldReplies:
-		injectLinkFault(step, u.link, LinkFault{HoldBack: true})
+		injectLinkFault(step, u.link, faultlink.Fault{HoldBack: true})
 	default:
 		s.injectResponseFault(u, step)
 	}
--- a/soak/system.go
+++ b/soak/system.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/savoryshift/savoryshift/e2e"
+	"github.com/savoryshift/savoryshift/internal/faultlink"
 	"github.com/savoryshift/savoryshift/platform"
 	"github.com/savoryshift/savoryshift/platform/standin"
 )
@@ -60,7 +61,7 @@
 	settings     platform.Settings
 	settingsPath string
 	// frontLink connects the callers to the VM, storeLink the VM to the store.
-	frontLink, storeLink *Link
+	frontLink, storeLink *faultlink.Link
 
 	mu      sync.Mutex
 	process *e2e.Process // nil while stopped
@@ -70,7 +71,7 @@
 // upstream is a stand-in of a model engine or of a booking service, behind a link.
 type upstream struct {
 	*standin.Upstream
-	link         *Link
+	link         *faultlink.Link
 	leaving      bool
 	activeFaults map[StepKind]int // number of faults in effect, by kind
 }
@@ -123,8 +124,8 @@
 	s.writeSettings(m)
 }
 
-func (s *System) newLink(target string) *Link {
-	l, err := NewLink(target)
+func (s *System) newLink(target string) *faultlink.Link {
+	l, err := faultlink.New(target)
 	assert.NilError(s.t, err)
 	s.t.Cleanup(l.Close)
 	return l
