mirror, gateway: log lines that tell the hypotheses of the incident apart

Each change of a copy is now one line 'table changed' with its source, its newest keys (at most 5) and 'unconfirmed', the time for which the copy had not been known to be current. The line of a call has 'lapsed', the time since its upstream lost its registration. No decision changes.

--- a/entry/control.go
+++ b/entry/control.go
@@ -99,16 +99,16 @@
 }
 
 // statusChanged applies the rollout progress in the status table.
-func (e *Entry) statusChanged(c mirror.Copy, now time.Time) {
+func (e *Entry) statusChanged(c mirror.Change) {
 	list, problems := platform.DecodeProgress(c.Rows)
 	for _, err := range problems {
 		e.log.Error("rollout progress ignored", zap.Error(err))
 	}
-	clock, ok := e.status.StoreClock(now)
+	clock, ok := e.status.StoreClock(c.At)
 	for _, p := range list {
-		startedAt := now
+		startedAt := c.At
 		if ok {
-			startedAt = now.Add(p.Started - clock)
+			startedAt = c.At.Add(p.Started - clock)
 		}
 		e.rollouts.SetProgress(p.Progress, p.Revision, startedAt)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -143,8 +143,8 @@
 func (e *Entry) addMirror(o mirror.Options) *mirror.Mirror {
 	changed := o.Changed
 	o.Log = e.log
-	o.Changed = func(c mirror.Copy, now time.Time) {
-		changed(c, now)
+	o.Changed = func(c mirror.Change) {
+		changed(c)
 		if !o.Passive() {
 			e.fleet.AnnounceTableChange()
 		}
@@ -282,13 +282,13 @@
 
 // ordersChanged applies the operator's rollout orders and configuration. An invalid
 // configuration leaves the previous one in force.
-func (e *Entry) ordersChanged(c mirror.Copy, now time.Time) {
+func (e *Entry) ordersChanged(c mirror.Change) {
 	orders, problems := platform.DecodeOrders(c.Rows)
 	for _, err := range problems {
 		e.log.Error("rollout order ignored", zap.Error(err))
 	}
 	for _, o := range orders {
-		e.rollouts.SetOrder(o, now)
+		e.rollouts.SetOrder(o, c.At)
 	}
 	row, ok := c.Rows[platform.ConfigurationKey]
 	if !ok || row.Revision == e.configurationRevision {
@@ -307,7 +307,7 @@
 
 // upstreamsChanged applies the registrations of upstreams. Invalid registrations are
 // ignored.
-func (e *Entry) upstreamsChanged(c mirror.Copy, now time.Time) {
+func (e *Entry) upstreamsChanged(c mirror.Change) {
 	list := make([]placement.Upstream, 0, len(c.Rows))
 	for id, row := range c.Rows {
 		u, err := platform.DecodeUpstream(id, row.Value)
@@ -317,7 +317,7 @@
 		}
 		list = append(list, u)
 	}
-	e.balancer.SetUpstreams(list, now)
+	e.balancer.SetUpstreams(list, c.At)
 	releases := map[string]map[string]int{}
 	for _, u := range list {
 		if releases[u.Service] == nil {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -125,6 +125,6 @@
 		zap.String("request", a.exec.req.ID), zap.String("event", event), zap.String("upstream", a.choice.ID),
 		zap.String("release", a.choice.Release), zap.String("model", a.model), zap.Int("status", a.responseHeader.Status),
 		zap.Int("candidates", a.choice.Candidates), zap.Float64("predicted", a.choice.FirstEvent),
-		zap.Duration("took", time.Since(a.start)),
+		zap.Duration("lapsed", a.choice.Lapsed), zap.Duration("took", time.Since(a.start)),
 	}, fields...)...)
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -1,10 +1,12 @@
 package mirror
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +28,8 @@
 	// passivePollInterval is the interval at which a passive mirror calls
 	// Options.Passive again.
 	passivePollInterval = 100 * time.Millisecond
+	// maxLoggedKeys bounds the keys in the log line of a change.
+	maxLoggedKeys = 5
 )
 
 // ErrHistoryGone means that the store no longer has the changes after the given
@@ -66,12 +70,32 @@
 	Revision int64
 }
 
+// Source is where a change of the copy came from.
+type Source string
+
+// Sources.
+const (
+	StoreRead Source = "store read"
+	StoreFeed Source = "store feed"
+	Peer      Source = "peer"
+)
+
+// Change is a change of the copy.
+type Change struct {
+	Copy
+	Source Source
+	// At is the time of the change by the clock of this process. ConfirmedAt is the
+	// last time at which the previous copy was known to be current: the rows changed
+	// between ConfirmedAt and At. It equals At for the first copy.
+	At, ConfirmedAt time.Time
+}
+
 // Options configures a Mirror.
 type Options struct {
 	Name  string
 	Table Table
 	// Changed is called after each change of the copy, by one goroutine at a time.
-	Changed func(c Copy, now time.Time)
+	Changed func(c Change)
 	// Wait is the time for which one Follow call waits for changes, 10 s by default.
 	// If the answer of a call is lost, the copy is not updated for that long.
 	Wait time.Duration
@@ -164,8 +188,8 @@
 	if err != nil {
 		return err
 	}
-	m.recordAnswer(page)
-	m.apply(page, false)
+	confirmedAt := m.recordAnswer(page)
+	m.apply(page, false, StoreFeed, confirmedAt)
 	if len(page.Rows) > 0 && m.options.BatchDelay > 0 {
 		sleep(ctx, m.options.BatchDelay)
 	}
@@ -192,26 +216,47 @@
 		}
 		from = page.Rows[len(page.Rows)-1].Key + "\x00"
 	}
-	m.recordAnswer(all)
-	if !m.apply(all, true) {
+	confirmedAt := m.recordAnswer(all)
+	if !m.apply(all, true, StoreRead, confirmedAt) {
 		sleep(ctx, staleBackoff)
 	}
 	return nil
 }
 
 // apply merges a page into the copy and calls Options.Changed if the copy changed.
-// If whole is set, rows that the page lacks are removed. apply returns false for a
-// page that is older than the copy.
-func (m *Mirror) apply(page Page, whole bool) bool {
+// If whole is set, rows that the page lacks are removed. confirmedAt is the last time
+// at which the copy was known to be current, zero if there was none. apply returns
+// false for a page that is older than the copy.
+func (m *Mirror) apply(page Page, whole bool, source Source, confirmedAt time.Time) bool {
 	m.applyMu.Lock()
 	defer m.applyMu.Unlock()
 	c, changed, ok := m.merge(page, whole)
-	if changed && m.options.Changed != nil {
-		m.options.Changed(c, time.Now())
+	if !changed {
+		return ok
+	}
+	now := time.Now()
+	if confirmedAt.IsZero() {
+		confirmedAt = now
+	}
+	m.options.Log.Info("table changed", zap.String("table", m.options.Name), zap.String("source", string(source)), zap.Int64("revision", c.Revision),
+		zap.Strings("keys", changedKeys(page)), zap.Duration("unconfirmed", now.Sub(confirmedAt)))
+	if m.options.Changed != nil {
+		m.options.Changed(Change{Copy: c, Source: source, At: now, ConfirmedAt: confirmedAt})
 	}
 	return ok
 }
 
+// changedKeys returns up to maxLoggedKeys keys of the rows of a page, newest first.
+func changedKeys(page Page) []string {
+	rows := slices.Clone(page.Rows)
+	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(b.Revision, a.Revision) })
+	keys := make([]string, 0, maxLoggedKeys)
+	for _, r := range rows[:min(maxLoggedKeys, len(rows))] {
+		keys = append(keys, r.Key)
+	}
+	return keys
+}
+
 // merge applies a page to a new copy of the rows. It returns the copy, whether it
 // differs from the previous one, and false if the page is older than the copy.
 func (m *Mirror) merge(page Page, whole bool) (Copy, bool, bool) {
@@ -264,8 +309,9 @@
 	m.mu.Lock()
 	applicable := page.Revision > m.revision || page.Revision == m.revision && !m.loaded
 	applicable = applicable && (whole || m.loaded)
+	confirmedAt := m.lastAnswerAt
 	m.mu.Unlock()
-	return applicable && m.apply(page, whole)
+	return applicable && m.apply(page, whole, Peer, confirmedAt)
 }
 
 // ChangesSince returns the rows that changed after a revision, including deletions. If
@@ -297,17 +343,19 @@
 	return Copy{Rows: m.rows, Revision: m.revision}, m.loaded
 }
 
-// recordAnswer records that the store answered, and the reading of its clock.
-func (m *Mirror) recordAnswer(page Page) {
+// recordAnswer records that the store answered, and the reading of its clock. It
+// returns the time of the answer before, zero for the first one.
+func (m *Mirror) recordAnswer(page Page) (previous time.Time) {
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.lastAnswerAt = now
+	previous, m.lastAnswerAt = m.lastAnswerAt, now
 	m.storeClock, m.storeClockReadAt = page.Clock, now
 	if !m.lostSince.IsZero() {
 		m.options.Log.Info("store regained", zap.String("table", m.options.Name), zap.Duration("away", now.Sub(m.lostSince)), zap.Int64("revision", page.Revision))
 		m.lostSince = time.Time{}
 	}
+	return previous
 }
 
 // recordFailure records a failed call to the store.
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -59,7 +59,7 @@
 func runMirror(t *testing.T, s *scripted, d time.Duration) (*Mirror, int) {
 	t.Helper()
 	changes := 0
-	m := New(Options{Name: "t", Table: s, Log: zap.NewNop(), Changed: func(Copy, time.Time) { changes++ }})
+	m := New(Options{Name: "t", Table: s, Log: zap.NewNop(), Changed: func(Change) { changes++ }})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { m.Run(ctx); close(done) }()
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -63,6 +63,9 @@
 	UncachedTokens float64
 	// Candidates is the number of upstreams that were compared.
 	Candidates int
+	// Lapsed is the time since the upstream lost its registration, 0 if it is
+	// registered.
+	Lapsed time.Duration
 }
 
 // Choose returns the best upstream for a call. Ejected and recently unregistered
@@ -92,6 +95,9 @@
 		}
 	}
 	best.Candidates = candidates
+	if e := b.upstreams[best.ID]; candidates > 0 && !e.unregisteredAt.IsZero() {
+		best.Lapsed = q.Now.Sub(e.unregisteredAt)
+	}
 	return best, candidates > 0
 }
 
