--- a/entry/entrytest/system.go
+++ b/entry/entrytest/system.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/savoryshift/savoryshift/entry"
+	"github.com/savoryshift/savoryshift/internal/faultlink"
 	"github.com/savoryshift/savoryshift/platform"
 	"github.com/savoryshift/savoryshift/platform/standin"
 )
@@ -32,7 +33,10 @@
 
 // VM is an entry VM that Start has started.
 type VM struct {
-	Settings  platform.Settings
+	Settings platform.Settings
+	// StoreLink carries the connections of the VM to the store.
+	StoreLink *faultlink.Link
+
 	stop      context.CancelFunc
 	runResult chan error
 }
@@ -76,9 +80,12 @@
 // is ready.
 func (s *System) Start() *VM {
 	s.T.Helper()
-	vm := &VM{runResult: make(chan error, 1), Settings: platform.Settings{
+	link, err := faultlink.New(s.storeAddress)
+	assert.NilError(s.T, err)
+	s.T.Cleanup(link.Close)
+	vm := &VM{runResult: make(chan error, 1), StoreLink: link, Settings: platform.Settings{
 		VM: fmt.Sprintf("vm%d", len(s.VMs)), AvailabilityZone: "z", Front: freeAddress(s.T), Ready: freeAddress(s.T), Peer: freeAddress(s.T),
-		StoreAddress: s.storeAddress, MemoryBytes: 1 << 30, Cores: 1,
+		StoreAddress: link.Address(), MemoryBytes: 1 << 30, Cores: 1,
 		Bounds: platform.Bounds{
 			Drain: 2 * time.Second, Grace: 5 * time.Second, RetryRatio: 0.9, RetryWindow: 10 * time.Second, RetrySlack: 500,
 			ExposureShare: 0.15, SessionIdle: 5 * time.Second, CacheLifetime: 10 * time.Second,
