placement: the grace of a lapsed registration includes the delay of the news

Callers saw requests at an upstream up to 4 s after its registration was removed (DRAIN), if no other upstream of the service was left.

Cause: such an upstream may be used for 1.5 s, because registrations that lapse while the store is away return within 2 s. The time ran from the moment at which the VM heard of the removal, so batching (0.4 s), exchanges between VMs and a silent reader (1.1 s) came on top of it, beyond the 2 s of DRAIN. Class: a bound that each part of the system spends anew.

Change: the time runs from the last moment at which the previous list was known to be current. Only if that is 3 s ago or more was the store away long enough for registrations to lapse, and then it runs from the news as before. The test leaves KNOWN-RED; TestGraceAddsToTheDelayOfTheNews states the cases.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -329,7 +329,7 @@
 		}
 		list = append(list, u)
 	}
-	e.balancer.SetUpstreams(list, c.At)
+	e.balancer.SetUpstreams(list, c.ConfirmedAt, c.At)
 	releases := map[string]map[string]int{}
 	for _, u := range list {
 		if releases[u.Service] == nil {
--- a/entry/entrytest/stale_test.go
+++ b/entry/entrytest/stale_test.go
@@ -8,7 +8,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/savoryshift/savoryshift/internal/faultlink"
-	"github.com/savoryshift/savoryshift/internal/knownred"
 	"github.com/savoryshift/savoryshift/platform/standin"
 )
 
@@ -88,7 +87,6 @@
 // Guards against requests that reach an upstream long after its registration was
 // removed because a grace period is added to the time until the VM hears of it.
 func TestRequestReachesRemovedUpstreamAfterLateNews(t *testing.T) {
-	knownred.SkipListed(t, "entry/entrytest")
 	s, desk := startSystem(t, 3)
 	s.Store.Remove("servers", desk[1].ID)
 	time.Sleep(time.Second)
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -144,7 +144,7 @@
 	t.Helper()
 	s := &system{t: t, budget: &budget{left: 100}, book: placement.NewBalancer(placement.Options{})}
 	s.rollouts = rollout.New(rollout.Options{SessionIdle: time.Second, Log: zap.NewNop()})
-	s.book.SetUpstreams(upstreams, time.Now())
+	s.book.SetUpstreams(upstreams, time.Now(), time.Now())
 	var core zapcore.Core
 	core, s.logs = observer.New(zap.InfoLevel)
 	s.server = gateway.New(gateway.Options{
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -191,7 +191,7 @@
 			a := startUpstream(t, "a", events(3, rest))
 			s := newSystem(t, registration(a, "v1")).configure()
 			b := startUpstream(t, "b", events(6, lastChunk))
-			s.book.SetUpstreams([]placement.Upstream{registration(a, "v1"), registration(b, "v1")}, time.Now())
+			s.book.SetUpstreams([]placement.Upstream{registration(a, "v1"), registration(b, "v1")}, time.Now(), time.Now())
 			// Load on the second upstream makes placement choose the first one.
 			s.book.SetPeer("p", map[string]placement.Load{"b": {Calls: 1, PrefillSeconds: 1}}, time.Now())
 			r := s.call("/stream/x", "Model: large")
--- a/placement/book.go
+++ b/placement/book.go
@@ -50,8 +50,8 @@
 	health   health
 	// cachedAt maps a prompt part and a model to the time of the last prefill.
 	cachedAt map[cacheKey]time.Time
-	// unregisteredAt is the time at which the registration disappeared, zero while
-	// the upstream is registered.
+	// unregisteredAt is the earliest time at which the registration may have
+	// disappeared, zero while the upstream is registered.
 	unregisteredAt time.Time
 	// lastByteAt is the time at which this VM last received a byte from the
 	// upstream.
@@ -115,9 +115,10 @@
 	}
 }
 
-// SetUpstreams replaces the list of registered upstreams. An upstream whose
-// incarnation or address differs from the known one starts with empty state.
-func (b *Balancer) SetUpstreams(list []Upstream, now time.Time) {
+// SetUpstreams replaces the list of registered upstreams. previousAt is the last time
+// at which the previous list was known to be current. An upstream whose incarnation
+// or address differs from the known one starts with empty state.
+func (b *Balancer) SetUpstreams(list []Upstream, previousAt, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.listSetAt = now
@@ -136,7 +137,7 @@
 			continue
 		}
 		if e.unregisteredAt.IsZero() {
-			e.unregisteredAt = now
+			e.unregisteredAt = removalTime(previousAt, now)
 		}
 		if e.own.Calls == 0 && now.Sub(e.unregisteredAt) > unregisteredRetention {
 			delete(b.upstreams, id)
@@ -145,6 +146,21 @@
 	b.rebuildServiceIndex()
 }
 
+// minOutage is the shortest outage of the store during which registrations can lapse:
+// an upstream renews its registration several times in it.
+const minOutage = 3 * time.Second
+
+// removalTime returns the time from which the grace of a registration that
+// disappeared between two times is counted. The upstream may have left right after
+// the first one, unless the store was away: then the registration may have lapsed, and
+// returns soon after the store.
+func removalTime(previousAt, now time.Time) time.Time {
+	if now.Sub(previousAt) >= minOutage {
+		return now
+	}
+	return previousAt
+}
+
 // unregisteredRetention is how long the state of an unregistered upstream is
 // kept. A registration that lapsed returns within seconds.
 const unregisteredRetention = 30 * time.Second
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -26,7 +26,7 @@
 		}
 		list = append(list, Upstream{ID: fmt.Sprint("e", i), Service: "s", Address: "a", AvailabilityZone: zone, Release: "v1", Slots: 4})
 	}
-	b.SetUpstreams(list, now)
+	b.SetUpstreams(list, now, now)
 	return b
 }
 
@@ -183,7 +183,7 @@
 	}
 	slices.SortFunc(list, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
 	list[3].Draining, list[4].Release = true, "v2"
-	b.SetUpstreams(list[:5], q.Now)
+	b.SetUpstreams(list[:5], q.Now, q.Now)
 	q.Exclude = map[string]bool{"e0": true}
 	q.Allow = func(release string) bool { return release != "v2" }
 	assert.DeepEqual(t, b.ExclusionCounts(q), ExclusionCounts{Registered: 5, Tried: 1, Unreachable: 1, Failing: 1, Leaving: 1, OtherRelease: 1, Lapsed: 1})
@@ -222,11 +222,11 @@
 	b.SetUpstreams([]Upstream{
 		{ID: "e0", Service: "s", Address: "a", AvailabilityZone: "z", Release: "v1", Draining: true},
 		{ID: "e1", Service: "s", Address: "a", AvailabilityZone: "z", Release: "v1"},
-	}, now)
+	}, now, now)
 	_, c := place(t, b, query(100))
 	assert.Equal(t, c.ID, "e1")
 	assert.Assert(t, !b.Usable("e0", now))
-	b.SetUpstreams(nil, now)
+	b.SetUpstreams(nil, now, now)
 	_, c = place(t, b, query(100))
 	assert.Equal(t, c.ID, "e1")
 	q := query(100)
@@ -236,13 +236,30 @@
 	assert.Assert(t, !b.Usable("e1", q.Now))
 }
 
+// Guards against a grace that begins when the VM hears that a registration is gone: the
+// upstream may have left as early as the list before was current. After an outage of
+// the store the registration may have lapsed, and the grace begins at once.
+func TestGraceAddsToTheDelayOfTheNews(t *testing.T) {
+	for _, c := range []struct{ unconfirmed, usableFor time.Duration }{
+		{0, DefaultLapseGrace},
+		{time.Second, DefaultLapseGrace - time.Second},
+		{2 * time.Second, 0},
+		{minOutage, DefaultLapseGrace},
+	} {
+		b := engines(1)
+		b.SetUpstreams(nil, now.Add(-c.unconfirmed), now)
+		assert.Equal(t, b.Usable("e0", after(c.usableFor-time.Millisecond)), c.usableFor > 0, "%v", c.unconfirmed)
+		assert.Assert(t, !b.Usable("e0", after(c.usableFor)), "%v", c.unconfirmed)
+	}
+}
+
 // A new incarnation under a known ID starts with an empty cache.
 func TestReusedID(t *testing.T) {
 	b := engines(1)
 	call, _ := place(t, b, query(8500, Part{"p", 8000}, Part{"own", 500}))
 	call.FirstEvent(now)
 	call.End(Answered, now)
-	b.SetUpstreams([]Upstream{{ID: "e0", Incarnation: 2, Service: "s", Address: "a", AvailabilityZone: "z"}}, now)
+	b.SetUpstreams([]Upstream{{ID: "e0", Incarnation: 2, Service: "s", Address: "a", AvailabilityZone: "z"}}, now, now)
 	c, _ := b.Choose(query(8500, Part{"p", 8000}, Part{"own", 500}))
 	assert.Equal(t, c.UncachedTokens, 8500.0)
 }
