exchange: response headers and bytes after a response are bounded

An upstream in trouble may send bytes that are no answer without end. Callers then waited until their deadline, while the VM read the bytes into memory.

Cause: http.ReadResponse has no limit for a status line, a header line, the number of lines, continuation lines or interim responses; and bytes that follow a complete response stayed in the buffers of idle connections until the connection expired. Class: input of a peer without a bound.

Change: the headers of a response, with those of interim responses, have at most 64 KiB; beyond that the call fails, the connection is closed and the request goes on as after any failed call.

--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -91,6 +91,10 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
+	// headLeft is the number of bytes that may still be read while readingHead is set.
+	// Only the goroutine that reads the response uses them.
+	headLeft    int
+	readingHead bool
 	// reusableUntil is the end of the time in which an idle connection may be reused.
 	reusableUntil time.Time
 	lastUsed      time.Time
@@ -148,7 +152,9 @@
 	p.mu.Lock()
 	p.open[address]++
 	p.mu.Unlock()
-	return &connection{Conn: conn, address: address, reader: bufio.NewReaderSize(conn, readBufferBytes), pool: p}, nil
+	c := &connection{Conn: conn, address: address, pool: p}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c, nil
 }
 
 // put returns a connection to the pool after a complete response. statedTimeout
@@ -178,8 +184,8 @@
 	return p.open[address]
 }
 
-// Sweep closes idle connections that may no longer be reused. It is meant to be
-// called about once a second.
+// Sweep closes idle connections that may no longer be reused or have unread bytes. It
+// is meant to be called about once a second.
 func (p *Pool) Sweep() {
 	now := p.now()
 	var expired []*connection
@@ -187,7 +193,7 @@
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Before(c.reusableUntil) {
+			if now.Before(c.reusableUntil) && connHealthy(c.Conn) {
 				kept = append(kept, c)
 			} else {
 				expired = append(expired, c)
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -19,6 +19,12 @@
 // may respond without having read it.
 const inlineBodyBytes = 8 << 10
 
+// maxHeadBytes limits the headers of a response, with those of its interim responses.
+const maxHeadBytes = 64 << 10
+
+// errHeadTooLong is returned for a response whose headers exceed maxHeadBytes.
+var errHeadTooLong = errors.New("the response header is too long")
+
 // Request is a request to an upstream.
 type Request struct {
 	Method string
@@ -123,8 +129,14 @@
 
 // readHeader reads the header of the final response and skips 1xx responses.
 func (c *connection) readHeader(method string) (*http.Response, error) {
+	c.headLeft, c.readingHead = maxHeadBytes, true
+	defer func() { c.readingHead = false }()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if c.headLeft <= 0 {
+			// The parser may report another error for the header that was cut short.
+			err = errHeadTooLong
+		}
 		if err != nil {
 			return nil, oops.Wrapf(err, "reading the response of %s", c.address)
 		}
@@ -134,6 +146,20 @@
 	}
 }
 
+// Read reads from the connection. While a header is read, it returns no more than
+// maxHeadBytes in all.
+func (c *connection) Read(b []byte) (int, error) {
+	if !c.readingHead {
+		return c.Conn.Read(b)
+	}
+	if c.headLeft <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.headLeft)])
+	c.headLeft -= n
+	return n, err
+}
+
 // Read reads from the response body and records when its end is reached.
 func (r *Reply) Read(b []byte) (int, error) {
 	n, err := r.Body.Read(b)
