gateway: empty lines of a stream count towards the size of an event

A caller of a stream waited until its deadline if the upstream sent empty lines without end and no other upstream was left; the VM read them at the speed of the link all the while.

Cause: the limit of an event began anew with each empty line, and the watchdog does not cancel the last possible call. Class: input of a peer without a bound.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -9,7 +9,7 @@
 const (
 	// eventBufferBytes is the size of the read buffer of a stream.
 	eventBufferBytes = 4096
-	// maxEventBytes is the maximum size of one event.
+	// maxEventBytes is the maximum size of one event with the empty lines before it.
 	maxEventBytes = 1 << 20
 )
 
@@ -28,10 +28,11 @@
 // io.ErrUnexpectedEOF if the stream ends within an event.
 func (e *eventReader) next() (data []byte, id string, err error) {
 	e.buf = e.buf[:0]
+	skipped := 0
 	for {
 		line, err := e.r.ReadSlice('\n')
 		e.buf = append(e.buf, line...)
-		if len(e.buf) > maxEventBytes {
+		if skipped+len(e.buf) > maxEventBytes {
 			return nil, "", bufio.ErrTooLong
 		}
 		if err == bufio.ErrBufferFull {
@@ -45,6 +46,7 @@
 		}
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			if len(bytes.TrimSpace(e.buf)) == 0 {
+				skipped += len(e.buf)
 				e.buf = e.buf[:0]
 				continue
 			}
