gateway: the memory for response bodies that are being read is bounded

Several upstreams that send bodies without end at once could use up the memory of a VM, whose callers then lose their connections.

Class: input of peers without a bound on the whole.

Evidence: by reading; no play or soak has shown it.

Change: buffers above 64 KiB draw on 0.12 of the VM's memory while a body is read; a body that does not fit fails like a broken answer. Answers up to 64 KiB are not affected.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -48,6 +48,9 @@
 	// memoryLimitShare is the fraction of the VM's memory that is set as the soft
 	// memory limit of the Go runtime.
 	memoryLimitShare = 0.6
+	// bufferedShare is the fraction of the VM's memory for response bodies that are
+	// being read.
+	bufferedShare = 0.12
 	// gcPercent is the GOGC value. It is above the default of 100, which trades
 	// memory for less CPU time of the garbage collector; the heap is small.
 	gcPercent = 200
@@ -122,6 +125,7 @@
 	})
 	e.gateway = gateway.New(gateway.Options{
 		Codec: platform.Codec{}, Balancer: e.balancer, Pool: e.pool, Splitter: e.rollouts, RetryBudget: e.budget, Log: opts.Log, Metrics: e.metrics, AnnounceLoad: e.fleet.AnnounceLoad,
+		MaxBuffered: int64(bufferedShare * float64(s.MemoryBytes)),
 	})
 	e.tables = map[string]*table{}
 	clock := &mirror.Clock{}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -37,6 +37,9 @@
 	// AnnounceLoad is called after a call with a long prompt is placed, so that
 	// peers learn of the load at once; it may be nil.
 	AnnounceLoad func()
+	// MaxBuffered bounds the memory, in bytes, for response bodies that are being
+	// read. Default: 64 MiB.
+	MaxBuffered int64
 }
 
 // RetryBudget bounds the retries of each service: the calls of its requests beyond
@@ -59,6 +62,7 @@
 	stopRequestedAt atomic.Pointer[time.Time]
 	active          atomic.Int64
 	requestSizes    requestSizes
+	buffers         bufferBudget
 }
 
 // New returns a server without a configuration. It refuses all requests until
@@ -67,7 +71,10 @@
 	if opts.Metrics == nil {
 		opts.Metrics = NewMetrics()
 	}
-	return &Server{opts: opts, requestSizes: requestSizes{means: map[string]*meanSize{}}}
+	if opts.MaxBuffered == 0 {
+		opts.MaxBuffered = defaultMaxBuffered
+	}
+	return &Server{opts: opts, requestSizes: requestSizes{means: map[string]*meanSize{}}, buffers: bufferBudget{limit: opts.MaxBuffered}}
 }
 
 // SetState replaces the routing configuration.
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -128,7 +127,7 @@
 // readBody reads the response body to its end, sets the body and the class of
 // result, and finishes the call.
 func (a *attempt) readBody(result *callResult) {
-	body, err := io.ReadAll(io.LimitReader(a.response, maxBufferedResponse))
+	body, err := a.exec.srv.buffers.readAll(a.response, maxBufferedResponse)
 	switch {
 	case err != nil || !a.response.Complete():
 		a.finish(placement.Failed)
