upstream, daemon: the bytes of calls that were given up are dropped after 2 s

Change: package internal/sockopt has the option, which exchange sets already, and the default dialers of upstream and daemon set it too.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -22,6 +22,9 @@
 
 const (
 	dialTimeout = 2 * time.Second
+	// unackedTimeout bounds the time for which sent bytes may be unacknowledged, also
+	// after the call that sent them was given up.
+	unackedTimeout = 2 * time.Second
 	// platformIdleConns is the number of idle connections kept to the platform.
 	platformIdleConns = 64
 )
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/savoryshift/savoryshift/coord/ledger"
 	"github.com/savoryshift/savoryshift/coord/share"
 	"github.com/savoryshift/savoryshift/infra"
+	"github.com/savoryshift/savoryshift/internal/sockopt"
 	"github.com/savoryshift/savoryshift/peer"
 	"github.com/savoryshift/savoryshift/proxy"
 	"github.com/savoryshift/savoryshift/settings"
@@ -72,7 +73,7 @@
 		opts.Logger = zap.NewNop()
 	}
 	if opts.Dial == nil {
-		opts.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+		opts.Dial = (&net.Dialer{Timeout: dialTimeout, Control: sockopt.LimitUnacked(unackedTimeout)}).DialContext
 	}
 	d := &Daemon{opts: opts, logger: opts.Logger}
 	d.buildConfiguration()
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -6,10 +6,9 @@
 	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/savoryshift/savoryshift/internal/sockopt"
 )
 
 const (
@@ -22,10 +21,8 @@
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
-	// unackedTimeout bounds the time for which bytes may be unacknowledged. After it the
-	// kernel drops the connection with the bytes in its send buffer, also if it has
-	// been closed. Without it, a request that was given up could reach the upstream
-	// many seconds later, when a cut ends.
+	// unackedTimeout bounds the time for which the bytes of a request may be
+	// unacknowledged, also after the request was given up.
 	unackedTimeout = 2 * time.Second
 	// defaultIdleTimeout is how long an idle connection is kept if the upstream
 	// does not state its idle timeout.
@@ -72,20 +69,11 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
-		Control: limitUnacked,
+		Control: sockopt.LimitUnacked(unackedTimeout),
 	}
 	return d.DialContext(ctx, "tcp4", address)
 }
 
-// limitUnacked sets unackedTimeout on a socket.
-func limitUnacked(_, _ string, raw syscall.RawConn) error {
-	var optionErr error
-	err := raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	return errors.Join(err, optionErr)
-}
-
 // connection is a connection to an upstream. It carries one request at a time.
 type connection struct {
 	net.Conn
--- /dev/null
+++ b/internal/sockopt/sockopt.go
@@ -0,0 +1,24 @@
+// Package sockopt sets socket options that package net does not offer.
+package sockopt
+
+import (
+	"errors"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// LimitUnacked returns a function for net.Dialer.Control that bounds the time for which
+// sent bytes may be unacknowledged. After it the kernel drops the connection with the
+// bytes in its send buffer, also if it has been closed. Without the option, a request
+// that was given up could reach its destination many seconds later, when a cut ends.
+func LimitUnacked(timeout time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var optionErr error
+		err := raw.Control(func(fd uintptr) {
+			optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+		})
+		return errors.Join(err, optionErr)
+	}
+}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/savoryshift/savoryshift/internal/sockopt"
 )
 
 // Defaults of Options.
@@ -20,6 +22,10 @@
 	// the call of CheckReachable.
 	AdminTimeout = 5 * time.Second
 
+	// unackedTimeout bounds the time for which the bytes of a call may be
+	// unacknowledged, also after the call was given up.
+	unackedTimeout = 2 * time.Second
+
 	idleConnsPerUpstream = 256
 	idleConnTimeout      = 60 * time.Second
 )
@@ -75,7 +81,7 @@
 
 func (o Options) withDefaults() Options {
 	if o.Dial == nil {
-		o.Dial = (&net.Dialer{Timeout: DefaultDialTimeout}).DialContext
+		o.Dial = (&net.Dialer{Timeout: DefaultDialTimeout, Control: sockopt.LimitUnacked(unackedTimeout)}).DialContext
 	}
 	if o.MaxResponseBytes == 0 {
 		o.MaxResponseBytes = DefaultMaxResponseBytes
