mirror, entry: names and comments as a newcomer reads them; a store clock that begins anew

Age changed the confirmation that it reported on; confirm does that now, where the readings arrive, and Age only reads. TestConfirmationAheadOfTheClock covers a store whose clock begins anew: the copy counts as unconfirmed until the estimate has followed, two windows of 30 s. No other behaviour changes. The function that returned the passive function of a table is isPassive, since all tables share it.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -32,10 +32,11 @@
 	// registrations from the store; the others receive them from peers.
 	readersPerZone = 1
 	// confirmAfter is the age at which a reader has its copy confirmed by the store, and
-	// maxCopyAge the age from which every VM reads the store itself. A change is known
-	// everywhere within maxCopyAge and the time of one call, whatever happens to the
-	// readers, and must be within 2 s: a new configuration or a draining upstream. The
-	// difference covers the exchanges that carry a confirmation to the other VMs.
+	// maxCopyAge the age from which every VM reads the store itself. Whatever happens to
+	// the readers, a change is known everywhere within maxCopyAge and the time of one
+	// call. A new configuration and a draining upstream must be known within 2 s. The
+	// difference between the two covers the exchanges that carry a confirmation to the
+	// other VMs.
 	confirmAfter = 1100 * time.Millisecond
 	maxCopyAge   = 1400 * time.Millisecond
 	// confirmStatusAfter and maxStatusAge are the same for the progress of rollouts,
@@ -127,11 +128,11 @@
 	e.tables = map[string]*table{}
 	clock := &mirror.Clock{}
 	e.orders = e.addMirror(mirror.Options{
-		Name: "orders", Table: e.store.Orders(), Passive: e.passiveFunc(), Changed: e.ordersChanged,
+		Name: "orders", Table: e.store.Orders(), Passive: e.isPassive, Changed: e.ordersChanged,
 		Wait: confirmAfter, MaxAge: maxCopyAge, Clock: clock,
 	})
 	e.upstreams = e.addMirror(mirror.Options{
-		Name: "upstreams", Table: e.store.Upstreams(), Passive: e.passiveFunc(), Changed: e.upstreamsChanged,
+		Name: "upstreams", Table: e.store.Upstreams(), Passive: e.isPassive, Changed: e.upstreamsChanged,
 		BatchDelay: upstreamBatchDelay, Wait: confirmAfter, MaxAge: maxCopyAge, Clock: clock,
 	})
 	// The VM of rank 0 writes the progress of rollouts and needs to see it at once;
@@ -145,11 +146,8 @@
 	return e
 }
 
-// passiveFunc returns a function that reports whether peers read a table from the
-// store for this VM.
-func (e *Entry) passiveFunc() func() bool {
-	return func() bool { return !e.fleet.ReadsStore(time.Now(), readersPerZone) }
-}
+// isPassive reports whether a peer reads the store for this VM.
+func (e *Entry) isPassive() bool { return !e.fleet.ReadsStore(time.Now(), readersPerZone) }
 
 // addMirror adds the mirror of a table. A change that this VM has read from the
 // store itself is announced to peers at once.
--- a/mirror/clock.go
+++ b/mirror/clock.go
@@ -5,11 +5,9 @@
 	"time"
 )
 
-const (
-	// clockWindow is the time for which the best reading of a Clock is kept. The next
-	// window corrects for drift between the clocks.
-	clockWindow = 30 * time.Second
-)
+// clockWindow is the time for which the best reading of a Clock is kept. The next
+// window corrects for drift between the clocks.
+const clockWindow = 30 * time.Second
 
 // Clock estimates the store's monotonic clock from its readings. Readings arrive with
 // a delay that varies, so the one with the least delay in the last one or two windows
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -32,8 +32,8 @@
 	minCallInterval = 100 * time.Millisecond
 	// minPatience and maxPatience bound Mirror.patience. The lower bound exceeds the
 	// time that a slow store takes for an answer. The upper one allows for a store
-	// that is slower still, and is short enough for a VM to catch up within TouchMs of
-	// the platform once it reaches the store again.
+	// that is slower still, and is short enough for a VM to catch up within 3 s once it
+	// reaches the store again.
 	minPatience = 400 * time.Millisecond
 	maxPatience = 1200 * time.Millisecond
 	// unknownAge is the age of a copy that has never been confirmed.
@@ -321,7 +321,7 @@
 	if page.Revision < m.revision {
 		return Copy{}, false, false
 	}
-	m.confirmed = max(m.confirmed, page.Clock)
+	m.confirm(page.Clock)
 	changed := whole && !m.loaded
 	rows := maps.Clone(m.rows)
 	seen := map[string]bool{}
@@ -431,22 +431,34 @@
 		return false
 	}
 	m.revision = max(m.revision, peer.Revision)
-	m.confirmed = max(m.confirmed, peer.Confirmed)
+	m.confirm(peer.Confirmed)
 	return true
 }
 
+// confirm records that the copy was current at a reading of the store's clock. The
+// caller must hold m.mu.
+func (m *Mirror) confirm(reading time.Duration) {
+	if m.aheadOfClock(time.Now()) {
+		m.confirmed = 0
+	}
+	m.confirmed = max(m.confirmed, reading)
+}
+
+// aheadOfClock reports whether the last confirmation is later than the store's clock,
+// which has then begun anew. The caller must hold m.mu.
+func (m *Mirror) aheadOfClock(now time.Time) bool {
+	reading, _ := m.options.Clock.Now(now)
+	return m.confirmed > reading+maxClockError
+}
+
 // Age returns the time since the copy was last known to be current.
 func (m *Mirror) Age(now time.Time) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	reading, ok := m.options.Clock.Now(now)
-	if !ok || !m.loaded {
+	if !ok || !m.loaded || m.aheadOfClock(now) {
 		return unknownAge
 	}
-	if m.confirmed > reading+maxClockError {
-		// The store's clock has begun anew.
-		m.confirmed = 0
-	}
 	return max(0, reading-m.confirmed)
 }
 
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -293,3 +293,20 @@
 		assert.Equal(t, c.Revision, int64(5), "changes between the pages must be followed")
 	})
 }
+
+// Guards against a copy that counts as current for ever after the store's clock has begun
+// anew.
+func TestConfirmationAheadOfTheClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scripted{reads: []reply{{page: at(time.Hour, page(5, row("a", "1", 4)))}}}
+		m := startPassive(t, s, 24*time.Hour)
+		for i := range 4 {
+			time.Sleep(clockWindow)
+			reading := time.Duration(i+1) * clockWindow
+			assert.Assert(t, m.Confirm(State{Revision: int64(6 + i), Changed: 4, Confirmed: reading}))
+		}
+		assert.Equal(t, m.Age(time.Now()), time.Duration(0))
+		time.Sleep(time.Second)
+		assert.Equal(t, m.Age(time.Now()), time.Second)
+	})
+}
