--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -14,32 +13,8 @@
 )
 
 const (
-	// defaultWait is half of the time for which the store keeps its history, so that
-	// the next call can resume from the known revision.
-	defaultWait = 10 * time.Second
-	// minBackoff and maxBackoff bound the backoff after a failed call. The upper
-	// bound is well below the time within which a configuration must take effect.
-	minBackoff = 100 * time.Millisecond
-	maxBackoff = 800 * time.Millisecond
-	// staleBackoff is the pause after an answer that is older than the copy.
-	staleBackoff = 200 * time.Millisecond
 	// maxTombstones bounds the tombstones that are kept for peers.
 	maxTombstones = 1000
-	// passivePollInterval is the interval at which a passive mirror calls
-	// Options.Passive again.
-	passivePollInterval = 100 * time.Millisecond
-	// minCallInterval is the least time between two calls that do not wait for changes.
-	minCallInterval = 100 * time.Millisecond
-	// minPatience and maxPatience bound Mirror.patience. The lower bound exceeds the
-	// time that a slow store takes for an answer. The upper one allows for a store
-	// that is slower still, and is short enough for a VM to catch up within 3 s once it
-	// reaches the store again.
-	minPatience = 400 * time.Millisecond
-	maxPatience = 1200 * time.Millisecond
-	// unknownAge is the age of a copy that has never been confirmed.
-	unknownAge = time.Hour
-	// maxClockError bounds the error of the estimate of the store's clock.
-	maxClockError = 2 * time.Second
 	// maxLoggedKeys bounds the keys in the log line of a change.
 	maxLoggedKeys = 5
 )
@@ -166,119 +141,6 @@
 	return &Mirror{options: options, patience: minPatience, rows: map[string]Row{}, tombstones: map[string]int64{}}
 }
 
-// Run keeps the copy up to date until ctx ends.
-func (m *Mirror) Run(ctx context.Context) {
-	backoff := minBackoff
-	for ctx.Err() == nil {
-		err := m.poll(ctx)
-		if err == nil {
-			backoff, m.patience = minBackoff, minPatience
-			continue
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		if errors.Is(err, context.DeadlineExceeded) {
-			m.patience = min(maxPatience, 2*m.patience)
-		}
-		m.recordFailure(err)
-		sleep(ctx, backoff/2+rand.N(backoff))
-		backoff = min(maxBackoff, 2*backoff)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
-// poll reads the table or its next changes and applies them. A passive mirror whose
-// copy is recent waits instead.
-func (m *Mirror) poll(ctx context.Context) error {
-	m.mu.Lock()
-	loaded, after := m.loaded, m.revision
-	m.mu.Unlock()
-	if !loaded {
-		return m.reload(ctx)
-	}
-	wait, call := m.nextWait(time.Now())
-	if !call {
-		sleep(ctx, passivePollInterval)
-		return nil
-	}
-	callCtx, cancel := context.WithTimeout(ctx, wait+m.patience)
-	defer cancel()
-	page, err := m.options.Table.Follow(callCtx, after, wait)
-	if errors.Is(err, ErrHistoryGone) {
-		m.options.Log.Info("history of the store is gone", zap.String("table", m.options.Name), zap.Int64("revision", after))
-		return m.reload(ctx)
-	}
-	if err != nil {
-		return err
-	}
-	m.recordAnswer(page)
-	m.apply(page, false, StoreFeed)
-	switch {
-	case len(page.Rows) > 0:
-		sleep(ctx, m.options.BatchDelay)
-	case wait == 0:
-		// The next call may be due at once if the store's clock does not advance.
-		sleep(ctx, minCallInterval)
-	}
-	return nil
-}
-
-// nextWait returns the time for which the next Follow call waits for changes, and
-// whether a call is due. A passive mirror asks without waiting, because it only needs
-// to know whether its copy is current.
-func (m *Mirror) nextWait(now time.Time) (wait time.Duration, call bool) {
-	if m.options.Passive != nil && m.options.Passive() {
-		return 0, m.options.MaxAge > 0 && m.Age(now) >= m.options.MaxAge
-	}
-	if m.options.MaxAge == 0 {
-		return m.options.Wait, true
-	}
-	return max(0, m.options.Wait-m.Age(now)), true
-}
-
-// reload reads the whole table and applies it.
-func (m *Mirror) reload(ctx context.Context) error {
-	var all Page
-	from := ""
-	for {
-		page, err := m.read(ctx, from)
-		if err != nil {
-			return err
-		}
-		all.Rows = append(all.Rows, page.Rows...)
-		if from == "" {
-			// Rows of later pages may be newer than this revision. Follow returns
-			// their changes again.
-			all.Revision, all.Clock = page.Revision, page.Clock
-		}
-		if !page.Partial || len(page.Rows) == 0 {
-			break
-		}
-		from = page.Rows[len(page.Rows)-1].Key + "\x00"
-	}
-	m.recordAnswer(all)
-	if !m.apply(all, true, StoreRead) {
-		sleep(ctx, staleBackoff)
-	}
-	return nil
-}
-
-// read reads one page of the table.
-func (m *Mirror) read(ctx context.Context, from string) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, m.patience)
-	defer cancel()
-	return m.options.Table.Read(ctx, from)
-}
-
 // apply merges a page into the copy and calls Options.Changed if the copy changed.
 // If whole is set, rows that the page lacks are removed. apply returns false for a
 // page that is older than the copy.
@@ -399,101 +261,3 @@
 	defer m.mu.Unlock()
 	return Copy{Rows: m.rows, Revision: m.revision}, m.loaded
 }
-
-// State tells how recent a copy is.
-type State struct {
-	// Revision is the revision up to which the copy holds all changes of the table.
-	Revision int64
-	// Changed is the revision of the last change of the table up to Revision, or a
-	// higher one if it is not known.
-	Changed int64
-	// Confirmed is the reading of the store's clock at which the copy was last known
-	// to be current.
-	Confirmed time.Duration
-}
-
-// State returns the state of the copy; ok is false until the table has been loaded.
-func (m *Mirror) State() (s State, ok bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return State{Revision: m.revision, Changed: m.changed, Confirmed: m.confirmed}, m.loaded
-}
-
-// Confirm takes the state of a peer's copy. If this copy holds all changes of that
-// one, it is as recent too, and Confirm returns true.
-func (m *Mirror) Confirm(peer State) bool {
-	if peer.Confirmed > 0 {
-		m.options.Clock.Observe(peer.Confirmed, time.Now())
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if !m.loaded || m.revision < peer.Changed {
-		return false
-	}
-	m.revision = max(m.revision, peer.Revision)
-	m.confirm(peer.Confirmed)
-	return true
-}
-
-// confirm records that the copy was current at a reading of the store's clock. The
-// caller must hold m.mu.
-func (m *Mirror) confirm(reading time.Duration) {
-	if m.aheadOfClock(time.Now()) {
-		m.confirmed = 0
-	}
-	m.confirmed = max(m.confirmed, reading)
-}
-
-// aheadOfClock reports whether the last confirmation is later than the store's clock,
-// which has then begun anew. The caller must hold m.mu.
-func (m *Mirror) aheadOfClock(now time.Time) bool {
-	reading, _ := m.options.Clock.Now(now)
-	return m.confirmed > reading+maxClockError
-}
-
-// Age returns the time since the copy was last known to be current.
-func (m *Mirror) Age(now time.Time) time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	reading, ok := m.options.Clock.Now(now)
-	if !ok || !m.loaded || m.aheadOfClock(now) {
-		return unknownAge
-	}
-	return max(0, reading-m.confirmed)
-}
-
-// recordAnswer records that the store answered, and the reading of its clock.
-func (m *Mirror) recordAnswer(page Page) {
-	now := time.Now()
-	m.options.Clock.Observe(page.Clock, now)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if !m.lostSince.IsZero() {
-		m.options.Log.Info("store regained", zap.String("table", m.options.Name), zap.Duration("away", now.Sub(m.lostSince)), zap.Int64("revision", page.Revision))
-		m.lostSince = time.Time{}
-	}
-}
-
-// recordFailure records a failed call to the store.
-func (m *Mirror) recordFailure(err error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.lostSince.IsZero() {
-		m.lostSince = time.Now()
-		m.options.Log.Warn("store lost", zap.String("table", m.options.Name), zap.Int64("revision", m.revision), zap.Error(err))
-	}
-}
-
-// Lost reports whether the last call to the store failed, and the time of the
-// first failure since its last answer.
-func (m *Mirror) Lost() (time.Time, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.lostSince, !m.lostSince.IsZero()
-}
-
-// StoreClock estimates the reading of the store's monotonic clock; ok is false before
-// the first reading.
-func (m *Mirror) StoreClock(now time.Time) (at time.Duration, ok bool) {
-	return m.options.Clock.Now(now)
-}
--- /dev/null
+++ b/mirror/poll.go
@@ -0,0 +1,176 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// defaultWait is half of the time for which the store keeps its history, so that
+	// the next call can resume from the known revision.
+	defaultWait = 10 * time.Second
+	// minBackoff and maxBackoff bound the backoff after a failed call. The upper
+	// bound is well below the time within which a configuration must take effect.
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 800 * time.Millisecond
+	// staleBackoff is the pause after an answer that is older than the copy.
+	staleBackoff = 200 * time.Millisecond
+	// passivePollInterval is the interval at which a passive mirror calls
+	// Options.Passive again.
+	passivePollInterval = 100 * time.Millisecond
+	// minCallInterval is the least time between two calls that do not wait for changes.
+	minCallInterval = 100 * time.Millisecond
+	// minPatience and maxPatience bound Mirror.patience. The lower bound exceeds the
+	// time that a slow store takes for an answer. The upper one allows for a store
+	// that is slower still, and is short enough for a VM to catch up within 3 s once it
+	// reaches the store again.
+	minPatience = 400 * time.Millisecond
+	maxPatience = 1200 * time.Millisecond
+)
+
+// Run keeps the copy up to date until ctx ends.
+func (m *Mirror) Run(ctx context.Context) {
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		err := m.poll(ctx)
+		if err == nil {
+			backoff, m.patience = minBackoff, minPatience
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, context.DeadlineExceeded) {
+			m.patience = min(maxPatience, 2*m.patience)
+		}
+		m.recordFailure(err)
+		sleep(ctx, backoff/2+rand.N(backoff))
+		backoff = min(maxBackoff, 2*backoff)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// poll reads the table or its next changes and applies them. A passive mirror whose
+// copy is recent waits instead.
+func (m *Mirror) poll(ctx context.Context) error {
+	m.mu.Lock()
+	loaded, after := m.loaded, m.revision
+	m.mu.Unlock()
+	if !loaded {
+		return m.reload(ctx)
+	}
+	wait, call := m.nextWait(time.Now())
+	if !call {
+		sleep(ctx, passivePollInterval)
+		return nil
+	}
+	callCtx, cancel := context.WithTimeout(ctx, wait+m.patience)
+	defer cancel()
+	page, err := m.options.Table.Follow(callCtx, after, wait)
+	if errors.Is(err, ErrHistoryGone) {
+		m.options.Log.Info("history of the store is gone", zap.String("table", m.options.Name), zap.Int64("revision", after))
+		return m.reload(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	m.recordAnswer(page)
+	m.apply(page, false, StoreFeed)
+	switch {
+	case len(page.Rows) > 0:
+		sleep(ctx, m.options.BatchDelay)
+	case wait == 0:
+		// The next call may be due at once if the store's clock does not advance.
+		sleep(ctx, minCallInterval)
+	}
+	return nil
+}
+
+// nextWait returns the time for which the next Follow call waits for changes, and
+// whether a call is due. A passive mirror asks without waiting, because it only needs
+// to know whether its copy is current.
+func (m *Mirror) nextWait(now time.Time) (wait time.Duration, call bool) {
+	if m.options.Passive != nil && m.options.Passive() {
+		return 0, m.options.MaxAge > 0 && m.Age(now) >= m.options.MaxAge
+	}
+	if m.options.MaxAge == 0 {
+		return m.options.Wait, true
+	}
+	return max(0, m.options.Wait-m.Age(now)), true
+}
+
+// reload reads the whole table and applies it.
+func (m *Mirror) reload(ctx context.Context) error {
+	var all Page
+	from := ""
+	for {
+		page, err := m.read(ctx, from)
+		if err != nil {
+			return err
+		}
+		all.Rows = append(all.Rows, page.Rows...)
+		if from == "" {
+			// Rows of later pages may be newer than this revision. Follow returns
+			// their changes again.
+			all.Revision, all.Clock = page.Revision, page.Clock
+		}
+		if !page.Partial || len(page.Rows) == 0 {
+			break
+		}
+		from = page.Rows[len(page.Rows)-1].Key + "\x00"
+	}
+	m.recordAnswer(all)
+	if !m.apply(all, true, StoreRead) {
+		sleep(ctx, staleBackoff)
+	}
+	return nil
+}
+
+// read reads one page of the table.
+func (m *Mirror) read(ctx context.Context, from string) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, m.patience)
+	defer cancel()
+	return m.options.Table.Read(ctx, from)
+}
+
+// recordAnswer records that the store answered, and the reading of its clock.
+func (m *Mirror) recordAnswer(page Page) {
+	now := time.Now()
+	m.options.Clock.Observe(page.Clock, now)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.lostSince.IsZero() {
+		m.options.Log.Info("store regained", zap.String("table", m.options.Name), zap.Duration("away", now.Sub(m.lostSince)), zap.Int64("revision", page.Revision))
+		m.lostSince = time.Time{}
+	}
+}
+
+// recordFailure records a failed call to the store.
+func (m *Mirror) recordFailure(err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.lostSince.IsZero() {
+		m.lostSince = time.Now()
+		m.options.Log.Warn("store lost", zap.String("table", m.options.Name), zap.Int64("revision", m.revision), zap.Error(err))
+	}
+}
+
+// Lost reports whether the last call to the store failed, and the time of the
+// first failure since its last answer.
+func (m *Mirror) Lost() (time.Time, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lostSince, !m.lostSince.IsZero()
+}
