gateway: a session is in use until its request ends

Cause: the use of a session was recorded when its answer began. A stream that took four seconds and a pause of a second and a half made the session idle by then, also on the peers, and an idle session may get the new release; but the five seconds until then begin with the end of the request. Class: an interval that is measured from the wrong end.

TestSessionIsKeptOnItsReleaseByPeers states the same over two VMs on virtual time.

--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -72,6 +72,8 @@
 	// streamRelease is the release that produced the stream that the client is
 	// receiving, empty before the stream begins.
 	streamRelease string
+	// servedRelease is the release of the last call that ran or may have run.
+	servedRelease string
 	// anyCallFailed is set once a call of the request has failed.
 	anyCallFailed bool
 	// mayHaveRun is set once a call ran or may have run. The client must then not
@@ -288,6 +290,7 @@
 	if class != notRun {
 		exec.runs++
 		exec.mayHaveRun = true
+		exec.servedRelease = a.choice.Release
 		exec.srv.opts.Splitter.Served(a.choice.Service, exec.sessionKey(), a.choice.Release, time.Now())
 	}
 	if class != deliverable {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -231,6 +231,7 @@
 	ctx, cancel := context.WithDeadline(ctx, exec.deadline)
 	defer cancel()
 	exec.srv.opts.RetryBudget.RecordRequest(exec.service.Name, exec.start)
+	defer exec.recordSessionUse()
 	exec.releaseFilter = exec.srv.opts.Splitter.Allow(exec.service.Name, exec.sessionKey(), exec.start)
 	if exec.route.Kind == routing.Stream {
 		exec.serveStream(ctx)
@@ -247,3 +248,11 @@
 	}
 	return exec.req.ID
 }
+
+// recordSessionUse records the release that the session has used until now. The time
+// until a session is idle begins with the end of its last request.
+func (exec *execution) recordSessionUse() {
+	if exec.servedRelease != "" {
+		exec.srv.opts.Splitter.Served(exec.service.Name, exec.sessionKey(), exec.servedRelease, time.Now())
+	}
+}
--- a/rollout/manager_test.go
+++ b/rollout/manager_test.go
@@ -282,3 +282,27 @@
 	m.SetReleases("s", map[string]int{"v2": 90})
 	assert.Equal(t, sharePreferred(m, at(0.7)), 1.0)
 }
+
+// Guards against a session that changes its release on another VM in the first half of a
+// rollout because its last request took long: the use at the end of the request
+// counts, on the VM that served it and on its peers.
+func TestSessionIsKeptOnItsReleaseByPeers(t *testing.T) {
+	a, b := managerWithOrder(), managerWithOrder()
+	session := ""
+	for i := 0; session == ""; i++ {
+		if name := fmt.Sprint("session", i); prefers(b, name, begin) {
+			session = name
+		}
+	}
+	exchange := func(now time.Time) { b.AddSessions(a.RecentSessions(800*time.Millisecond, now), now) }
+	a.Served("s", session, "v1", begin)
+	exchange(begin.Add(150 * time.Millisecond))
+	ended := begin.Add(4 * time.Second)
+	a.Served("s", session, "v1", ended)
+	exchange(ended.Add(150 * time.Millisecond))
+	for _, m := range []*Manager{a, b} {
+		m.Sweep(ended.Add(time.Second))
+		assert.Assert(t, !prefers(m, session, ended.Add(4900*time.Millisecond)))
+		assert.Assert(t, prefers(m, session, ended.Add(6*time.Second)), "a new session may get the new release")
+	}
+}
