proxy: the test of 10,000 streams waits for at most two minutes and says how many came

TestMemoryOfConcurrentStreams waited for ever if its streams took longer than the 10 s after which the router ends an idle one: the barrier waits for all, and those that were ended never come. Class: a wait without a bound in a test.

The fixture's idle timeout is now longer than the wait at a barrier, so a slow machine makes no stream end, and the wait has a bound and names the numbers.

--- a/proxy/fixture_test.go
+++ b/proxy/fixture_test.go
@@ -47,6 +47,8 @@
 	biller   *proxytest.Biller
 	rater    *proxytest.Rater
 	client   *http.Client
+	// streamIdle is upstream.Options.StreamIdle.
+	streamIdle time.Duration
 }
 
 func sha256Hex(key string) string {
@@ -138,7 +140,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = claimer.Run(ctx) }()
 	w.t.Cleanup(cancel)
-	client := upstream.New(upstream.Options{Dial: w.net.Dial})
+	client := upstream.New(upstream.Options{Dial: w.net.Dial, StreamIdle: w.streamIdle})
 	w.t.Cleanup(client.Close)
 	return proxy.Options{
 		Snapshot: w.snapshot,
--- a/proxy/stream_cost_test.go
+++ b/proxy/stream_cost_test.go
@@ -10,7 +10,9 @@
 	"runtime"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -74,6 +76,7 @@
 // newCostFixture returns a fixture with a proxy in front of a paced engine.
 func newCostFixture(t *testing.T, e pacedEngine) *fixture {
 	w := newFixture(t)
+	w.streamIdle = 2 * barrierTimeout
 	w.net.Serve(t, "10.0.0.9:80", e)
 	target := proxy.Target{Upstream: "e1", URL: "http://10.0.0.9:80", Model: "small", Version: "s1"}
 	w.serve("10.0.1.1:80", w.options(w.router(proxy.Step{Target: target})))
@@ -146,9 +149,11 @@
 			assert.Check(t, requestStream(conn, make([]byte, 1024)))
 		})
 	}
-	first := reached[early].release()
-	last := reached[late].release()
+	first, missing := reached[early].release()
+	last, missingLate := reached[late].release()
 	callers.Wait()
+	assert.Assert(t, missing == 0 && missingLate == 0, "of %d streams %d did not reach part %d and %d not part %d within %v",
+		concurrentStreams, missing, early, missingLate, late, barrierTimeout)
 	const tolerance = 1.05
 	leaked := int64(len(leak) * 4 * len(part))
 	t.Logf("%d streams: %d bytes each after part %d, %d after part %d", concurrentStreams,
@@ -157,30 +162,39 @@
 	assert.Assert(t, float64(last) > tolerance*float64(first), "the check misses %d bytes that are kept", leaked)
 }
 
+// barrierTimeout bounds the wait until all streams have arrived at a barrier. The
+// router must not end a stream that waits there.
+const barrierTimeout = 2 * time.Minute
+
 // barrier holds all streams at one part while the heap is measured.
 type barrier struct {
-	arrived sync.WaitGroup
+	arrived atomic.Int64
+	all     chan struct{}
 	open    chan struct{}
 }
 
 func newBarrier() *barrier {
-	b := &barrier{open: make(chan struct{})}
-	b.arrived.Add(concurrentStreams)
-	return b
+	return &barrier{all: make(chan struct{}), open: make(chan struct{})}
 }
 
 func (b *barrier) wait() {
-	b.arrived.Done()
+	if b.arrived.Add(1) == concurrentStreams {
+		close(b.all)
+	}
 	<-b.open
 }
 
 // release waits until all streams have arrived, measures the heap and lets them
-// continue.
-func (b *barrier) release() int64 {
-	b.arrived.Wait()
+// continue. It returns the number of streams that did not arrive in time.
+func (b *barrier) release() (heap, missing int64) {
+	select {
+	case <-b.all:
+	case <-time.After(barrierTimeout):
+		missing = concurrentStreams - b.arrived.Load()
+	}
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
 	close(b.open)
-	return int64(m.HeapAlloc + m.StackInuse)
+	return int64(m.HeapAlloc + m.StackInuse), missing
 }
