--- a/entry/entrytest/system.go
+++ b/entry/entrytest/system.go
@@ -97,7 +97,13 @@
 	ctx, stop := context.WithCancel(context.Background())
 	vm.stop = stop
 	e := entry.New(entry.Options{Settings: vm.Settings, Log: zap.NewNop()})
-	go func() { vm.runResult <- e.Run(ctx) }()
+	go func() {
+		err := e.Run(ctx)
+		if ctx.Err() == nil {
+			s.T.Logf("%s ended by itself: %v", vm.Settings.VM, err)
+		}
+		vm.runResult <- err
+	}()
 	s.T.Cleanup(func() { stop() })
 	s.VMs = append(s.VMs, vm)
 	s.Eventually("the VM is ready", vm.Ready)
@@ -112,7 +118,8 @@
 
 // Ready probes the readiness of the VM as the platform's load balancer does.
 func (vm *VM) Ready() bool {
-	resp, err := http.Get("http://" + vm.Settings.Ready + platform.ReadyPath)
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + vm.Settings.Ready + platform.ReadyPath)
 	if err != nil {
 		return false
 	}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -9,8 +9,10 @@
 const (
 	// eventBufferBytes is the size of the read buffer of a stream.
 	eventBufferBytes = 4096
-	// maxEventBytes is the maximum size of one event with the empty lines before it.
+	// maxEventBytes is the maximum size of one event, maxEmptyBytes that of the empty
+	// lines before it.
 	maxEventBytes = 1 << 20
+	maxEmptyBytes = 64 << 10
 )
 
 // eventReader splits a stream of server-sent events into whole events.
@@ -28,11 +30,11 @@
 // io.ErrUnexpectedEOF if the stream ends within an event.
 func (e *eventReader) next() (data []byte, id string, err error) {
 	e.buf = e.buf[:0]
-	skipped := 0
+	empty := 0
 	for {
 		line, err := e.r.ReadSlice('\n')
 		e.buf = append(e.buf, line...)
-		if skipped+len(e.buf) > maxEventBytes {
+		if len(e.buf) > maxEventBytes || empty > maxEmptyBytes {
 			return nil, "", bufio.ErrTooLong
 		}
 		if err == bufio.ErrBufferFull {
@@ -46,7 +48,7 @@
 		}
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			if len(bytes.TrimSpace(e.buf)) == 0 {
-				skipped += len(e.buf)
+				empty += len(e.buf)
 				e.buf = e.buf[:0]
 				continue
 			}
