--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -94,6 +94,13 @@
 
 // logOutcome logs and counts the outcome of the request.
 func (exec *execution) logOutcome() {
+	if cause := recover(); cause != nil {
+		defer panic(cause)
+		if cause != http.ErrAbortHandler {
+			exec.reason = string(errkind.Internal)
+			exec.srv.opts.Log.Error("handler panicked", zap.String("request", exec.req.ID), zap.Any("cause", cause), zap.Stack("stack"))
+		}
+	}
 	now := time.Now()
 	route := ""
 	if exec.route != nil {
@@ -198,7 +205,12 @@
 	if exec.callsExhausted() {
 		return false
 	}
-	return exec.srv.opts.RetryBudget.AllowRetry(exec.service.Name, time.Now())
+	if !exec.srv.opts.RetryBudget.AllowRetry(exec.service.Name, time.Now()) {
+		exec.srv.opts.Metrics.countCallEvent("retry denied")
+		exec.srv.opts.Log.Info("retry denied", zap.String("request", exec.req.ID), zap.String("service", exec.service.Name), zap.Int("runs", exec.runs), zap.Int("sends", exec.sends))
+		return false
+	}
+	return true
 }
 
 // place chooses an upstream for the next call and registers the call there. The
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -96,7 +96,8 @@
 		d.timer.Reset(d.timeout)
 	default:
 		d.fired.Store(true)
-		d.attempt.logEvent("silent", zap.Duration("idle", idle), zap.Duration("upstream_silent", d.attempt.call.SilentFor(now)))
+		d.attempt.logEvent("silent", zap.Duration("idle", idle), zap.Duration("upstream_silent", d.attempt.call.SilentFor(now)),
+			zap.Int("retries_left", d.retriesLeft))
 		d.attempt.call.End(placement.Unreachable, now)
 		d.attempt.cancel()
 	}
