gateway: a resumed stream accepts only what continues it

Cause: what had been delivered bound only the request header of the next call, not its response. Now a continuation must have the status and content type of the first response; IDs that are numbers must increase, and in a continuation go on without a gap if they did before; a continuation without any event, or an event without an ID, is a failed call. A candidate replaces a silent call with its first sound event only.

A stream that broke after its last event and before its end is now broken for the client where an empty continuation confirmed the end before: the two cannot be told apart.

--- /dev/null
+++ b/gateway/resume_test.go
@@ -0,0 +1,113 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryshift/savoryshift/placement"
+)
+
+// streamed returns a script that streams the events with the given IDs.
+func streamed(contentType string, ids ...int) script {
+	return func(r *http.Request, w io.Writer) bool {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nContent-Type: %s\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"), contentType)
+		for _, id := range ids {
+			chunk(w, fmt.Sprintf("id: %d\ndata: odd-%d\n\n", id, id))
+		}
+		fmt.Fprint(w, lastChunk)
+		return true
+	}
+}
+
+const eventStream = "text/event-stream"
+
+// broken returns a script that streams events 1 to 3 and breaks off.
+func broken(r *http.Request, w io.Writer) bool {
+	return events(3, "", "Content-Type: "+eventStream)(r, w)
+}
+
+// oddContinuations lists responses to a stream that is resumed after event 3. Nothing of
+// them may reach the client.
+var oddContinuations = map[string]script{
+	"no events":               streamed(eventStream),
+	"no body":                 answer(http.StatusOK, "", "Content-Type: "+eventStream),
+	"plain text":              answer(http.StatusOK, "id: 4\ndata: odd\n\n", "Content-Type: text/plain"),
+	"text as events":          answer(http.StatusOK, "odd\n\n", "Content-Type: "+eventStream),
+	"text without an end":     answer(http.StatusOK, "odd", "Content-Type: "+eventStream),
+	"JSON":                    answer(http.StatusOK, `{"odd":1}`+"\n\n", "Content-Type: application/json"),
+	"data without an ID":      answer(http.StatusOK, "data: odd\n\n", "Content-Type: "+eventStream),
+	"an ID that is no number": answer(http.StatusOK, "id: four\ndata: odd\n\n", "Content-Type: "+eventStream),
+	"204":                     answer(http.StatusNoContent, ""),
+	"206":                     answer(http.StatusPartialContent, "id: 4\ndata: odd\n\n", "Content-Type: "+eventStream),
+	"from the first event":    streamed(eventStream, 1, 2, 3, 4, 5, 6),
+	"the last event again":    streamed(eventStream, 3, 4, 5, 6),
+	"an event missing":        streamed(eventStream, 5, 6),
+	"500":                     answer(http.StatusInternalServerError, "odd"),
+	"503":                     answer(http.StatusServiceUnavailable, "odd"),
+	"404":                     answer(http.StatusNotFound, "odd"),
+	"302":                     answer(http.StatusFound, "odd"),
+	"an error in an event":    answer(http.StatusInternalServerError, "id: 4\ndata: odd\n\n", "Content-Type: "+eventStream),
+}
+
+// Guards against a resumed stream that ends as complete, or has foreign text in it, after
+// an odd response of the next upstream.
+func TestOddContinuationReachesTheClient(t *testing.T) {
+	for name, odd := range oddContinuations {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, _, b := newPair(t, broken, odd)
+			r := s.call("/stream/x", "Model: large")
+			assert.Assert(t, !r.complete, "%q", r.body)
+			assert.DeepEqual(t, eventIDs(r.body), []string{"1", "2", "3"})
+			assert.Assert(t, !strings.Contains(r.body, "odd") && !strings.Contains(r.body, "HTTP/1.1"), "%q", r.body)
+			assert.Assert(t, len(b.received()) > 0)
+		})
+	}
+}
+
+// Guards against a stream that is given up after an odd response although another
+// upstream can continue it.
+func TestStreamContinuesAfterAnOddContinuation(t *testing.T) {
+	for name, odd := range oddContinuations {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, a, b := newPair(t, broken, odd)
+			c := startUpstream(t, "c", events(6, lastChunk, "Content-Type: "+eventStream))
+			s.book.SetUpstreams([]placement.Upstream{registration(a, "v1"), registration(b, "v1"), registration(c, "v1")}, time.Now(), time.Now())
+			s.book.SetPeer("p", map[string]placement.Load{"b": {Calls: 1, PrefillSeconds: 1}, "c": {Calls: 1, PrefillSeconds: 2}}, time.Now())
+			r := s.call("/stream/x", "Model: large")
+			assert.Assert(t, r.complete, "%q", r.body)
+			assert.DeepEqual(t, eventIDs(r.body), []string{"1", "2", "3", "4", "5", "6"})
+			assert.Assert(t, !strings.Contains(r.body, "odd"), "%q", r.body)
+		})
+	}
+}
+
+// Guards against a silent stream that is replaced by an odd response.
+func TestOddContinuationReplacesASilentStream(t *testing.T) {
+	for name, odd := range oddContinuations {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, _, _ := newPair(t, pausing(3, 6, 1500*time.Millisecond), odd)
+			r := s.call("/stream/x", "Model: large")
+			assert.Assert(t, !strings.Contains(r.body, "odd"), "%q", r.body)
+			if r.complete {
+				assert.DeepEqual(t, eventIDs(r.body), []string{"1", "2", "3", "4", "5", "6"})
+			}
+		})
+	}
+}
+
+// Guards against events that are delivered twice to a client that resumes a stream itself.
+func TestClientThatResumesGetsEarlierEvents(t *testing.T) {
+	a := startUpstream(t, "a", streamed(eventStream, 1, 2, 3, 4))
+	r := newSystem(t, registration(a, "v1")).configure().call("/stream/x", "Model: large", "Last: 3")
+	assert.Equal(t, len(eventIDs(r.body)), 0, "%q", r.body)
+	assert.Equal(t, r.status, http.StatusBadGateway)
+}
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -175,8 +175,7 @@
 	t.recordDropped(t.candidate)
 	t.candidate.end(placement.Neutral)
 	t.candidate.logEvent("not needed")
-	t.candidate, t.escalating = nil, false
-	t.timer.Reset(t.current.timeout)
+	t.forgetCandidate()
 }
 
 // recordDropped counts a call that is cancelled before its result is known, and that
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -31,6 +31,9 @@
 	timer *time.Timer
 	// lastEventID is the ID of the last event that the client received.
 	lastEventID string
+	sequence    eventSequence
+	// contentType is that of the response whose header the client received.
+	contentType string
 	// lastEventAt is the time of the last event.
 	lastEventAt time.Time
 	// modelRank is the index of the current model in the models of the route.
@@ -44,7 +47,7 @@
 func (exec *execution) serveStream(ctx context.Context) {
 	t := &streamExecution{
 		execution: exec, ctx: ctx, controller: http.NewResponseController(exec.w), timer: time.NewTimer(0),
-		lastEventID: exec.req.LastEventID,
+		lastEventID: exec.req.LastEventID, sequence: newEventSequence(exec.req.LastEventID),
 	}
 	defer t.timer.Stop()
 	defer t.dropCalls()
@@ -68,6 +71,8 @@
 		t.handleCandidate(result)
 	case event := <-t.awaitedEvents():
 		return t.handleEvent(event)
+	case event := <-t.candidate.awaitedEvents():
+		return t.handleCandidateEvent(event)
 	case <-t.timer.C:
 		t.timer.Reset(t.checkCalls(time.Now()))
 	case <-t.ctx.Done():
@@ -80,10 +85,10 @@
 // awaitedEvents returns the events of the current call, or nil while they are held
 // back.
 func (t *streamExecution) awaitedEvents() <-chan streamEvent {
-	if t.escalating || !t.current.accepted {
+	if t.escalating {
 		return nil
 	}
-	return t.current.events
+	return t.current.awaitedEvents()
 }
 
 // setCurrent makes c the current call; nil means that no call can be made.
@@ -188,7 +193,7 @@
 	c.responded = true
 	t.recordResult(c.attempt, result.resultClass)
 	switch {
-	case result.resultClass == deliverable && c.responseHeader.Status < http.StatusMultipleChoices:
+	case result.resultClass == deliverable && c.responseHeader.Status < http.StatusMultipleChoices && t.continues(c):
 		t.accept(c)
 		t.escalate(c, time.Now())
 		return false
@@ -202,17 +207,41 @@
 }
 
 // handleCandidate handles the response header of the candidate. The current call goes
-// on if the candidate cannot replace it.
+// on if the candidate cannot replace it. A candidate that continues the stream replaces
+// it with its first event.
 func (t *streamExecution) handleCandidate(result *callResult) {
 	c := t.candidate
 	c.responded = true
 	t.recordResult(c.attempt, result.resultClass)
-	if result.resultClass == deliverable && c.responseHeader.Status < http.StatusMultipleChoices {
-		t.replaceCurrent()
+	if result.resultClass == deliverable && c.responseHeader.Status < http.StatusMultipleChoices && t.continues(c) {
+		if !c.resumed {
+			t.replaceCurrent()
+		}
 		t.accept(c)
 		return
 	}
 	t.recordUnusable(c, result)
+	t.forgetCandidate()
+}
+
+// handleCandidateEvent handles the first event of a candidate that continues the stream.
+// It returns true when the stream has ended properly.
+func (t *streamExecution) handleCandidateEvent(event streamEvent) bool {
+	c, sequence := t.candidate, t.sequence
+	if event.err == nil && !event.end && sequence.accept(event.data, event.id, true) {
+		t.replaceCurrent()
+		return t.handleEvent(event)
+	}
+	c.logEvent("no continuation", zap.String("event", event.id), zap.Bool("end", event.end), zap.Error(event.err))
+	c.end(placement.Failed)
+	c.observeRelease(true, 0)
+	t.exclude(c.choice.ID)
+	t.forgetCandidate()
+	return false
+}
+
+// forgetCandidate goes on with the current call alone.
+func (t *streamExecution) forgetCandidate() {
 	t.candidate, t.escalating = nil, false
 	t.timer.Reset(t.current.timeout)
 }
@@ -237,6 +266,16 @@
 	}
 }
 
+// continues reports whether the response of a call can be forwarded to the client. The
+// response to a resumed call must be of the same kind as the one that it continues.
+func (t *streamExecution) continues(c *streamCall) bool {
+	if !t.wroteHeader || c.responseHeader.Status == t.status && c.response.Header.Get("Content-Type") == t.contentType {
+		return true
+	}
+	c.logEvent("no continuation", zap.String("content_type", c.response.Header.Get("Content-Type")))
+	return false
+}
+
 // accept records that the upstream has begun to respond to a call with a stream.
 func (t *streamExecution) accept(c *streamCall) {
 	now := time.Now()
@@ -244,7 +283,9 @@
 	c.call.FirstEvent(now)
 	c.observeRelease(false, now.Sub(c.start))
 	c.logEvent("first event", zap.Float64("wait", c.choice.Wait), zap.Float64("reading", c.choice.PrefillSeconds))
-	t.timer.Reset(c.timeout)
+	if c == t.current {
+		t.timer.Reset(c.timeout)
+	}
 }
 
 // escalate decides whether the response of the current model is dropped in favour of a
@@ -329,10 +370,14 @@
 	switch {
 	case event.err != nil:
 		return t.handleBrokenStream(event.err)
+	case event.end && c.resumed && !c.forwarding:
+		return t.handleBrokenStream(errNoEvents)
 	case event.end:
 		t.startForwarding(c)
 		c.end(placement.Answered)
 		return true
+	case !t.sequence.accept(event.data, event.id, c.resumed):
+		return t.handleBrokenStream(errOutOfSequence)
 	}
 	t.dropCandidate()
 	t.startForwarding(c)
@@ -356,6 +401,7 @@
 		return
 	}
 	copyResponseHeader(t.w.Header(), c.response.Header)
+	t.contentType = c.response.Header.Get("Content-Type")
 	t.status, t.wroteHeader = c.responseHeader.Status, true
 	t.w.WriteHeader(t.status)
 }
--- a/gateway/streamcall.go
+++ b/gateway/streamcall.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -9,6 +10,14 @@
 	"github.com/savoryshift/savoryshift/placement"
 )
 
+var (
+	// errNoEvents is the cause of the end of a resumed stream without any event.
+	errNoEvents = errors.New("the resumed stream has no events")
+	// errOutOfSequence is the cause of the end of a stream whose next event does not
+	// follow the last one that was forwarded.
+	errOutOfSequence = errors.New("the event does not follow the last one")
+)
+
 // streamEvent is one event of a response, or the end of the response.
 type streamEvent struct {
 	data []byte
@@ -27,8 +36,11 @@
 type streamCall struct {
 	*attempt
 	modelRank int
-	result    chan *callResult
-	events    chan streamEvent
+	// resumed is set for a call that continues a stream of which the client has
+	// received events.
+	resumed bool
+	result  chan *callResult
+	events  chan streamEvent
 
 	// responded is set when the result has been received, accepted when the response
 	// is a stream that can be forwarded, and forwarding when the client has received a
@@ -47,7 +59,7 @@
 		return nil
 	}
 	c := &streamCall{
-		attempt: a, modelRank: modelRank, lastProgress: a.start,
+		attempt: a, modelRank: modelRank, resumed: t.wroteHeader, lastProgress: a.start,
 		result: make(chan *callResult, 1), events: make(chan streamEvent, 1),
 		timeout: max(minFirstEventTimeout, time.Duration(firstEventTimeoutFactor*a.choice.FirstEvent*float64(time.Second))),
 	}
@@ -106,6 +118,15 @@
 	return c.result
 }
 
+// awaitedEvents returns the channel of the events once the response is accepted, and nil
+// before or for a nil call.
+func (c *streamCall) awaitedEvents() <-chan streamEvent {
+	if c == nil || !c.accepted {
+		return nil
+	}
+	return c.events
+}
+
 // accept records that the response is a stream that can be forwarded.
 func (c *streamCall) accept(now time.Time, pauseTimeout time.Duration) {
 	c.accepted, c.timeout, c.lastProgress = true, pauseTimeout, now
