platform: a row that cannot be read no longer loses its page

A VM that started beside one row that cannot be read never became ready, and one that ran no longer learned of any change in that table: new upstreams, upstreams that leave, configurations, rollouts.

Cause: a reply of the store was decoded as one JSON document into structs. A value that is not base64 or of another type, a revision too large, a key of another type or a nesting of more than 10000 levels is an error of the whole document. The page was dropped, and the next call got the same rows again.

Ruled out: a malformed registration inside a readable row. It was dropped alone before, at any depth; only the JSON of the row itself loses the page.

A reply is now cut into its rows by a scanner that does not look into values, and each row is decoded on its own. A row that cannot be read replaces its earlier value by none, so that it names no upstream; the last configuration stays in force. A row whose key cannot be read is skipped. The revision of a row is at most that of its page, so that a later change replaces it. A page without a usable Ver or NowMs is an error of the call, which is retried.

--- a/entry/entrytest/registrations_test.go
+++ b/entry/entrytest/registrations_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -62,3 +63,103 @@
 	}
 	assert.Assert(t, calls > 0 && moved >= calls/3, "%d of %d sessions on the new release", moved, calls)
 }
+
+const deep = 20000
+
+// rawRow returns a row as a reply holds it, with the given JSON text for its value.
+func rawRow(table, key, value string) func(version int64) string {
+	return func(version int64) string {
+		return fmt.Sprintf(`{"Table":%q,"part":"","Key":%q,"Value":%s,"Ver":%d}`, table, key, value, version)
+	}
+}
+
+// putMalformedRows writes rows that cannot be read into all tables.
+func putMalformedRows(s *System) {
+	nested := strings.Repeat("[", deep) + strings.Repeat("]", deep)
+	for _, table := range []string{"servers", "op", "status"} {
+		s.Store.PutRaw(table, "rollout/odd", rawRow(table, "rollout/odd", nested))
+		s.Store.PutRaw(table, "progress/odd", rawRow(table, "progress/odd", `"%%"`))
+		s.Store.PutRaw(table, "odd1", rawRow(table, "odd1", `"\ud800"`))
+		s.Store.PutRaw(table, "odd2", func(version int64) string {
+			return fmt.Sprintf(`{"part":"","Key":"odd2","Value":"e30=","Big":1e400,"Ver":1e400,"x":%s}`, nested)
+		})
+		s.Store.PutRaw(table, "odd3", func(version int64) string { return fmt.Sprintf(`{"part":"","Key":7,"Value":"e30=","Ver":%d}`, version) })
+		s.Store.PutValue(table, "odd4", []byte(nested))
+		s.Store.PutValue(table, "odd5", []byte("\x00\xff{"))
+	}
+}
+
+// Guards against a VM that does not become ready, or never serves, because rows that
+// another writer left cannot be read.
+func TestStartBesideMalformedRows(t *testing.T) {
+	s := New(t)
+	s.Upstream("d1", "desk", "v1", plainService)
+	s.Upstream("m1", "model", "v1", streamingService)
+	putMalformedRows(s)
+	vm := s.Start()
+	assert.Equal(t, s.Call(vm, "/book/x", standin.Key).Body, "/book/x for org by d1")
+	assert.Equal(t, s.Call(vm, "/stream/x", standin.Key).Status, http.StatusOK)
+}
+
+// Guards against a VM that no longer learns of changes after rows that cannot be read
+// appeared in the tables: new upstreams, those that leave, configurations and rollouts.
+func TestChangesAfterMalformedRows(t *testing.T) {
+	s := New(t)
+	d1 := s.Upstream("d1", "desk", "v1", plainService)
+	s.Upstream("m1", "model", "v1", streamingService)
+	vms := []*VM{s.Start(), s.Start()}
+	time.Sleep(discoveryTime)
+	putMalformedRows(s)
+	s.Upstream("d2", "desk", "v1", plainService)
+	s.Upstream("e1", "desk2", "v1", plainService)
+	s.Upstream("m2", "model", "v2", streamingService)
+	d1.Drain()
+	s.Store.Put("op", "rollout/model", standin.Rollout("model", "v2", 3))
+	time.Sleep(drainBound)
+	for _, vm := range vms {
+		assert.Equal(t, s.Call(vm, "/book/x", standin.Key).Body, "/book/x for org by d2")
+	}
+	s.Configure(2, "desk2")
+	time.Sleep(configurationBound)
+	for _, vm := range vms {
+		assert.Equal(t, s.Call(vm, "/book/x", standin.Key).Body, "/book/x for org by e1")
+		s.Eventually("the new release serves", func() bool {
+			return standin.AnsweredBy(s.Call(vm, "/stream/x", standin.Key).Header) == "m2"
+		})
+	}
+	assert.Assert(t, strings.Contains(string(s.Store.Get("status", "rollout/model")), "done"))
+}
+
+// Guards against an upstream that is still used when its registration can no longer be
+// read, and against one that is not used again once it can be.
+func TestUnreadableRegistrationIsUsed(t *testing.T) {
+	s := New(t)
+	d1, d2 := s.Upstream("d1", "desk", "v1", plainService), s.Upstream("d2", "desk", "v1", plainService)
+	vm := s.Start()
+	s.Store.PutRaw("servers", "d1", rawRow("servers", "d1", `"%%"`))
+	time.Sleep(time.Second)
+	before := d1.Total()
+	for range 10 {
+		assert.Equal(t, s.Call(vm, "/book/x", standin.Key).Status, http.StatusOK)
+	}
+	assert.Equal(t, d1.Total(), before)
+	d1.Register(d1.Address())
+	d2.Drain()
+	time.Sleep(time.Second)
+	assert.Equal(t, s.Call(vm, "/book/x", standin.Key).Body, "/book/x for org by d1")
+}
+
+// Guards against a configuration that is lost when its row can no longer be read, and
+// against a later one that is not taken.
+func TestUnreadableConfigurationIsTaken(t *testing.T) {
+	s := New(t)
+	s.Upstream("d1", "desk", "v1", plainService)
+	s.Upstream("e1", "desk2", "v1", plainService)
+	vm := s.Start()
+	s.Store.PutRaw("op", "config", rawRow("op", "config", strings.Repeat("[", deep)+strings.Repeat("]", deep)))
+	time.Sleep(time.Second)
+	assert.Equal(t, s.Call(vm, "/book/x", standin.Key).Body, "/book/x for org by d1")
+	s.Configure(2, "desk2")
+	time.Sleep(configurationBound)
+	assert.Equal(t, s.Call(vm, "/book/x", standin.Key).Body, "/book/x for org by e1")
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -24,7 +24,7 @@
 var ErrHistoryGone = errors.New("the store no longer has the requested history")
 
 // Row is one row of a table. Revision is the store revision of the transaction that
-// wrote or deleted it.
+// wrote or deleted it. Value is nil if it cannot be read.
 type Row struct {
 	Key      string
 	Value    []byte
@@ -41,6 +41,8 @@
 	Clock time.Duration
 	// Partial is set if further rows follow the last one.
 	Partial bool
+	// Skipped counts the rows whose key cannot be read. The page lacks them.
+	Skipped int
 }
 
 // Table reads one table of the store.
