mirror: answers that bring nothing new are not asked for without a pause

A VM made calls to the store without a pause when the answers brought nothing new: the rows of its copy again, an older revision, no rows at once, or no history. A read of several pages went on for ever if a page ended with the key at which it began, and took a part of the table for the whole if no row of a page had a readable key: all other rows were removed.

Cause: the pause after a call depended on the number of rows, not on progress. The end of a read was recognised by a page without rows.

A call that did not advance the revision of the copy is followed by the next one after 100 ms at the earliest, counted from its start. A page that tells of further rows but not from which key on is an error of the read, which is retried with backoff.

--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -323,3 +323,81 @@
 		assert.Equal(t, m.Age(time.Now()), time.Second)
 	})
 }
+
+// maxLoopCalls is the number of calls after which a countingTable stops a loop that
+// makes calls without a pause.
+const maxLoopCalls = 1000
+
+// countingTable is a Table that answers at once, and counts the calls.
+type countingTable struct {
+	read   func(from string) Page
+	follow func(after int64) (Page, error)
+	calls  int
+}
+
+func (c *countingTable) count(ctx context.Context) {
+	if c.calls++; c.calls >= maxLoopCalls {
+		<-ctx.Done()
+	}
+}
+
+func (c *countingTable) Read(ctx context.Context, from string) (Page, error) {
+	c.count(ctx)
+	return c.read(from), ctx.Err()
+}
+
+func (c *countingTable) Follow(ctx context.Context, after int64, _ time.Duration) (Page, error) {
+	c.count(ctx)
+	return c.follow(after)
+}
+
+// inBubble runs a subtest with virtual time.
+func inBubble(t *testing.T, name string, f func(*testing.T)) {
+	t.Run(name, func(t *testing.T) { synctest.Test(t, f) })
+}
+
+// Guards against calls without a pause to a store whose answers bring nothing new: the
+// rows of the copy again, an older revision, no rows at once, or no history.
+func TestUselessAnswersAreAskedForInALoop(t *testing.T) {
+	whole := page(5, row("a", "1", 5))
+	for name, follow := range map[string]func(after int64) (Page, error){
+		"same rows":  func(int64) (Page, error) { return whole, nil },
+		"older page": func(int64) (Page, error) { return page(3, row("a", "0", 3)), nil },
+		"no rows":    func(after int64) (Page, error) { return page(after), nil },
+		"no history": func(int64) (Page, error) { return Page{}, ErrHistoryGone },
+	} {
+		inBubble(t, name, func(t *testing.T) {
+			table := &countingTable{read: func(string) Page { return whole }, follow: follow}
+			m := New(Options{Name: "t", Table: table, Log: zap.NewNop()})
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			m.Run(ctx)
+			assert.Check(t, table.calls <= 25, "%d calls in a second", table.calls)
+			assert.DeepEqual(t, values(m), map[string]string{"a": "1"})
+		})
+	}
+}
+
+// Guards against a table of which a part is taken for the whole, and against an endless
+// read, because no row of a page has a key from which the read can go on.
+func TestReadThatCannotGoOn(t *testing.T) {
+	partial := func(rows ...Row) Page {
+		p := page(6, rows...)
+		p.Partial, p.Skipped = true, 1
+		return p
+	}
+	for name, read := range map[string]func(from string) Page{
+		"no keys":  func(string) Page { return partial() },
+		"same key": func(string) Page { return partial(row("a", "1", 1)) },
+	} {
+		inBubble(t, name, func(t *testing.T) {
+			table := &countingTable{read: read, follow: func(after int64) (Page, error) { return page(after), nil }}
+			m := New(Options{Name: "t", Table: table, Log: zap.NewNop()})
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			m.Run(ctx)
+			_, loaded := m.Copy()
+			assert.Check(t, !loaded && table.calls <= 25, "loaded %t, %d calls in a second", loaded, table.calls)
+		})
+	}
+}
--- a/mirror/poll.go
+++ b/mirror/poll.go
@@ -22,7 +22,8 @@
 	// passivePollInterval is the interval at which a passive mirror calls
 	// Options.Passive again.
 	passivePollInterval = 100 * time.Millisecond
-	// minCallInterval is the least time between two calls that do not wait for changes.
+	// minCallInterval is the least time between two calls of which the first brought
+	// nothing new.
 	minCallInterval = 100 * time.Millisecond
 	// minPatience and maxPatience bound Mirror.patience. The lower bound exceeds the
 	// time that a slow store takes for an answer. The upper one allows for a store
@@ -76,24 +77,27 @@
 		sleep(ctx, passivePollInterval)
 		return nil
 	}
+	start := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, wait+m.patience)
 	defer cancel()
 	page, err := m.options.Table.Follow(callCtx, after, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		m.options.Log.Info("history of the store is gone", zap.String("table", m.options.Name), zap.Int64("revision", after))
-		return m.reload(ctx)
+		err = m.reload(ctx)
+		sleep(ctx, minCallInterval-time.Since(start))
+		return err
 	}
 	if err != nil {
 		return err
 	}
 	m.recordAnswer(page)
 	m.apply(page, false, StoreFeed)
-	switch {
-	case len(page.Rows) > 0:
+	if len(page.Rows) > 0 && page.Revision > after {
 		sleep(ctx, m.options.BatchDelay)
-	case wait == 0:
-		// The next call may be due at once if the store's clock does not advance.
-		sleep(ctx, minCallInterval)
+	} else {
+		// The next call may be due at once if the store does not wait for changes or its
+		// clock does not advance.
+		sleep(ctx, minCallInterval-time.Since(start))
 	}
 	return nil
 }
@@ -121,15 +125,20 @@
 			return err
 		}
 		all.Rows = append(all.Rows, page.Rows...)
+		all.Skipped += page.Skipped
 		if from == "" {
 			// Rows of later pages may be newer than this revision. Follow returns
 			// their changes again.
 			all.Revision, all.Clock = page.Revision, page.Clock
 		}
-		if !page.Partial || len(page.Rows) == 0 {
+		if !page.Partial {
 			break
 		}
-		from = page.Rows[len(page.Rows)-1].Key + "\x00"
+		next := page.next()
+		if next <= from {
+			return errNoNextPage
+		}
+		from = next
 	}
 	m.recordAnswer(all)
 	if !m.apply(all, true, StoreRead) {
@@ -138,6 +147,18 @@
 	return nil
 }
 
+// errNoNextPage means that further rows follow those of a page, but that the page does
+// not tell from which key on.
+var errNoNextPage = errors.New("the page has no key after which the next one begins")
+
+// next returns the key from which the next page is read, empty if it is not known.
+func (p *Page) next() string {
+	if len(p.Rows) == 0 {
+		return ""
+	}
+	return p.Rows[len(p.Rows)-1].Key + "\x00"
+}
+
 // read reads one page of the table.
 func (m *Mirror) read(ctx context.Context, from string) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.patience)
