entrytest: the VMs of tests listen on ports that no outgoing connection takes

Tests failed with "not within ten seconds: the VM is ready": the fixture took a port of the kernel's ephemeral range, closed it, and another connection of the machine had it when the VM listened there.

Evidence on the code before, on a machine with 50,245 connections in TIME-WAIT (range 32768 to 60999): TestHistoryIsDropped, TestPlannedStop and one run of a new test failed with "vm0 ended by itself: listening at 127.0.0.1:33165: bind: address already in use"; the first two passed when run again.

The fixture now uses e2e.FreePort, as soak does, which chooses below that range. No test or bound is changed.

--- a/entry/entrytest/system.go
+++ b/entry/entrytest/system.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,6 +13,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"github.com/savoryshift/savoryshift/e2e"
 	"github.com/savoryshift/savoryshift/entry"
 	"github.com/savoryshift/savoryshift/internal/faultlink"
 	"github.com/savoryshift/savoryshift/platform"
@@ -67,15 +67,6 @@
 	return r
 }
 
-// freeAddress returns a loopback address at which nothing listens.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // Start starts a VM whose seeds are the VMs started before it, and waits until it
 // is ready.
 func (s *System) Start() *VM {
@@ -84,7 +75,7 @@
 	assert.NilError(s.T, err)
 	s.T.Cleanup(link.Close)
 	vm := &VM{runResult: make(chan error, 1), StoreLink: link, Settings: platform.Settings{
-		VM: fmt.Sprintf("vm%d", len(s.VMs)), AvailabilityZone: "z", Front: freeAddress(s.T), Ready: freeAddress(s.T), Peer: freeAddress(s.T),
+		VM: fmt.Sprintf("vm%d", len(s.VMs)), AvailabilityZone: "z", Front: e2e.FreePort(s.T), Ready: e2e.FreePort(s.T), Peer: e2e.FreePort(s.T),
 		StoreAddress: link.Address(), MemoryBytes: 1 << 30, Cores: 1,
 		Bounds: platform.Bounds{
 			Drain: 2 * time.Second, Grace: 5 * time.Second, RetryRatio: 0.9, RetryWindow: 10 * time.Second, RetrySlack: 500,
