rollout: an unreadable row of progress no longer holds up the rollout

The operator saw a rollout stay "running" for ever after something else had written the row in which the router keeps its progress.

Cause: a row that cannot be decoded was skipped together with its revision. Each write of the next state expects the revision of the last readable row, so that the store refused all of them with 412.

Ruled out: orders. An order that cannot be read leaves the last one in force.

The manager now learns the revision of an unreadable row, keeps the progress it knows and writes it again (TestUnreadableProgressIsReplaced). A VM that started beside such a row knows no progress; it writes 4.8 s later than the others, and only then begins the rollout anew.

--- a/entry/control.go
+++ b/entry/control.go
@@ -101,8 +101,9 @@
 // statusChanged applies the rollout progress in the status table.
 func (e *Entry) statusChanged(c mirror.Change) {
 	list, problems := platform.DecodeProgress(c.Rows)
-	for _, err := range problems {
-		e.log.Error("rollout progress ignored", zap.Error(err))
+	for _, p := range problems {
+		e.log.Error("rollout progress ignored", zap.String("row", p.Key), zap.Error(p.Err))
+		e.rollouts.SetUnreadable(p.Service(), p.Revision)
 	}
 	clock, ok := e.status.StoreClock(c.At)
 	for _, p := range list {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -295,8 +295,8 @@
 // configuration leaves the previous one in force.
 func (e *Entry) ordersChanged(c mirror.Change) {
 	orders, problems := platform.DecodeOrders(c.Rows)
-	for _, err := range problems {
-		e.log.Error("rollout order ignored", zap.Error(err))
+	for _, p := range problems {
+		e.log.Error("rollout order ignored", zap.String("row", p.Key), zap.Error(p.Err))
 	}
 	for _, o := range orders {
 		e.rollouts.SetOrder(o, c.At)
--- a/entry/entrytest/registrations_test.go
+++ b/entry/entrytest/registrations_test.go
@@ -163,3 +163,31 @@
 	time.Sleep(configurationBound)
 	assert.Equal(t, s.Call(vm, "/book/x", standin.Key).Body, "/book/x for org by e1")
 }
+
+// Guards against a rollout that never ends because the row of its progress can no longer
+// be read, so that every write of the next state is refused.
+func TestUnreadableProgressHoldsUpARollout(t *testing.T) {
+	for name, row := range map[string]func(int64) string{
+		"row":   rawRow("status", "progress/model", `"%%"`),
+		"state": rawRow("status", "progress/model", `"eyJTdGF0ZSI6IngifQ=="`),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := New(t)
+			s.Upstream("m1", "model", "v1", streamingService)
+			s.Upstream("m2", "model", "v2", streamingService)
+			vm := s.Start()
+			s.Store.Put("op", "rollout/model", standin.Rollout("model", "v2", 4))
+			state := func(want string) func() bool {
+				return func() bool { return strings.Contains(string(s.Store.Get("status", "rollout/model")), want) }
+			}
+			s.Eventually("the rollout runs", state("running"))
+			s.Store.PutRaw("status", "progress/model", row)
+			s.Eventually("the rollout is done", state("done"))
+			assert.Equal(t, standin.AnsweredBy(s.Call(vm, "/stream/x", standin.Key).Header), "m2")
+			s.Store.PutRaw("status", "progress/model", row)
+			time.Sleep(4 * time.Second)
+			assert.Equal(t, standin.AnsweredBy(s.Call(vm, "/stream/x", standin.Key).Header), "m2")
+			assert.Assert(t, strings.Contains(string(s.Store.Get("status", "progress/model")), "done"))
+		})
+	}
+}
--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -24,6 +24,9 @@
 	// writerStagger is the delay per rank before a VM writes a change to the store,
 	// so that VMs of lower rank can write it first.
 	writerStagger = 1200 * time.Millisecond
+	// unknownProgressDelay is the delay before a VM that does not know the progress of a
+	// rollout replaces an unreadable row, so that VMs that know it can do so first.
+	unknownProgressDelay = 4 * writerStagger
 	// writeRetryInterval is the shortest time between two attempts of a VM to write
 	// a change.
 	writeRetryInterval = time.Second
@@ -62,8 +65,11 @@
 	startedAt time.Time
 	progress  Progress
 	revision  int64
-	guard     *guard.Guard
-	halted    bool
+	// unreadable is set if the row of the progress has been replaced by one that cannot
+	// be read.
+	unreadable bool
+	guard      *guard.Guard
+	halted     bool
 	// changeDueSince is the time since which the stored state is due for a change,
 	// zero if it is not. lastWriteAt is the time of this VM's last attempt to write
 	// a change.
@@ -131,13 +137,25 @@
 	if revision <= s.revision {
 		return
 	}
-	s.progress, s.revision, s.changeDueSince = p, revision, time.Time{}
+	s.progress, s.revision, s.unreadable, s.changeDueSince = p, revision, false, time.Time{}
 	if s.hasOrder && p.Order == s.order.Revision && startedAt.Before(s.startedAt) {
 		s.startedAt = startedAt
 	}
 	m.o.Log.Info("rollout progress", zap.String("service", p.Service), zap.String("release", p.Release), zap.String("state", string(p.State)), zap.Int64("revision", revision))
 }
 
+// SetUnreadable records that the stored progress of a rollout has been replaced by one
+// that cannot be read. The known progress stays in force and is written again.
+func (m *Manager) SetUnreadable(name string, revision int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.service(name)
+	if revision <= s.revision {
+		return
+	}
+	s.revision, s.unreadable = revision, true
+}
+
 // state returns the state of the current order. A rollout without stored progress
 // is running.
 func (s *service) state() State {
@@ -269,6 +287,9 @@
 			continue
 		}
 		nextState, ok := s.nextState(now, func() int { return oldCalls(name, s.order.Release) })
+		if !ok && s.unreadable {
+			nextState, ok = s.state(), true
+		}
 		if !ok {
 			s.changeDueSince = time.Time{}
 			continue
@@ -276,7 +297,11 @@
 		if s.changeDueSince.IsZero() {
 			s.changeDueSince = now
 		}
-		if now.Sub(s.changeDueSince) < time.Duration(rank)*writerStagger || now.Sub(s.lastWriteAt) < writeRetryInterval {
+		wait := time.Duration(rank) * writerStagger
+		if s.unreadable && s.progress.State == "" {
+			wait += unknownProgressDelay
+		}
+		if now.Sub(s.changeDueSince) < wait || now.Sub(s.lastWriteAt) < writeRetryInterval {
 			continue
 		}
 		s.lastWriteAt = now
--- a/rollout/manager_test.go
+++ b/rollout/manager_test.go
@@ -306,3 +306,24 @@
 		assert.Assert(t, prefers(m, session, ended.Add(6*time.Second)), "a new session may get the new release")
 	}
 }
+
+// Guards against a state that is lost, or replaced by an earlier one, when the row of a
+// rollout's progress can no longer be read.
+func TestUnreadableProgressIsReplaced(t *testing.T) {
+	m, started := managerWithOrder(), managerWithOrder()
+	m.SetProgress(Progress{Service: "s", Release: "v2", State: RolledBack, Order: 10}, 11, begin)
+	noCalls := func(string, string) int { return 0 }
+	assert.Equal(t, len(m.DueWrites(at(0.1), 0, 0, noCalls)), 0)
+	m.SetUnreadable("s", 12)
+	started.SetUnreadable("s", 12)
+	writes := m.DueWrites(at(0.1), 0, 0, noCalls)
+	assert.Equal(t, len(writes), 1)
+	assert.Assert(t, writes[0].Progress.State == RolledBack && writes[0].ExpectedRevision == 12, "%+v", writes[0])
+	// A VM that does not know the state leaves the write to one that does.
+	assert.Equal(t, len(started.DueWrites(at(0.1), 0, 0, noCalls)), 0)
+	assert.Equal(t, len(started.DueWrites(at(0.1).Add(2*writerStagger), 0, 0, noCalls)), 0)
+	writes = started.DueWrites(at(0.1).Add(unknownProgressDelay), 0, 0, noCalls)
+	assert.Assert(t, len(writes) == 1 && writes[0].Progress.State == Running && writes[0].ExpectedRevision == 12, "%+v", writes)
+	m.SetProgress(Progress{Service: "s", Release: "v2", State: RolledBack, Order: 10}, 13, begin)
+	assert.Equal(t, len(m.DueWrites(at(0.2), 0, 0, noCalls)), 0)
+}
