entry: a malformed row is logged once for each revision

A malformed row that stays wrote a line with each change of its table, of which upstreams make many; lines that wait for the output push out others, which are dropped. Rows whose key cannot be read left no line at all.

TestSkippedRowsAreNotLogged: 0 lines, want 2.

The rows that are ignored are kept by key and revision; savoryshift_rows_ignored counts them. The lines now name the row and its revision ("row" instead of "upstream" in the line "registration ignored"); "rows skipped" counts rows without a readable key.

--- a/entry/control.go
+++ b/entry/control.go
@@ -101,8 +101,8 @@
 // statusChanged applies the rollout progress in the status table.
 func (e *Entry) statusChanged(c mirror.Change) {
 	list, problems := platform.DecodeProgress(c.Rows)
+	e.setIgnored(tableStatus, problems, zap.ErrorLevel, "rollout progress ignored")
 	for _, p := range problems {
-		e.log.Error("rollout progress ignored", zap.String("row", p.Key), zap.Error(p.Err))
 		e.rollouts.SetUnreadable(p.Service(), p.Revision)
 	}
 	clock, ok := e.status.StoreClock(c.At)
@@ -148,6 +148,7 @@
 	newest atomic.Pointer[newerRevision]
 	// fetching is set while the table is being fetched from a peer.
 	fetching atomic.Bool
+	ignored  ignoredRows
 }
 
 // newerRevision is the first revision newer than the copy that a peer has reported,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -62,6 +62,13 @@
 	maxHeaderBytes = 64 << 10
 )
 
+// Names of the tables of the store in logs, in metrics and in messages between VMs.
+const (
+	tableOrders    = "orders"
+	tableUpstreams = "upstreams"
+	tableStatus    = "status"
+)
+
 // Options configures an Entry.
 type Options struct {
 	Settings platform.Settings
@@ -128,18 +135,18 @@
 	e.tables = map[string]*table{}
 	clock := &mirror.Clock{}
 	e.orders = e.addMirror(mirror.Options{
-		Name: "orders", Table: e.store.Orders(), Passive: e.isPassive, Changed: e.ordersChanged,
+		Name: tableOrders, Table: e.store.Orders(), Passive: e.isPassive, Changed: e.ordersChanged,
 		Wait: confirmAfter, MaxAge: maxCopyAge, Clock: clock,
 	})
 	e.upstreams = e.addMirror(mirror.Options{
-		Name: "upstreams", Table: e.store.Upstreams(), Passive: e.isPassive, Changed: e.upstreamsChanged,
+		Name: tableUpstreams, Table: e.store.Upstreams(), Passive: e.isPassive, Changed: e.upstreamsChanged,
 		BatchDelay: upstreamBatchDelay, Wait: confirmAfter, MaxAge: maxCopyAge, Clock: clock,
 	})
 	// The VM of rank 0 writes the progress of rollouts and needs to see it at once;
 	// the others receive the status table from peers.
 	passive := func() bool { return e.fleet.Rank(time.Now()) > 0 }
 	e.status = e.addMirror(mirror.Options{
-		Name: "status", Table: e.store.Status(), Passive: passive, Changed: e.statusChanged,
+		Name: tableStatus, Table: e.store.Status(), Passive: passive, Changed: e.statusChanged,
 		Wait: confirmStatusAfter, MaxAge: maxStatusAge, Clock: clock,
 	})
 	e.registerGauges(e.metrics.Set())
@@ -295,9 +302,7 @@
 // configuration leaves the previous one in force.
 func (e *Entry) ordersChanged(c mirror.Change) {
 	orders, problems := platform.DecodeOrders(c.Rows)
-	for _, p := range problems {
-		e.log.Error("rollout order ignored", zap.String("row", p.Key), zap.Error(p.Err))
-	}
+	e.setIgnored(tableOrders, problems, zap.ErrorLevel, "rollout order ignored")
 	for _, o := range orders {
 		e.rollouts.SetOrder(o, c.At)
 	}
@@ -319,15 +324,8 @@
 // upstreamsChanged applies the registrations of upstreams. Invalid registrations are
 // ignored.
 func (e *Entry) upstreamsChanged(c mirror.Change) {
-	list := make([]placement.Upstream, 0, len(c.Rows))
-	for id, row := range c.Rows {
-		u, err := platform.DecodeUpstream(id, row.Value)
-		if err != nil {
-			e.log.Warn("registration ignored", zap.String("upstream", id), zap.Error(err))
-			continue
-		}
-		list = append(list, u)
-	}
+	list, problems := platform.DecodeUpstreams(c.Rows)
+	e.setIgnored(tableUpstreams, problems, zap.WarnLevel, "registration ignored")
 	e.balancer.SetUpstreams(list, c.ConfirmedAt, c.At)
 	releases := map[string]map[string]int{}
 	for _, u := range list {
@@ -340,5 +338,5 @@
 		e.rollouts.SetReleases(service, r)
 	}
 	e.upstreamsLoaded.Store(true)
-	e.log.Info("upstreams changed", zap.Int("upstreams", len(list)), zap.Int64("revision", c.Revision))
+	e.log.Info("upstreams changed", zap.Int("upstreams", len(list)), zap.Int("ignored", len(problems)), zap.Int64("revision", c.Revision))
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -48,6 +48,7 @@
 			return float64(c.Revision)
 		})
 		gauge(`savoryshift_table_age_seconds{table="`+name+`"}`, func() float64 { return t.Age(time.Now()).Seconds() })
+		gauge(`savoryshift_rows_ignored{table="`+name+`"}`, func() float64 { return float64(t.ignored.count.Load()) })
 	}
 }
 
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 )
 
@@ -401,3 +402,18 @@
 		})
 	}
 }
+
+// Guards against rows that are skipped without a trace.
+func TestSkippedRowsAreNotLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, lines := observer.New(zap.WarnLevel)
+		first, change := page(5), page(6, row("a", "1", 6))
+		first.Skipped, change.Skipped = 2, 1
+		m := New(Options{Name: "t", Table: &scripted{reads: []reply{{page: first}}, follows: []reply{{page: change}}}, Log: zap.New(core)})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		m.Run(ctx)
+		assert.Equal(t, lines.FilterMessage("rows skipped").Len(), 2)
+		assert.Equal(t, lines.All()[0].ContextMap()["rows"], int64(2))
+	})
+}
--- a/mirror/poll.go
+++ b/mirror/poll.go
@@ -166,10 +166,14 @@
 	return m.options.Table.Read(ctx, from)
 }
 
-// recordAnswer records that the store answered, and the reading of its clock.
+// recordAnswer records that the store answered, and the reading of its clock. It logs
+// the rows that the answer lacks.
 func (m *Mirror) recordAnswer(page Page) {
 	now := time.Now()
 	m.options.Clock.Observe(page.Clock, now)
+	if page.Skipped > 0 {
+		m.options.Log.Warn("rows skipped", zap.String("table", m.options.Name), zap.Int("rows", page.Skipped), zap.Int64("revision", page.Revision))
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.lostSince.IsZero() {
