gateway: the 5xx response of another request is not delivered

Callers got the status, the headers and the body of a response whose id named another request, if its status was 500 or above. With 503 that promises "not run" for a request that an upstream had or may have run. The id was compared, and the call classified as failed, but the response stayed in the attempt; the part of it that was buffered when the connection was closed was then read and kept as the last failure of the request.

A response that must not be delivered, because it is of another request, encoded or an unsigned success, is now removed from its attempt, so that no later code can read it. The caller gets 502, or the answer of another upstream on routes whose requests may be repeated.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -76,7 +76,7 @@
 		a.logEvent("misdirected")
 		return notRun
 	case a.responseHeader.RequestID != a.exec.req.ID && (a.responseHeader.RequestID != "" || !a.responseHeader.NotRun) || a.responseHeader.Encoded:
-		a.finish(placement.Failed)
+		a.drop()
 		a.logEvent("foreign answer", zap.String("answers", a.responseHeader.RequestID))
 		return failed
 	case a.responseHeader.NotRun:
@@ -86,7 +86,7 @@
 	case a.responseHeader.Status >= 500:
 		return failed
 	case a.responseHeader.Status < 300 && !a.responseHeader.Signed:
-		a.finish(placement.Failed)
+		a.drop()
 		a.logEvent("unsigned answer")
 		return failed
 	}
@@ -105,6 +105,13 @@
 	a.call.End(outcome, now)
 }
 
+// drop finishes a call whose response must not be delivered, not even as the last
+// failure of the request. Its connection is closed.
+func (a *attempt) drop() {
+	a.finish(placement.Failed)
+	a.response = nil
+}
+
 // queueingThreshold is the predicted queueing time in seconds above which the
 // latency of a call is not compared between releases.
 const queueingThreshold = 0.15
--- /dev/null
+++ b/gateway/foreign_test.go
@@ -0,0 +1,123 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// foreignText is in the header and the body of responses that belong to no request of
+// the test.
+const foreignText = "foreign"
+
+// respond returns a script that writes a signed response of the request id; an empty id
+// leaves the header out.
+func respond(status int, id string, header ...string) script {
+	lines := append([]string{"X: " + foreignText}, header...)
+	if id != "" {
+		lines = append(lines, "Id: "+id)
+	}
+	return func(_ *http.Request, w io.Writer) bool {
+		fmt.Fprintf(w, "HTTP/1.1 %d X\r\nSignature: %s\r\nContent-Length: %d\r\n%s\r\n\r\n%s",
+			status, foreignText, len(foreignText), strings.Join(lines, "\r\n"), foreignText)
+		return true
+	}
+}
+
+// afterFirst returns a script that answers the first request of each connection itself
+// and leaves the others to do.
+func afterFirst(do script) script {
+	var seen sync.Map
+	return func(r *http.Request, w io.Writer) bool {
+		if _, again := seen.LoadOrStore(w, true); again {
+			return do(r, w)
+		}
+		return answer(http.StatusOK, "first")(r, w)
+	}
+}
+
+// foreignResponses holds responses by what they claim.
+var foreignResponses = map[string]struct {
+	status int
+	header []string
+}{
+	"503":         {503, nil},
+	"503 not run": {503, []string{"Not-Run: 1"}},
+	"429":         {429, nil},
+	"429 not run": {429, []string{"Not-Run: 1"}},
+	"408":         {408, nil},
+	"408 not run": {408, []string{"Not-Run: 1"}},
+	"400":         {400, nil},
+	"400 not run": {400, []string{"Not-Run: 1"}},
+	"500":         {500, nil},
+	"200":         {200, nil},
+}
+
+// serving answers a request of any route: with events on routes of streams.
+func serving(r *http.Request, w io.Writer) bool {
+	if strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/once/") {
+		return events(2, lastChunk)(r, w)
+	}
+	return answer(http.StatusOK, "good")(r, w)
+}
+
+// repeatable holds the routes of newSystem by whether a request may run twice.
+var repeatable = map[string]bool{"safe": true, "unsafe": false, "stream": true, "once": false}
+
+func assertNotForeign(t *testing.T, r reply) {
+	t.Helper()
+	assert.Assert(t, !strings.Contains(fmt.Sprint(r.header, r.body), foreignText), "%v %q", r.header, r.body)
+}
+
+// Guards against belief in a response of another request: that a request was not run,
+// or its status, header or body.
+func TestResponseOfAnotherRequestIsBelieved(t *testing.T) {
+	for name, c := range foreignResponses {
+		for route, repeats := range repeatable {
+			for _, reused := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%s/reused %v", name, route, reused), func(t *testing.T) {
+					t.Parallel()
+					do, first := respond(c.status, "other", c.header...), 0
+					if reused {
+						do, first = afterFirst(do), 1
+					}
+					s, a, b := newPair(t, do, serving)
+					if reused {
+						assert.Equal(t, s.call("/safe/x", "Id: r0").body, "first")
+					}
+					r := s.call("/"+route+"/x", "Model: large")
+					assertNotForeign(t, r)
+					assert.Equal(t, len(a.received()), first+1)
+					if repeats {
+						assert.Equal(t, r.status, http.StatusOK, r.body)
+						assert.Assert(t, r.complete)
+						return
+					}
+					assert.Equal(t, r.status, http.StatusBadGateway)
+					assert.Equal(t, len(b.received()), 0, "the request was sent again")
+				})
+			}
+		}
+	}
+}
+
+// Guards against the delivery of a response of another request because no other is left.
+func TestLastForeignResponseIsDelivered(t *testing.T) {
+	for name, c := range foreignResponses {
+		for route := range repeatable {
+			t.Run(name+"/"+route, func(t *testing.T) {
+				t.Parallel()
+				do := respond(c.status, "other", c.header...)
+				s, _, _ := newPair(t, do, do)
+				r := s.call("/"+route+"/x", "Model: large")
+				assertNotForeign(t, r)
+				assert.Equal(t, r.status, http.StatusBadGateway)
+			})
+		}
+	}
+}
