gateway: a 421 of another request is not believed

Callers of unsafe requests got 503, which promises "not run", and the request was sent to a second upstream, although an upstream had it: it had answered with 421 and the id of another request. The status 421 was believed before the id was compared.

On the code before, 16 of 144 cases of the tests fail, all with 421, e.g. TestResponseOfAnotherRequestIsBelieved/421/unsafe/reused_true: 200 (r.status int) != 502, the answer of the second upstream TestLastForeignResponseIsDelivered/421/unsafe: 503 (r.status int) != 502 On requests that may be repeated only the last status was wrong (ruled out: a second run).

The id is now compared before anything else of a response is believed. All 144 cases pass.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -70,15 +70,15 @@
 // whose body is not to be read.
 func (a *attempt) classifyResponse() resultClass {
 	switch {
+	case a.responseHeader.RequestID != a.exec.req.ID && (a.responseHeader.RequestID != "" || !a.responseHeader.NotRun && !a.responseHeader.Misdirected) || a.responseHeader.Encoded:
+		a.drop()
+		a.logEvent("foreign answer", zap.String("answers", a.responseHeader.RequestID))
+		return failed
 	case a.responseHeader.Misdirected:
 		a.finish(placement.Failed)
 		a.exec.srv.opts.Pool.CloseIdle(a.choice.Address)
 		a.logEvent("misdirected")
 		return notRun
-	case a.responseHeader.RequestID != a.exec.req.ID && (a.responseHeader.RequestID != "" || !a.responseHeader.NotRun) || a.responseHeader.Encoded:
-		a.drop()
-		a.logEvent("foreign answer", zap.String("answers", a.responseHeader.RequestID))
-		return failed
 	case a.responseHeader.NotRun:
 		a.finish(placement.Neutral)
 		a.logEvent("not run")
--- a/gateway/foreign_test.go
+++ b/gateway/foreign_test.go
@@ -46,6 +46,8 @@
 	status int
 	header []string
 }{
+	"421":         {421, nil},
+	"421 not run": {421, []string{"Not-Run: 1"}},
 	"503":         {503, nil},
 	"503 not run": {503, []string{"Not-Run: 1"}},
 	"429":         {429, nil},
