gateway: a refusal without an id is not believed on a reused connection

Callers of unsafe requests could be answered by a second upstream, or with 503, although an upstream had the request: a refusal without an id was believed on any connection, and an upstream may write an earlier one once more on a connection that is kept.

The reply of a call now tells whether its connection was reused. A request that itself has no id is sent on a new connection, because no response could be told from its own; this no longer closes the idle connections to its upstream.

--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -103,9 +103,12 @@
 }
 
 // takeIdle removes and returns an idle connection that may be reused, or nil.
-// maxAge bounds the time since its last use. Connections that fail the checks
-// are closed.
+// maxAge bounds the time since its last use; with 0, no connection is taken.
+// Connections that fail the checks are closed.
 func (p *Pool) takeIdle(address string, maxAge time.Duration) *connection {
+	if maxAge <= 0 {
+		return nil
+	}
 	for {
 		c := p.pop(address)
 		if c == nil {
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -50,6 +50,7 @@
 	stopCancelHook func() bool
 	bodyWritten    chan error
 	complete       bool
+	reused         bool
 	closeOnce      sync.Once
 }
 
@@ -58,7 +59,8 @@
 // that wraps ErrNotSent means that no byte was written.
 func (p *Pool) Send(ctx context.Context, address string, req Request) (*Reply, error) {
 	conn := p.takeIdle(address, req.MaxIdle)
-	if conn == nil {
+	reused := conn != nil
+	if !reused {
 		var err error
 		if conn, err = p.connect(ctx, address); err != nil {
 			return nil, err
@@ -87,7 +89,7 @@
 		conn.discard()
 		return nil, err
 	}
-	return &Reply{Response: resp, conn: conn, pool: p, stopCancelHook: stopCancelHook, bodyWritten: bodyWritten}, nil
+	return &Reply{Response: resp, conn: conn, pool: p, stopCancelHook: stopCancelHook, bodyWritten: bodyWritten, reused: reused}, nil
 }
 
 // write sends the request. A body longer than inlineBodyBytes is written in a
@@ -169,6 +171,9 @@
 	return n, err
 }
 
+// Reused reports whether other requests were sent on the connection before this one.
+func (r *Reply) Reused() bool { return r.reused }
+
 // Complete reports whether the whole body was read without an error.
 func (r *Reply) Complete() bool { return r.complete }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -31,6 +31,10 @@
 	if !exec.route.Idempotent() {
 		idle = maxReuseIdleUnsafe
 	}
+	if exec.req.ID == "" {
+		// On a reused connection, no response could be attributed to the request.
+		idle = 0
+	}
 	header := exec.srv.opts.Codec.Encode(exec.req, Call{
 		Upstream: a.choice.ID, Organisation: exec.organisation, Model: a.model,
 		Left: time.Until(exec.deadline), EnginePriority: enginePriority, LastEventID: lastEventID,
@@ -70,7 +74,7 @@
 // whose body is not to be read.
 func (a *attempt) classifyResponse() resultClass {
 	switch {
-	case a.responseHeader.RequestID != a.exec.req.ID && (a.responseHeader.RequestID != "" || !a.responseHeader.NotRun && !a.responseHeader.Misdirected) || a.responseHeader.Encoded:
+	case !a.isOwnResponse() || a.responseHeader.Encoded:
 		a.drop()
 		a.logEvent("foreign answer", zap.String("answers", a.responseHeader.RequestID))
 		return failed
@@ -105,6 +109,17 @@
 	a.call.End(outcome, now)
 }
 
+// isOwnResponse reports whether the response belongs to the request. Without an ID, only
+// a refusal is accepted, and only if no other request was sent on the connection: an
+// upstream may repeat an earlier refusal on a reused one.
+func (a *attempt) isOwnResponse() bool {
+	h := a.responseHeader
+	if h.RequestID != "" {
+		return h.RequestID == a.exec.req.ID
+	}
+	return !a.response.Reused() && (h.NotRun || h.Misdirected || a.exec.req.ID == "")
+}
+
 // drop finishes a call whose response must not be delivered, not even as the last
 // failure of the request. Its connection is closed.
 func (a *attempt) drop() {
--- a/gateway/foreign_test.go
+++ b/gateway/foreign_test.go
@@ -29,7 +29,7 @@
 	}
 }
 
-// afterFirst returns a script that answers the first request of each connection itself
+// afterFirst returns a script that serves the first request of each connection itself
 // and leaves the others to do.
 func afterFirst(do script) script {
 	var seen sync.Map
@@ -37,7 +37,7 @@
 		if _, again := seen.LoadOrStore(w, true); again {
 			return do(r, w)
 		}
-		return answer(http.StatusOK, "first")(r, w)
+		return serving(r, w, "First: 1")
 	}
 }
 
@@ -61,13 +61,15 @@
 }
 
 // serving answers a request of any route: with events on routes of streams.
-func serving(r *http.Request, w io.Writer) bool {
+func serving(r *http.Request, w io.Writer, header ...string) bool {
 	if strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/once/") {
-		return events(2, lastChunk)(r, w)
+		return events(2, lastChunk, header...)(r, w)
 	}
-	return answer(http.StatusOK, "good")(r, w)
+	return answer(http.StatusOK, "good", header...)(r, w)
 }
 
+func good(r *http.Request, w io.Writer) bool { return serving(r, w) }
+
 // repeatable holds the routes of newSystem by whether a request may run twice.
 var repeatable = map[string]bool{"safe": true, "unsafe": false, "stream": true, "once": false}
 
@@ -88,9 +90,9 @@
 					if reused {
 						do, first = afterFirst(do), 1
 					}
-					s, a, b := newPair(t, do, serving)
+					s, a, b := newPair(t, do, good)
 					if reused {
-						assert.Equal(t, s.call("/safe/x", "Id: r0").body, "first")
+						assert.Equal(t, s.call("/safe/x", "Id: r0").header.Get("First"), "1")
 					}
 					r := s.call("/"+route+"/x", "Model: large")
 					assertNotForeign(t, r)
@@ -123,3 +125,49 @@
 		}
 	}
 }
+
+// Guards against a refusal without an id that is believed although an earlier request of
+// the connection may have caused it, and against one that is not believed where only this
+// request can have.
+func TestRefusalWithoutID(t *testing.T) {
+	for _, status := range []int{421, 503, 429, 400} {
+		for route, repeats := range repeatable {
+			for _, reused := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%d/%s/reused %v", status, route, reused), func(t *testing.T) {
+					t.Parallel()
+					do := respond(status, "", "Not-Run: 1")
+					if reused {
+						do = afterFirst(do)
+					}
+					s, _, b := newPair(t, do, good)
+					if reused {
+						assert.Equal(t, s.call("/safe/x", "Id: r0").header.Get("First"), "1")
+					}
+					r := s.call("/"+route+"/x", "Model: large")
+					assertNotForeign(t, r)
+					if repeats || !reused {
+						assert.Equal(t, r.status, http.StatusOK, r.body)
+						return
+					}
+					assert.Equal(t, r.status, http.StatusBadGateway)
+					assert.Equal(t, len(b.received()), 0, "the request was sent again")
+				})
+			}
+		}
+	}
+}
+
+// Guards against a request without an id that is sent on a connection with earlier
+// responses: none of them could be told from its own.
+func TestRequestWithoutIDIsSentOnAReusedConnection(t *testing.T) {
+	for route := range repeatable {
+		t.Run(route, func(t *testing.T) {
+			t.Parallel()
+			s, a, b := newPair(t, afterFirst(respond(503, "", "Not-Run: 1")), good)
+			assert.Equal(t, s.call("/safe/x", "Id: r0").header.Get("First"), "1")
+			assert.Equal(t, s.call("/"+route+"/x", "Model: large", "Id: ").header.Get("First"), "1")
+			assert.Equal(t, len(a.received()), 2)
+			assert.Equal(t, len(b.received()), 0)
+		})
+	}
+}
