gateway: an unsafe request gets no status that its upstream gave without "not run"

Clients take 408, 421, 429 and 503 as the statement that a request was not run and never will be. An upstream that answered an unsafe request with 408, 429 or 503 without saying "not run" may have run it, signed or not, and the client got that status unchanged.

Such a response is now dropped, and the client gets 502 without the upstream's headers and signature, since a failure that bears a signature must have the status of its upstream. It costs the client the upstream's own status, which the client would have retried wrongly. Responses with these statuses on routes whose requests may run more than once, and with 400, 404, 500, 502 and 504 on all routes, are delivered unchanged before and after (TestFailureOfAnUpstreamIsReplaced).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -87,6 +88,10 @@
 		a.finish(placement.Neutral)
 		a.logEvent("not run")
 		return notRun
+	case !a.exec.route.Idempotent() && impliesNotRun(a.responseHeader.Status):
+		a.drop()
+		a.logEvent("unfounded refusal")
+		return failed
 	case a.responseHeader.Status >= 500:
 		return failed
 	case a.responseHeader.Status < 300 && !a.responseHeader.Signed:
@@ -109,6 +114,16 @@
 	a.call.End(outcome, now)
 }
 
+// impliesNotRun reports whether clients take a status as the statement that the request
+// was not run and never will be.
+func impliesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // isOwnResponse reports whether the response belongs to the request. Without an ID, only
 // a refusal is accepted, and only if no other request was sent on the connection: an
 // upstream may repeat an earlier refusal on a reused one.
--- a/gateway/foreign_test.go
+++ b/gateway/foreign_test.go
@@ -15,20 +15,29 @@
 // the test.
 const foreignText = "foreign"
 
-// respond returns a script that writes a signed response of the request id; an empty id
-// leaves the header out.
+// respond returns a script that writes a complete response of the request id with
+// foreignText. Empty headers, and the id if it is empty, are left out.
 func respond(status int, id string, header ...string) script {
-	lines := append([]string{"X: " + foreignText}, header...)
+	head := "X: " + foreignText + "\r\n"
 	if id != "" {
-		lines = append(lines, "Id: "+id)
+		head += "Id: " + id + "\r\n"
+	}
+	for _, line := range header {
+		if line != "" {
+			head += line + "\r\n"
+		}
 	}
 	return func(_ *http.Request, w io.Writer) bool {
-		fmt.Fprintf(w, "HTTP/1.1 %d X\r\nSignature: %s\r\nContent-Length: %d\r\n%s\r\n\r\n%s",
-			status, foreignText, len(foreignText), strings.Join(lines, "\r\n"), foreignText)
+		fmt.Fprintf(w, "HTTP/1.1 %d X\r\nContent-Length: %d\r\n%s\r\n%s", status, len(foreignText), head, foreignText)
 		return true
 	}
 }
 
+// respondSigned returns a script like respond whose response is signed.
+func respondSigned(status int, id string, header ...string) script {
+	return respond(status, id, append([]string{"Signature: s"}, header...)...)
+}
+
 // afterFirst returns a script that serves the first request of each connection itself
 // and leaves the others to do.
 func afterFirst(do script) script {
@@ -86,7 +95,7 @@
 			for _, reused := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s/%s/reused %v", name, route, reused), func(t *testing.T) {
 					t.Parallel()
-					do, first := respond(c.status, "other", c.header...), 0
+					do, first := respondSigned(c.status, "other", c.header...), 0
 					if reused {
 						do, first = afterFirst(do), 1
 					}
@@ -116,7 +125,7 @@
 		for route := range repeatable {
 			t.Run(name+"/"+route, func(t *testing.T) {
 				t.Parallel()
-				do := respond(c.status, "other", c.header...)
+				do := respondSigned(c.status, "other", c.header...)
 				s, _, _ := newPair(t, do, do)
 				r := s.call("/"+route+"/x", "Model: large")
 				assertNotForeign(t, r)
@@ -135,7 +144,7 @@
 			for _, reused := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%d/%s/reused %v", status, route, reused), func(t *testing.T) {
 					t.Parallel()
-					do := respond(status, "", "Not-Run: 1")
+					do := respondSigned(status, "", "Not-Run: 1")
 					if reused {
 						do = afterFirst(do)
 					}
@@ -163,7 +172,7 @@
 	for route := range repeatable {
 		t.Run(route, func(t *testing.T) {
 			t.Parallel()
-			s, a, b := newPair(t, afterFirst(respond(503, "", "Not-Run: 1")), good)
+			s, a, b := newPair(t, afterFirst(respondSigned(503, "", "Not-Run: 1")), good)
 			assert.Equal(t, s.call("/safe/x", "Id: r0").header.Get("First"), "1")
 			assert.Equal(t, s.call("/"+route+"/x", "Model: large", "Id: ").header.Get("First"), "1")
 			assert.Equal(t, len(a.received()), 2)
