exchange: a connection is not reused for a request that was sent on it

A request that was sent again to the same upstream, by a stream that is resumed or by a client that repeats its id, could travel on the connection on which it was answered before. If the upstream then wrote the earlier response once more, its id was right: a repeated refusal of an unsafe request was believed and the request sent to another upstream while it ran.

The pool gets the id of the request and chooses the newest idle connection on which no request with this id was sent, or opens a new one. Other requests reuse connections as before.

--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"errors"
+	"hash/maphash"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,6 +40,9 @@
 	// connections of all VMs (up to 100) stay below the limit of the upstream
 	// (at least 370 for engines).
 	maxIdlePerAddress = 4
+	// maxConnectionRequests bounds the requests with an ID that are sent on a
+	// connection, because it keeps a hash of each ID.
+	maxConnectionRequests = 256
 	// readBufferBytes is enough for a response header and a few events.
 	readBufferBytes = 4096
 )
@@ -51,6 +56,7 @@
 type Pool struct {
 	dial func(ctx context.Context, address string) (net.Conn, error)
 	now  func() time.Time
+	seed maphash.Seed
 
 	mu   sync.Mutex
 	idle map[string][]*connection
@@ -60,7 +66,7 @@
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{dial: dialTCP, now: time.Now, idle: map[string][]*connection{}, open: map[string]int{}}
+	return &Pool{dial: dialTCP, now: time.Now, seed: maphash.MakeSeed(), idle: map[string][]*connection{}, open: map[string]int{}}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
@@ -86,8 +92,10 @@
 	// reusableUntil is the end of the time in which an idle connection may be reused.
 	reusableUntil time.Time
 	lastUsed      time.Time
-	discardOnce   sync.Once
-	pool          *Pool
+	// requests holds the hashes of the IDs of the requests that were sent.
+	requests    []uint64
+	discardOnce sync.Once
+	pool        *Pool
 }
 
 // discard closes the connection; it may be called more than once.
@@ -102,15 +110,27 @@
 	})
 }
 
-// takeIdle removes and returns an idle connection that may be reused, or nil.
-// maxAge bounds the time since its last use; with 0, no connection is taken.
+// recordRequest records that a request is sent on the connection.
+func (c *connection) recordRequest(id string) {
+	if id != "" {
+		c.requests = append(c.requests, maphash.String(c.pool.seed, id))
+	}
+}
+
+// carried reports whether a request with the ID was sent on the connection.
+func (c *connection) carried(id string) bool {
+	return id != "" && slices.Contains(c.requests, maphash.String(c.pool.seed, id))
+}
+
+// takeIdle removes and returns an idle connection that may be reused for the request,
+// or nil. maxAge bounds the time since its last use; with 0, no connection is taken.
 // Connections that fail the checks are closed.
-func (p *Pool) takeIdle(address string, maxAge time.Duration) *connection {
+func (p *Pool) takeIdle(address, id string, maxAge time.Duration) *connection {
 	if maxAge <= 0 {
 		return nil
 	}
 	for {
-		c := p.pop(address)
+		c := p.pop(address, id)
 		if c == nil {
 			return nil
 		}
@@ -122,16 +142,18 @@
 	}
 }
 
-func (p *Pool) pop(address string) *connection {
+// pop removes and returns the newest idle connection on which the request was not sent.
+func (p *Pool) pop(address, id string) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !c.carried(id) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // connect opens a new connection.
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -27,6 +27,9 @@
 
 // Request is a request to an upstream.
 type Request struct {
+	// ID identifies the request in the responses of the upstream. A connection on which
+	// a request with the ID was sent is not reused for it. It may be empty.
+	ID     string
 	Method string
 	// Target is the request target as the client sent it.
 	Target string
@@ -58,7 +61,7 @@
 // If ctx ends before the reply is closed, the connection is closed. An error
 // that wraps ErrNotSent means that no byte was written.
 func (p *Pool) Send(ctx context.Context, address string, req Request) (*Reply, error) {
-	conn := p.takeIdle(address, req.MaxIdle)
+	conn := p.takeIdle(address, req.ID, req.MaxIdle)
 	reused := conn != nil
 	if !reused {
 		var err error
@@ -76,6 +79,7 @@
 		conn.discard()
 		return nil, errors.Join(ErrNotSent, ctx.Err())
 	}
+	conn.recordRequest(req.ID)
 	stopCancelHook := context.AfterFunc(ctx, conn.discard)
 	bodyWritten, err := conn.write(req)
 	if err != nil {
@@ -192,6 +196,9 @@
 }
 
 func (r *Reply) reusable() bool {
+	if len(r.conn.requests) >= maxConnectionRequests {
+		return false
+	}
 	if !r.complete || r.Response.Close || r.conn.reader.Buffered() > 0 {
 		return false
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -41,7 +41,7 @@
 		Left: time.Until(exec.deadline), EnginePriority: enginePriority, LastEventID: lastEventID,
 	})
 	response, err := exec.srv.opts.Pool.Send(a.ctx, a.choice.Address, exchange.Request{
-		Method: exec.req.Method, Target: exec.req.Target, Host: exec.req.Host, Header: header, Body: exec.req.Body, MaxIdle: idle,
+		ID: exec.req.ID, Method: exec.req.Method, Target: exec.req.Target, Host: exec.req.Host, Header: header, Body: exec.req.Body, MaxIdle: idle,
 		BeforeWrite: func() error {
 			if !exec.srv.opts.Balancer.Usable(a.choice.ID, time.Now()) {
 				return errUnregistered
--- a/gateway/foreign_test.go
+++ b/gateway/foreign_test.go
@@ -180,3 +180,19 @@
 		})
 	}
 }
+
+// Guards against an earlier refusal that is taken for the response to the same request,
+// which a client has sent again with the same id.
+func TestRefusalOfTheSameRequestIsBelieved(t *testing.T) {
+	for route := range repeatable {
+		t.Run(route, func(t *testing.T) {
+			t.Parallel()
+			s, a, b := newPair(t, afterFirst(respond(503, "r1", "Not-Run: 1")), good)
+			for range 2 {
+				assert.Equal(t, s.call("/"+route+"/x", "Model: large").header.Get("First"), "1")
+			}
+			assert.Equal(t, len(a.received()), 2)
+			assert.Equal(t, len(b.received()), 0)
+		})
+	}
+}
