gateway: a response with two ids belongs to no request

A client could get "not run" or a success from a response whose id header appeared twice, once with the id of another request: the first value was taken and the others ignored.

On the code before: TestSurplusBytesAreUsed/two_ids/unsafe: 200 (r.status int) != 502 (want int), the request was sent to a second upstream TestSurplusBytesAreUsed/two_ids,_success/{unsafe,safe}: the response was delivered TestResponseWithTwoIDs in platform: the id "r1" was decoded The other cases of TestSurplusBytesAreUsed pass before and after (ruled out): a response of another request before or after the right one, also behind an interim response; bytes before a response or behind its stated length; refusals that are cut or followed by more.

The values are joined, as for any repeated field, and equal no id.

--- a/gateway/gatewaytest/codec.go
+++ b/gateway/gatewaytest/codec.go
@@ -45,7 +45,7 @@
 // DecodeResponse implements gateway.Codec.
 func (Codec) DecodeResponse(resp *http.Response) gateway.ResponseHeader {
 	r := gateway.ResponseHeader{
-		Status: resp.StatusCode, RequestID: resp.Header.Get("Id"), NotRun: resp.Header.Get("Not-Run") != "",
+		Status: resp.StatusCode, RequestID: strings.Join(resp.Header.Values("Id"), ", "), NotRun: resp.Header.Get("Not-Run") != "",
 		Misdirected: resp.StatusCode == http.StatusMisdirectedRequest, Signed: resp.Header.Get("Signature") != "", Confidence: -1,
 	}
 	if n, err := strconv.Atoi(resp.Header.Get("Confidence")); err == nil {
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -75,7 +75,8 @@
 // ResponseHeader is the decoded response header of an upstream.
 type ResponseHeader struct {
 	Status int
-	// RequestID is the Request.ID that the response belongs to.
+	// RequestID is the Request.ID that the response belongs to, empty if the response
+	// has none. If it has several, they are joined, so that they equal none of them.
 	RequestID string
 	// NotRun reports that the upstream did not run the request and never will.
 	NotRun bool
