exchange: an interim response ends its connection, and 101 is an error

No request asks for an interim (1xx) response; an upstream that sends one may have written it for an earlier request. None reached a client, but the connection was kept, and a 101 was skipped, so that bytes after a change of the protocol were read as a response.

The connection is marked when an interim response is read and closed after the final one; 101 is an error of a call that was sent. An upstream that regularly sends interim responses gets a new connection for each request.

--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -89,6 +89,8 @@
 	// Only the goroutine that reads the response uses them.
 	headLeft    int
 	readingHead bool
+	// interim is set once a 1xx response was read.
+	interim bool
 	// reusableUntil is the end of the time in which an idle connection may be reused.
 	reusableUntil time.Time
 	lastUsed      time.Time
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -133,7 +133,9 @@
 	return err
 }
 
-// readHeader reads the header of the final response and skips 1xx responses.
+// readHeader reads the header of the final response and skips 1xx responses. No request
+// asks for these, and one may belong to an earlier request, so the connection is not
+// reused after them.
 func (c *connection) readHeader(method string) (*http.Response, error) {
 	c.headLeft, c.readingHead = maxHeadBytes, true
 	defer func() { c.readingHead = false }()
@@ -146,9 +148,13 @@
 		if err != nil {
 			return nil, oops.Wrapf(err, "reading the response of %s", c.address)
 		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, oops.Errorf("%s changed the protocol with status 101", c.address)
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
+		c.interim = true
 	}
 }
 
@@ -196,7 +202,7 @@
 }
 
 func (r *Reply) reusable() bool {
-	if len(r.conn.requests) >= maxConnectionRequests {
+	if r.conn.interim || len(r.conn.requests) >= maxConnectionRequests {
 		return false
 	}
 	if !r.complete || r.Response.Close || r.conn.reader.Buffered() > 0 {
