exchange: a header that holds another status line is malformed

An unsafe request could be sent to a second upstream although it ran: if an upstream writes the beginning of a refusal that is cut within a header value, and then the response, the two parse as one refusal with the id of the request.

On the code before: TestSurplusBytesAreUsed/refusal_cut_within_a_value/unsafe: 200 (r.status int) != 502 (want int), the answer of the second upstream; the same with a part of the value Ruled out: a refusal that is cut within its status line, a field name or its body, or that has an id or another length; these parse as malformed or foreign before and after.

A response with a status line in a header value is an error of a call that was sent.

--- a/exchange/send.go
+++ b/exchange/send.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,6 +26,11 @@
 // errHeadTooLong is returned for a response whose headers exceed maxHeadBytes.
 var errHeadTooLong = errors.New("the response header is too long")
 
+// errStatusLineInHeader is returned for a response whose header holds a status line.
+var errStatusLineInHeader = errors.New("the response header holds the status line of another response")
+
+var statusLine = regexp.MustCompile(`HTTP/1\.[0-9] [0-9]{3}( |$)`)
+
 // Request is a request to an upstream.
 type Request struct {
 	// ID identifies the request in the responses of the upstream. A connection on which
@@ -145,6 +151,9 @@
 			// The parser may report another error for the header that was cut short.
 			err = errHeadTooLong
 		}
+		if err == nil && holdsStatusLine(resp.Header) {
+			err = errStatusLineInHeader
+		}
 		if err != nil {
 			return nil, oops.Wrapf(err, "reading the response of %s", c.address)
 		}
@@ -158,6 +167,19 @@
 	}
 }
 
+// holdsStatusLine reports whether a status line is in a header value. The header then
+// begins with one of another response, which was cut off within that value.
+func holdsStatusLine(h http.Header) bool {
+	for _, values := range h {
+		for _, value := range values {
+			if strings.Contains(value, "HTTP/1.") && statusLine.MatchString(value) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Read reads from the connection. While a header is read, it returns no more than
 // maxHeadBytes in all.
 func (c *connection) Read(b []byte) (int, error) {
--- a/gateway/surplus_test.go
+++ b/gateway/surplus_test.go
@@ -39,6 +39,8 @@
 	"bytes before the response":       {"foreign\r\n" + ownResponse, 502},
 	"refusal cut within its header":   {"HTTP/1.1 503 X\r\nNot-Run: 1\r\nX: a\r\n" + ownResponse, 502},
 	"refusal cut within a field name": {"HTTP/1.1 503 X\r\nNot-Run: 1\r\nX-" + ownResponse, 502},
+	"refusal cut within a value":      {"HTTP/1.1 503 X\r\nNot-Run: 1\r\nX: " + ownResponse, 502},
+	"refusal cut within a value, 2":   {"HTTP/1.1 503 X\r\nNot-Run: 1\r\nX: foreign" + ownResponse, 502},
 	"refusal cut within its body":     {"HTTP/1.1 503 X\r\nId: other\r\nNot-Run: 1\r\nContent-Length: 300\r\n\r\nforeign" + ownResponse, 502},
 }
 
