--- a/exchange/send.go
+++ b/exchange/send.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,8 +26,16 @@
 // errHeadTooLong is returned for a response whose headers exceed maxHeadBytes.
 var errHeadTooLong = errors.New("the response header is too long")
 
+// errStatusLineInHeader is returned for a response whose header holds a status line.
+var errStatusLineInHeader = errors.New("the response header holds the status line of another response")
+
+var statusLine = regexp.MustCompile(`HTTP/1\.[0-9] [0-9]{3}( |$)`)
+
 // Request is a request to an upstream.
 type Request struct {
+	// ID identifies the request in the responses of the upstream. A connection on which
+	// a request with the ID was sent is not reused for it. It may be empty.
+	ID     string
 	Method string
 	// Target is the request target as the client sent it.
 	Target string
@@ -50,6 +59,7 @@
 	stopCancelHook func() bool
 	bodyWritten    chan error
 	complete       bool
+	reused         bool
 	closeOnce      sync.Once
 }
 
@@ -57,8 +67,9 @@
 // If ctx ends before the reply is closed, the connection is closed. An error
 // that wraps ErrNotSent means that no byte was written.
 func (p *Pool) Send(ctx context.Context, address string, req Request) (*Reply, error) {
-	conn := p.takeIdle(address, req.MaxIdle)
-	if conn == nil {
+	conn := p.takeIdle(address, req.ID, req.MaxIdle)
+	reused := conn != nil
+	if !reused {
 		var err error
 		if conn, err = p.connect(ctx, address); err != nil {
 			return nil, err
@@ -74,6 +85,7 @@
 		conn.discard()
 		return nil, errors.Join(ErrNotSent, ctx.Err())
 	}
+	conn.recordRequest(req.ID)
 	stopCancelHook := context.AfterFunc(ctx, conn.discard)
 	bodyWritten, err := conn.write(req)
 	if err != nil {
@@ -87,7 +99,7 @@
 		conn.discard()
 		return nil, err
 	}
-	return &Reply{Response: resp, conn: conn, pool: p, stopCancelHook: stopCancelHook, bodyWritten: bodyWritten}, nil
+	return &Reply{Response: resp, conn: conn, pool: p, stopCancelHook: stopCancelHook, bodyWritten: bodyWritten, reused: reused}, nil
 }
 
 // write sends the request. A body longer than inlineBodyBytes is written in a
@@ -127,7 +139,9 @@
 	return err
 }
 
-// readHeader reads the header of the final response and skips 1xx responses.
+// readHeader reads the header of the final response and skips 1xx responses. No request
+// asks for these, and one may belong to an earlier request, so the connection is not
+// reused after them.
 func (c *connection) readHeader(method string) (*http.Response, error) {
 	c.headLeft, c.readingHead = maxHeadBytes, true
 	defer func() { c.readingHead = false }()
@@ -137,15 +151,35 @@
 			// The parser may report another error for the header that was cut short.
 			err = errHeadTooLong
 		}
+		if err == nil && holdsStatusLine(resp.Header) {
+			err = errStatusLineInHeader
+		}
 		if err != nil {
 			return nil, oops.Wrapf(err, "reading the response of %s", c.address)
 		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, oops.Errorf("%s changed the protocol with status 101", c.address)
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
+		c.interim = true
 	}
 }
 
+// holdsStatusLine reports whether a status line is in a header value. The header then
+// begins with one of another response, which was cut off within that value.
+func holdsStatusLine(h http.Header) bool {
+	for _, values := range h {
+		for _, value := range values {
+			if strings.Contains(value, "HTTP/1.") && statusLine.MatchString(value) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Read reads from the connection. While a header is read, it returns no more than
 // maxHeadBytes in all.
 func (c *connection) Read(b []byte) (int, error) {
@@ -169,6 +203,9 @@
 	return n, err
 }
 
+// Reused reports whether other requests were sent on the connection before this one.
+func (r *Reply) Reused() bool { return r.reused }
+
 // Complete reports whether the whole body was read without an error.
 func (r *Reply) Complete() bool { return r.complete }
 
@@ -187,6 +224,9 @@
 }
 
 func (r *Reply) reusable() bool {
+	if r.conn.interim || len(r.conn.requests) >= maxConnectionRequests {
+		return false
+	}
 	if !r.complete || r.Response.Close || r.conn.reader.Buffered() > 0 {
 		return false
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -35,12 +36,16 @@
 	if !exec.route.Idempotent() {
 		idle = maxReuseIdleUnsafe
 	}
+	if exec.req.ID == "" {
+		// On a reused connection, no response could be attributed to the request.
+		idle = 0
+	}
 	header := exec.srv.opts.Codec.Encode(exec.req, Call{
 		Upstream: a.choice.ID, Organisation: exec.organisation, Model: a.model,
 		Left: time.Until(exec.deadline), EnginePriority: enginePriority, LastEventID: lastEventID,
 	})
 	response, err := exec.srv.opts.Pool.Send(a.ctx, a.choice.Address, exchange.Request{
-		Method: exec.req.Method, Target: exec.req.Target, Host: exec.req.Host, Header: header, Body: exec.req.Body, MaxIdle: idle,
+		ID: exec.req.ID, Method: exec.req.Method, Target: exec.req.Target, Host: exec.req.Host, Header: header, Body: exec.req.Body, MaxIdle: idle,
 		BeforeWrite: func() error {
 			if !exec.srv.opts.Balancer.Usable(a.choice.ID, time.Now()) {
 				return errUnregistered
@@ -75,23 +80,27 @@
 // whose body is not to be read.
 func (a *attempt) classifyResponse() resultClass {
 	switch {
+	case !a.isOwnResponse() || a.responseHeader.Encoded:
+		a.drop()
+		a.logEvent("foreign answer", zap.String("answers", a.responseHeader.RequestID))
+		return failed
 	case a.responseHeader.Misdirected:
 		a.finish(placement.Failed)
 		a.exec.srv.opts.Pool.CloseIdle(a.choice.Address)
 		a.logEvent("misdirected")
 		return notRun
-	case a.responseHeader.RequestID != a.exec.req.ID && (a.responseHeader.RequestID != "" || !a.responseHeader.NotRun) || a.responseHeader.Encoded:
-		a.finish(placement.Failed)
-		a.logEvent("foreign answer", zap.String("answers", a.responseHeader.RequestID))
-		return failed
 	case a.responseHeader.NotRun:
 		a.finish(placement.Neutral)
 		a.logEvent("not run")
 		return notRun
+	case !a.exec.route.Idempotent() && impliesNotRun(a.responseHeader.Status):
+		a.drop()
+		a.logEvent("unfounded refusal")
+		return failed
 	case a.responseHeader.Status >= 500:
 		return failed
 	case a.responseHeader.Status < 300 && !a.responseHeader.Signed:
-		a.finish(placement.Failed)
+		a.drop()
 		a.logEvent("unsigned answer")
 		return failed
 	}
@@ -110,6 +119,34 @@
 	a.call.End(outcome, now)
 }
 
+// impliesNotRun reports whether clients take a status as the statement that the request
+// was not run and never will be.
+func impliesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// isOwnResponse reports whether the response belongs to the request. Without an ID, only
+// a refusal is accepted, and only if no other request was sent on the connection: an
+// upstream may repeat an earlier refusal on a reused one.
+func (a *attempt) isOwnResponse() bool {
+	h := a.responseHeader
+	if h.RequestID != "" {
+		return h.RequestID == a.exec.req.ID
+	}
+	return !a.response.Reused() && (h.NotRun || h.Misdirected || a.exec.req.ID == "")
+}
+
+// drop finishes a call whose response must not be delivered, not even as the last
+// failure of the request. Its connection is closed.
+func (a *attempt) drop() {
+	a.finish(placement.Failed)
+	a.response = nil
+}
+
 // queueingThreshold is the predicted queueing time in seconds above which the
 // latency of a call is not compared between releases.
 const queueingThreshold = 0.15
