gateway: a withdrawn call needs no retry budget

A call is checked once more right before it is written, and withdrawn if its upstream has begun to drain or has left since it was chosen. The call that replaces it was charged to the retry budget of the service. With an empty budget the caller was refused with 503 although another upstream was free.

The budget bounds the calls that reach upstreams beyond the first of each request. A withdrawn call reaches none, so its replacement is a first call. It still counts against the limit of sends of a request, which bounds the loop.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -22,6 +22,9 @@
 	start          time.Time
 	ctx            context.Context
 	cancel         context.CancelFunc
+	// withdrawn is set if the call was not written because its upstream accepts no new
+	// calls.
+	withdrawn bool
 }
 
 // send makes the call and classifies it by the response header.
@@ -58,7 +61,8 @@
 	if errors.Is(err, exchange.ErrNotSent) {
 		class, outcome = notRun, placement.Unreachable
 	}
-	if errors.Is(a.ctx.Err(), context.Canceled) || errors.Is(err, errUnregistered) {
+	a.withdrawn = errors.Is(err, errUnregistered)
+	if errors.Is(a.ctx.Err(), context.Canceled) || a.withdrawn {
 		outcome = placement.Neutral
 	}
 	a.finish(outcome)
--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -76,6 +76,8 @@
 	servedRelease string
 	// anyCallFailed is set once a call of the request has failed.
 	anyCallFailed bool
+	// lastWithdrawn is set if the last call was withdrawn before it was written.
+	lastWithdrawn bool
 	// mayHaveRun is set once a call ran or may have run. The client must then not
 	// be told that the request was not run.
 	mayHaveRun bool
@@ -200,11 +202,16 @@
 }
 
 // allowRetry reports whether one more call may be made. If so, it charges the
-// call to the retry budget of the service, which all requests share.
+// call to the retry budget of the service, which all requests share. A call that
+// replaces one that was not written is not charged.
 func (exec *execution) allowRetry() bool {
 	if exec.callsExhausted() {
 		return false
 	}
+	if exec.lastWithdrawn {
+		exec.lastWithdrawn = false
+		return true
+	}
 	if !exec.srv.opts.RetryBudget.AllowRetry(exec.service.Name, time.Now()) {
 		exec.srv.opts.Metrics.countCallEvent("retry denied")
 		exec.srv.opts.Log.Info("retry denied", zap.String("request", exec.req.ID), zap.String("service", exec.service.Name), zap.Int("runs", exec.runs), zap.Int("sends", exec.sends))
@@ -299,6 +306,7 @@
 // recordResult counts a call by its result class and excludes its upstream from
 // later calls unless the response is deliverable.
 func (exec *execution) recordResult(a *attempt, class resultClass) {
+	exec.lastWithdrawn = a.withdrawn
 	if class != notRun {
 		exec.runs++
 		exec.mayHaveRun = true
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -138,6 +138,9 @@
 	budget   *budget
 	logs     *observer.ObservedLogs
 	url      string
+	// onLongPrompt, if set, is called after a call with a long prompt was placed and
+	// before it is sent.
+	onLongPrompt func()
 }
 
 func newSystem(t *testing.T, upstreams ...placement.Upstream) *system {
@@ -149,6 +152,11 @@
 	core, s.logs = observer.New(zap.InfoLevel)
 	s.server = gateway.New(gateway.Options{
 		Codec: gatewaytest.Codec{}, Balancer: s.book, Pool: exchange.NewPool(), Splitter: s.rollouts, RetryBudget: s.budget, Log: zap.New(core),
+		AnnounceLoad: func() {
+			if s.onLongPrompt != nil {
+				s.onLongPrompt()
+			}
+		},
 	})
 	front := httptest.NewServer(s.server)
 	t.Cleanup(front.Close)
