gateway: an upstream that says it leaves gets no further calls

An upstream may say in any answer that it leaves, while its registration is still ready or the VM's copy of it is late. The VM ignored that and sent on for as long as the registration allowed. Callers would see resets and cut answers when the upstream exits.

Now a VM places no call at an instance from the answer on that said so: a whole answer, the header of a stream, a refusal or a failure, on every kind of route. Calls that were placed and are not yet written are withdrawn. Calls in flight go on. Without another upstream requests are refused at once. Answers of other instances (421) and answers to other requests are not believed.

Why it works: notices are kept by instance (ID, incarnation and address) apart from the state of the registration, so they survive a reload, a lapse and the dropping of that state. Another incarnation or address is another instance and begins anew. Usable takes the instance instead of the ID, so a call to a process that was replaced since is withdrawn as well.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -41,7 +41,7 @@
 	response, err := exec.srv.opts.Pool.Send(a.ctx, a.choice.Address, exchange.Request{
 		Method: exec.req.Method, Target: exec.req.Target, Host: exec.req.Host, Header: header, Body: exec.req.Body, MaxIdle: idle,
 		BeforeWrite: func() error {
-			if !exec.srv.opts.Balancer.Usable(a.choice.ID, time.Now()) {
+			if !exec.srv.opts.Balancer.Usable(a.choice.Instance(), time.Now()) {
 				return errUnregistered
 			}
 			return nil
@@ -83,6 +83,9 @@
 		a.finish(placement.Failed)
 		a.logEvent("foreign answer", zap.String("answers", a.responseHeader.RequestID))
 		return failed
+	}
+	a.recordNotices()
+	switch {
 	case a.responseHeader.NotRun:
 		a.finish(placement.Neutral)
 		a.logEvent("not run")
--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -299,8 +299,8 @@
 	failed
 )
 
-// errUnregistered is returned for a call whose upstream began to drain or
-// deregistered after it was chosen and before the request was written.
+// errUnregistered is returned for a call whose upstream began to drain, deregistered or
+// said that it leaves after it was chosen and before the request was written.
 var errUnregistered = errors.New("upstream accepts no new calls")
 
 // recordResult counts a call by its result class and excludes its upstream from
--- /dev/null
+++ b/gateway/notices_test.go
@@ -0,0 +1,104 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryshift/savoryshift/placement"
+)
+
+// kindsOfRoute lists a path for each kind of route.
+var kindsOfRoute = []string{"/safe/x", "/unsafe/x", "/stream/x"}
+
+// kindsOfAnswer lists, for each kind of answer, a script that adds header lines to it.
+var kindsOfAnswer = map[string]func(header ...string) script{
+	"whole":  func(header ...string) script { return answer(http.StatusOK, "ok", header...) },
+	"stream": func(header ...string) script { return events(3, lastChunk, header...) },
+	"refusal": func(header ...string) script {
+		return answer(http.StatusServiceUnavailable, "", append(header, "Not-Run: 1")...)
+	},
+	"failure": func(header ...string) script {
+		return answer(http.StatusInternalServerError, "bad", header...)
+	},
+}
+
+// newPreferred starts a system with two upstreams, of which placement chooses the first
+// one even after it has failed.
+func newPreferred(t *testing.T, first, second script) (s *system, a, b *upstream) {
+	t.Helper()
+	s, a, b = newPair(t, first, second)
+	s.book.SetPeer("p", map[string]placement.Load{"b": {Calls: 1000, PrefillSeconds: 100}}, time.Now())
+	return s, a, b
+}
+
+// Guards against requests that reach an upstream after one of its answers has said that
+// it leaves, while its registration is still ready.
+func TestUpstreamThatSaysItLeavesGetsNothing(t *testing.T) {
+	for kind, with := range kindsOfAnswer {
+		for _, path := range kindsOfRoute {
+			t.Run(kind+path, func(t *testing.T) {
+				s, a, b := newPreferred(t, with("Leaving: 1"), events(3, lastChunk))
+				s.call(path, "Model: large")
+				assert.Equal(t, len(a.received()), 1)
+				before := len(b.received())
+				for _, next := range kindsOfRoute {
+					assert.Equal(t, s.call(next, "Model: large").status, http.StatusOK)
+				}
+				assert.Equal(t, len(a.received()), 1)
+				assert.Equal(t, len(b.received()), before+len(kindsOfRoute))
+			})
+		}
+	}
+}
+
+// Guards against requests that wait, or go to a leaving upstream as a last resort, when
+// there is no other one.
+func TestOnlyUpstreamLeaves(t *testing.T) {
+	a := startUpstream(t, "a", answer(http.StatusOK, "ok", "Leaving: 1"))
+	s := newSystem(t, registration(a, "v1")).configure()
+	assert.Equal(t, s.call("/safe/x").body, "ok")
+	for _, path := range kindsOfRoute {
+		began := time.Now()
+		r := s.call(path, "Model: large")
+		assert.Equal(t, r.status, http.StatusServiceUnavailable)
+		assert.Assert(t, r.header.Get("Retry-After") != "")
+		assert.Assert(t, time.Since(began) < 200*time.Millisecond)
+	}
+	assert.Equal(t, len(a.received()), 1)
+	fields := s.logs.FilterMessage("no upstream").All()[0].ContextMap()
+	assert.Equal(t, fields["leaving"], int64(1))
+	assert.Equal(t, s.logs.FilterMessage("upstream leaving").Len(), 1)
+}
+
+// Guards against answers of another instance, or to another request, that keep calls
+// from the upstream that is registered.
+func TestNoticesOfOthersAreIgnored(t *testing.T) {
+	foreign := func(header string) script {
+		return func(_ *http.Request, w io.Writer) bool {
+			fmt.Fprintf(w, "HTTP/1.1 503 X\r\nId: other\r\nNot-Run: 1\r\n%s\r\nContent-Length: 0\r\n\r\n", header)
+			return false
+		}
+	}
+	for _, header := range []string{"Leaving: 1"} {
+		for name, first := range map[string]script{"misdirected": answer(http.StatusMisdirectedRequest, "", header), "foreign": foreign(header)} {
+			t.Run(name+" "+header, func(t *testing.T) {
+				var later atomic.Bool
+				a := startUpstream(t, "a", func(r *http.Request, w io.Writer) bool {
+					if later.CompareAndSwap(false, true) {
+						return first(r, w)
+					}
+					return answer(http.StatusOK, "ok")(r, w)
+				})
+				s := newSystem(t, registration(a, "v1")).configure()
+				s.call("/unsafe/x")
+				assert.Equal(t, s.call("/safe/x").body, "ok")
+			})
+		}
+	}
+}
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -89,6 +89,8 @@
 	// Encoded reports that the body has a content encoding, so its bytes are not
 	// those that the upstream produced.
 	Encoded bool
+	// Leaving reports that the upstream is shutting down and wants no further calls.
+	Leaving bool
 }
 
 // Codec translates between HTTP headers and the types of this package.
--- a/placement/book.go
+++ b/placement/book.go
@@ -56,6 +56,8 @@
 	// lastByteAt is the time at which this VM last received a byte from the
 	// upstream.
 	lastByteAt time.Time
+	// notices are those of the registered instance, nil if there are none.
+	notices *notices
 }
 
 type cacheKey struct {
@@ -93,6 +95,7 @@
 
 	mu         sync.Mutex
 	upstreams  map[string]*upstreamState
+	notices    map[Instance]*notices
 	service    map[string][]*upstreamState
 	peers      map[string]peerState
 	recentUses []cacheEvent
@@ -111,13 +114,14 @@
 	}
 	return &Balancer{
 		options: options, upstreams: map[string]*upstreamState{}, service: map[string][]*upstreamState{},
-		peers: map[string]peerState{}, zones: map[string]*zone{},
+		notices: map[Instance]*notices{}, peers: map[string]peerState{}, zones: map[string]*zone{},
 	}
 }
 
 // SetUpstreams replaces the list of registered upstreams. previousAt is the last time
 // at which the previous list was known to be current. An upstream whose incarnation
-// or address differs from the known one starts with empty state.
+// or address differs from the known one starts with empty state. What an instance has
+// said about further calls stays known while its registration comes and goes.
 func (b *Balancer) SetUpstreams(list []Upstream, previousAt, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -126,8 +130,8 @@
 	for _, u := range list {
 		registered[u.ID] = true
 		e := b.upstreams[u.ID]
-		if e == nil || e.Incarnation != u.Incarnation || e.Address != u.Address {
-			e = &upstreamState{cachedAt: map[cacheKey]time.Time{}}
+		if e == nil || e.Instance() != u.Instance() {
+			e = &upstreamState{cachedAt: map[cacheKey]time.Time{}, notices: b.notices[u.Instance()]}
 			b.upstreams[u.ID] = e
 		}
 		e.Upstream, e.unregisteredAt = u, time.Time{}
@@ -255,14 +259,26 @@
 	return tokens / prefillTokensPerSecond * math.Pow(modelCostRatio, float64(rank))
 }
 
-// Usable reports whether a call may still be sent to an upstream that Choose
-// returned earlier: the upstream may since have started to drain or have lost
-// its registration.
-func (b *Balancer) Usable(id string, now time.Time) bool {
+// Usable reports whether a call may still be sent to an instance that Choose
+// returned earlier: the instance may since have started to drain, have lost its
+// registration, have been replaced, or have said that it wants no calls.
+func (b *Balancer) Usable(i Instance, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	e := b.upstreams[id]
-	return e != nil && !e.Draining && (e.unregisteredAt.IsZero() || now.Sub(e.unregisteredAt) < b.options.LapseGrace)
+	e := b.upstreams[i.ID]
+	return e != nil && e.Instance() == i && e.acceptsCalls() && !b.isGone(e, now)
+}
+
+// isGone reports whether the registration of an upstream has been missing for longer than
+// a lapse may last.
+func (b *Balancer) isGone(e *upstreamState, now time.Time) bool {
+	return !e.unregisteredAt.IsZero() && now.Sub(e.unregisteredAt) >= b.options.LapseGrace
+}
+
+// acceptsCalls reports whether neither the registration nor an answer of the upstream
+// rules out new calls.
+func (e *upstreamState) acceptsCalls() bool {
+	return !e.Draining && !e.notices.leaving()
 }
 
 // Alternatives counts the upstreams of a service other than exclude that run an
--- a/placement/call.go
+++ b/placement/call.go
@@ -209,8 +209,8 @@
 	}
 }
 
-// Sweep drops prompt parts older than CacheLifetime and expired load reports of
-// peers.
+// Sweep drops prompt parts older than CacheLifetime, expired load reports of peers and
+// expired notices of upstreams.
 func (b *Balancer) Sweep(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -222,4 +222,5 @@
 		}
 	}
 	b.recomputePeerLoads(now)
+	b.expireNotices(now)
 }
--- a/placement/census.go
+++ b/placement/census.go
@@ -8,7 +8,7 @@
 type ExclusionCounts struct {
 	Registered int
 	// Tried upstreams have already been called for the request. Leaving ones are
-	// draining. Lapsed ones have lost their registration. OtherRelease ones run a
+	// registered as draining, or one of their answers said that they leave. Lapsed ones have lost their registration. OtherRelease ones run a
 	// release that is not allowed for the request.
 	Tried, Leaving, Lapsed, OtherRelease int
 	// Unreachable upstreams accepted no connection or sent no byte recently.
@@ -32,7 +32,7 @@
 			c.Tried++
 		case !e.unregisteredAt.IsZero():
 			c.Lapsed++
-		case e.Draining:
+		case e.Draining || e.notices.leaving():
 			c.Leaving++
 		case q.Allow != nil && !q.Allow(e.Release):
 			c.OtherRelease++
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -113,15 +113,15 @@
 	return zonePenalty
 }
 
-// usable reports whether a call may be placed at an upstream. Unreachable
-// upstreams are excluded even as a last resort: refusing a request at once is
+// usable reports whether a call may be placed at an upstream. Upstreams that accept no
+// calls, and unreachable ones, are excluded even as a last resort: refusing a request at once is
 // better than waiting for a connection.
 func (b *Balancer) usable(e *upstreamState, q *Query, lastResort bool) bool {
-	if e.Draining || q.Exclude[e.ID] || q.Allow != nil && !q.Allow(e.Release) || e.health.isUnreachable(q.Now) {
+	if !e.acceptsCalls() || q.Exclude[e.ID] || q.Allow != nil && !q.Allow(e.Release) || e.health.isUnreachable(q.Now) {
 		return false
 	}
 	if !e.unregisteredAt.IsZero() {
-		return lastResort && q.Now.Sub(e.unregisteredAt) < b.options.LapseGrace
+		return lastResort && !b.isGone(e, q.Now)
 	}
 	return lastResort || !e.health.ejected(q.Now)
 }
--- /dev/null
+++ b/placement/notices_test.go
@@ -0,0 +1,142 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// pair returns two upstreams, of which the first one is preferred for its zone.
+func pair() (b *Balancer, first, second Upstream) {
+	first = Upstream{ID: "e0", Incarnation: 1, Service: "s", Address: "a", AvailabilityZone: "z", Release: "v1", Slots: 4}
+	second = Upstream{ID: "e1", Incarnation: 1, Service: "s", Address: "b", AvailabilityZone: "y", Release: "v1", Slots: 4}
+	b = NewBalancer(Options{AvailabilityZone: "z"})
+	b.SetUpstreams([]Upstream{first, second}, now, now)
+	return b, first, second
+}
+
+// chosen returns the upstream that is chosen at a time, empty if there is none.
+func chosen(b *Balancer, at time.Time, exclude ...string) string {
+	q := query(1000)
+	q.Now, q.Exclude = at, map[string]bool{}
+	for _, id := range exclude {
+		q.Exclude[id] = true
+	}
+	c, _ := b.Choose(q)
+	return c.ID
+}
+
+// Guards against calls to an upstream that said it leaves, on each way on which the state
+// of an upstream is replaced or a call is placed all the same.
+func TestLeavingByOwnWord(t *testing.T) {
+	later := after(time.Second)
+	for name, c := range map[string]struct {
+		change func(b *Balancer, first, second Upstream)
+		at     time.Time
+		want   string
+	}{
+		"still registered as ready": {func(*Balancer, Upstream, Upstream) {}, later, "e1"},
+		"registrations are read again": {func(b *Balancer, first, second Upstream) {
+			b.SetUpstreams([]Upstream{first, second}, later, later)
+		}, later, "e1"},
+		"another release under the same incarnation": {func(b *Balancer, first, second Upstream) {
+			first.Release = "v2"
+			b.SetUpstreams([]Upstream{first, second}, later, later)
+		}, later, "e1"},
+		"no other upstream": {func(b *Balancer, first, second Upstream) {
+			b.SetUpstreams([]Upstream{first}, later, later)
+		}, after(time.Minute), ""},
+		"registration lapsed, last resort": {func(b *Balancer, first, second Upstream) {
+			b.SetUpstreams(nil, later, later)
+			b.RecordLeaving(second.Instance(), later)
+		}, later, ""},
+		"registration back after its state was dropped": {func(b *Balancer, first, second Upstream) {
+			b.SetUpstreams([]Upstream{second}, later, later)
+			gone := later.Add(2 * unregisteredRetention)
+			b.SetUpstreams([]Upstream{second}, gone, gone)
+			b.Sweep(gone)
+			b.SetUpstreams([]Upstream{first, second}, gone, gone)
+		}, later.Add(3 * unregisteredRetention), "e1"},
+		"new incarnation": {func(b *Balancer, first, second Upstream) {
+			first.Incarnation = 2
+			b.SetUpstreams([]Upstream{first, second}, later, later)
+		}, later, "e0"},
+		"new address": {func(b *Balancer, first, second Upstream) {
+			first.Address = "c"
+			b.SetUpstreams([]Upstream{first, second}, later, later)
+		}, later, "e0"},
+		"first incarnation again": {func(b *Balancer, first, second Upstream) {
+			next := first
+			next.Incarnation = 2
+			b.SetUpstreams([]Upstream{next, second}, later, later)
+			b.SetUpstreams([]Upstream{first, second}, later, later)
+		}, later, "e1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, first, second := pair()
+			assert.Equal(t, chosen(b, now), "e0")
+			assert.Assert(t, b.RecordLeaving(first.Instance(), now))
+			assert.Assert(t, !b.RecordLeaving(first.Instance(), now), "reported twice")
+			c.change(b, first, second)
+			assert.Equal(t, chosen(b, c.at), c.want)
+		})
+	}
+}
+
+// Guards against a notice that is lost because it was told before the registration was
+// read.
+func TestLeavingBeforeRegistration(t *testing.T) {
+	_, first, second := pair()
+	b := NewBalancer(Options{AvailabilityZone: "z"})
+	b.RecordLeaving(first.Instance(), now)
+	b.SetUpstreams([]Upstream{first, second}, now, now)
+	assert.Equal(t, chosen(b, now), "e1")
+}
+
+// Guards against a placed call that is written after the instance said that it leaves or
+// was replaced.
+func TestPlacedCallIsNotWritten(t *testing.T) {
+	for name, change := range map[string]func(b *Balancer, first Upstream){
+		"leaving": func(b *Balancer, first Upstream) { b.RecordLeaving(first.Instance(), now) },
+		"new incarnation": func(b *Balancer, first Upstream) {
+			first.Incarnation = 2
+			b.SetUpstreams([]Upstream{first}, now, now)
+		},
+		"new address": func(b *Balancer, first Upstream) {
+			first.Address = "c"
+			b.SetUpstreams([]Upstream{first}, now, now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, first, _ := pair()
+			_, c := place(t, b, query(100))
+			assert.Assert(t, b.Usable(c.Instance(), now))
+			change(b, first)
+			assert.Assert(t, !b.Usable(c.Instance(), now))
+		})
+	}
+}
+
+// Guards against notices that are kept for ever, and against dropping those that still
+// matter.
+func TestNoticesExpire(t *testing.T) {
+	b, first, _ := pair()
+	b.RecordLeaving(first.Instance(), now)
+	b.Sweep(after(2 * leavingRetention))
+	assert.Equal(t, len(b.notices), 1)
+	b.SetUpstreams(nil, after(2*leavingRetention), after(2*leavingRetention))
+	b.SetUpstreams(nil, after(2*leavingRetention), after(2*leavingRetention+time.Minute))
+	b.Sweep(after(3 * leavingRetention))
+	assert.Equal(t, len(b.notices), 1)
+	b.Sweep(after(3*leavingRetention + time.Minute))
+	assert.Equal(t, len(b.notices), 0)
+}
+
+// Guards against a refusal that is put down to another reason than the upstream's own
+// word.
+func TestNoticesAreCounted(t *testing.T) {
+	b, first, _ := pair()
+	b.RecordLeaving(first.Instance(), now)
+	assert.DeepEqual(t, b.ExclusionCounts(query(100)), ExclusionCounts{Registered: 2, Leaving: 1})
+}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -225,7 +225,7 @@
 	}, now, now)
 	_, c := place(t, b, query(100))
 	assert.Equal(t, c.ID, "e1")
-	assert.Assert(t, !b.Usable("e0", now))
+	assert.Assert(t, !b.Usable(Instance{ID: "e0", Address: "a"}, now))
 	b.SetUpstreams(nil, now, now)
 	_, c = place(t, b, query(100))
 	assert.Equal(t, c.ID, "e1")
@@ -233,7 +233,7 @@
 	q.Now = after(DefaultLapseGrace + time.Millisecond)
 	_, ok := b.Choose(q)
 	assert.Assert(t, !ok)
-	assert.Assert(t, !b.Usable("e1", q.Now))
+	assert.Assert(t, !b.Usable(Instance{ID: "e1", Address: "a"}, q.Now))
 }
 
 // Guards against a grace that begins when the VM hears that a registration is gone: the
@@ -248,8 +248,9 @@
 	} {
 		b := engines(1)
 		b.SetUpstreams(nil, now.Add(-c.unconfirmed), now)
-		assert.Equal(t, b.Usable("e0", after(c.usableFor-time.Millisecond)), c.usableFor > 0, "%v", c.unconfirmed)
-		assert.Assert(t, !b.Usable("e0", after(c.usableFor)), "%v", c.unconfirmed)
+		e0 := Instance{ID: "e0", Address: "a"}
+		assert.Equal(t, b.Usable(e0, after(c.usableFor-time.Millisecond)), c.usableFor > 0, "%v", c.unconfirmed)
+		assert.Assert(t, !b.Usable(e0, after(c.usableFor)), "%v", c.unconfirmed)
 	}
 }
 
