fleet: VMs tell each other which upstreams have said that they leave

An upstream says that it leaves in answers, and so only to the VMs that send to it. The others went on until the registration said so, and their callers saw the upstream exit.

Reports now hold the instances whose leaving the sender has learned of: those of the last 0.8 s in each digest, and all that are still known in a full one. A VM treats them like its own observation and tells them on, so sums of delegates need no list of their own. Pauses are addressed to one VM and are not told.

Before, with the upstream's registration still ready:

--- FAIL: TestUpstreamTellsOneVMThatItLeaves notices_test.go:40: assertion failed: expression is false: strings.HasSuffix(s.Call(vm, "/book/x", standin.Key).Body, "by d2")

It fails in the same way if Report leaves the list out. After: it passes; a new process under the old ID gets calls again.

The field is new in a gob message, so builds without it ignore it, and their reports have an empty list (fleet:TestReportWithoutLeavingIsUnderstood).

--- a/entry/control.go
+++ b/entry/control.go
@@ -23,9 +23,9 @@
 	// ticksPerSweep is the number of task intervals between two sweeps of expired
 	// entries.
 	ticksPerSweep = 4
-	// recentWindow is the age up to which uses of prompt prefixes and sessions are
-	// reported to peers. It covers several exchanges, so that each use is still
-	// reported if one exchange fails.
+	// recentWindow is the age up to which uses of prompt prefixes and sessions, and news
+	// of leaving upstreams, are reported to peers. It covers several exchanges, so that
+	// each of them is still reported if one exchange fails.
 	recentWindow = 800 * time.Millisecond
 )
 
@@ -122,7 +122,9 @@
 		Loads: fleet.EncodeLoads(e.balancer.Loads()), Uses: e.balancer.RecentUses(recentWindow, now),
 		Sessions: e.rollouts.RecentSessions(recentWindow, now),
 	}
+	r.Leaving = e.balancer.LeavingSince(now.Add(-recentWindow), now)
 	if evidence {
+		r.Leaving = e.balancer.LeavingSince(time.Time{}, now)
 		r.Rollouts = e.rollouts.Evidence()
 	}
 	return r
@@ -132,6 +134,11 @@
 func (e *Entry) ApplyReport(source string, r fleet.Report, now time.Time) {
 	e.balancer.SetPeer(source, fleet.DecodeLoads(r.Loads), now)
 	e.balancer.AddUses(r.Uses, now)
+	for _, instance := range r.Leaving {
+		if e.balancer.RecordLeaving(instance, now) {
+			e.log.Info("upstream leaving", zap.String("upstream", instance.ID), zap.Int64("incarnation", instance.Incarnation), zap.String("peer", source))
+		}
+	}
 	e.rollouts.AddSessions(r.Sessions, now)
 	e.rollouts.Merge(source, r.Rollouts)
 }
--- /dev/null
+++ b/entry/entrytest/notices_test.go
@@ -0,0 +1,49 @@
+package entrytest
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryshift/savoryshift/platform/standin"
+)
+
+// reachedBy calls one VM until an upstream has received another request.
+func (s *System) reachedBy(vm *VM, u *standin.Upstream) {
+	s.T.Helper()
+	before := u.Total()
+	s.Eventually("the upstream receives a request", func() bool {
+		s.Call(vm, "/book/x", standin.Key)
+		return u.Total() > before
+	})
+}
+
+// Guards against a VM that sends requests to an upstream that has told another VM that
+// it leaves, while its registration is still ready.
+func TestUpstreamTellsOneVMThatItLeaves(t *testing.T) {
+	s, desk := startSystem(t, 2)
+	// The VMs prefer the faster upstream.
+	desk[1].SetBehaviour(standin.Behaviour{ServiceTime: 100 * time.Millisecond})
+	for _, vm := range s.VMs {
+		s.reachedBy(vm, desk[0])
+	}
+	desk[0].SetBehaviour(standin.Behaviour{Leaving: true})
+	s.reachedBy(s.VMs[0], desk[0])
+	time.Sleep(time.Second)
+	before := desk[0].Total()
+	for range 20 {
+		for _, vm := range s.VMs {
+			assert.Assert(t, strings.HasSuffix(s.Call(vm, "/book/x", standin.Key).Body, "by d2"))
+		}
+	}
+	assert.Equal(t, desk[0].Total(), before)
+	// Each process has an address of its own, so this is a new one under the old ID.
+	next, err := standin.ListenUpstream(s.Store, desk[0].ID, "desk", "v1", "z", plainService)
+	assert.NilError(t, err)
+	next.Register(next.Address())
+	for _, vm := range s.VMs {
+		s.reachedBy(vm, next)
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -48,7 +48,8 @@
 // Node provides the state of this VM and receives the state of its peers.
 type Node interface {
 	// Report returns the state that this VM reports to peers. It holds the
-	// evidence on rollouts if evidence is true.
+	// evidence on rollouts, and all leaving upstreams instead of the newest, if evidence is
+	// true.
 	Report(evidence bool) Report
 	// Tables returns the states of this VM's copies of the store's tables, by table
 	// name.
@@ -219,6 +220,7 @@
 	members, reachable := f.alive(now), f.reachable(now)
 	f.mu.Unlock()
 	own := f.opts.Node.Report(fullDigest)
+	own.Leaving = own.Leaving[:min(len(own.Leaving), maxDigestLeaving)]
 	d.Tables = f.opts.Node.Tables()
 	d.Scope = scope(reachable, d.From, to)
 	f.mu.Lock()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,9 +1,13 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -144,9 +148,14 @@
 	calls        int
 	loadBySource map[string]int
 	table        mirror.Page
+	leaving      map[placement.Instance]bool
 }
 
-func (n *node) Report(bool) Report { return Report{Loads: loads(n.calls)} }
+func (n *node) Report(bool) Report {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return Report{Loads: loads(n.calls), Leaving: slices.Collect(maps.Keys(n.leaving))}
+}
 func (n *node) Tables() map[string]mirror.State {
 	return map[string]mirror.State{"t": {Revision: n.table.Revision}}
 }
@@ -162,6 +171,9 @@
 	for _, l := range r.Loads {
 		n.loadBySource[source] = placement.Load{Calls: l.Calls}.Calls
 	}
+	for _, instance := range r.Leaving {
+		n.leaving[instance] = true
+	}
 }
 
 // startFleets starts n VMs that all have the first one as their only seed.
@@ -176,7 +188,7 @@
 		if i == 0 {
 			seed = l.Addr().String()
 		}
-		nd := &node{calls: i + 1, loadBySource: map[string]int{}, table: mirror.Page{Revision: int64(i)}}
+		nd := &node{calls: i + 1, loadBySource: map[string]int{}, leaving: map[placement.Instance]bool{}, table: mirror.Page{Revision: int64(i)}}
 		f := New(Options{
 			Self:        Member{VM: fmt.Sprintf("vm%d", i), AvailabilityZone: "z", Address: l.Addr().String(), Capacity: 1},
 			Incarnation: 1, Seeds: []string{seed}, Node: nd, Log: zap.NewNop(),
@@ -248,3 +260,60 @@
 	f.mu.Unlock()
 	assert.Assert(t, f.ReadsStore(later, 2) && f.ReadsStore(later, 1))
 }
+
+// tell makes a VM know that an upstream leaves.
+func (n *node) tell(instance placement.Instance) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.leaving[instance] = true
+}
+
+// Guards against a VM that is not told that an upstream leaves because it does not
+// exchange digests with the VM that learned of it.
+func TestLeavingUpstreamIsToldToAll(t *testing.T) {
+	_, nodes := startFleets(t, 3)
+	instance := placement.Instance{ID: "u", Incarnation: 7, Address: "10.0.0.1:1"}
+	nodes[1].tell(instance)
+	for i, n := range nodes {
+		eventually(t, fmt.Sprintf("vm%d is not told", i), func() bool {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return n.leaving[instance]
+		})
+	}
+	own := Report{Leaving: []placement.Instance{instance}}
+	rs := newReportStore()
+	assert.DeepEqual(t, rs.zoneSum(own, false, time.Unix(100, 0)).Leaving, own.Leaving)
+	assert.DeepEqual(t, rs.othersSum(own, "vm", false, time.Unix(100, 0)).Leaving, own.Leaving)
+}
+
+// Guards against digests without bound after many upstreams have left.
+func TestDigestBoundsLeavingUpstreams(t *testing.T) {
+	n := &node{loadBySource: map[string]int{}, leaving: map[placement.Instance]bool{}}
+	for i := range 2 * maxDigestLeaving {
+		n.tell(placement.Instance{ID: fmt.Sprint("u", i)})
+	}
+	f := New(Options{Self: Member{VM: "vm0", Address: "127.0.0.1:1"}, Node: n, Log: zap.NewNop()})
+	assert.Equal(t, len(f.digest(Member{VM: "vm1", Address: "127.0.0.1:2"}).Report.Leaving), maxDigestLeaving)
+}
+
+// Guards against a report that VMs of the build before Report.Leaving cannot decode, and
+// against theirs.
+func TestReportWithoutLeavingIsUnderstood(t *testing.T) {
+	type earlierReport struct {
+		Loads    []LoadReport
+		Uses     []placement.CacheUse
+		Sessions []rollout.SessionUse
+		Rollouts []rollout.Evidence
+	}
+	var wire bytes.Buffer
+	assert.NilError(t, gob.NewEncoder(&wire).Encode(Report{Loads: loads(3), Leaving: []placement.Instance{{ID: "u"}}}))
+	var earlier earlierReport
+	assert.NilError(t, gob.NewDecoder(&wire).Decode(&earlier))
+	assert.DeepEqual(t, earlier.Loads, loads(3))
+	wire.Reset()
+	assert.NilError(t, gob.NewEncoder(&wire).Encode(earlier))
+	var report Report
+	assert.NilError(t, gob.NewDecoder(&wire).Decode(&report))
+	assert.DeepEqual(t, report, Report{Loads: loads(3)})
+}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -46,13 +46,16 @@
 )
 
 // Report is the state of one VM or the sum over several: the load that they put
-// on upstreams, their recent uses of prompt prefixes and sessions, and their
-// evidence on rollouts.
+// on upstreams, their recent uses of prompt prefixes and sessions, their evidence on
+// rollouts, and the upstreams that said they leave.
 type Report struct {
 	Loads    []LoadReport
 	Uses     []placement.CacheUse
 	Sessions []rollout.SessionUse
 	Rollouts []rollout.Evidence
+	// Leaving are the instances whose leaving the sender has learned of, from their
+	// answers or from its peers. Builds before this field ignore it.
+	Leaving []placement.Instance
 }
 
 // Digest is the message that two VMs send each other in an exchange.
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -16,6 +16,9 @@
 	// maxDigestUses bounds the uses of prefixes, and those of sessions, in one
 	// digest. The newest ones are kept.
 	maxDigestUses = 150
+	// maxDigestLeaving bounds the leaving upstreams in one digest. Those that the sender
+	// learned of last are kept.
+	maxDigestLeaving = 150
 )
 
 // reportStore holds the reports of other VMs, so that a delegate can forward their
@@ -69,7 +72,8 @@
 
 func (rs *reportStore) sum(own Report, except string, zones, evidence bool, now time.Time) Report {
 	loads := map[string]*LoadReport{}
-	out := Report{Uses: own.Uses, Sessions: own.Sessions}
+	// Each VM tells on what it has learned from its peers, so its own list holds theirs.
+	out := Report{Uses: own.Uses, Sessions: own.Sessions, Leaving: own.Leaving}
 	addLoads(loads, own.Loads)
 	add := func(p *receivedReport) {
 		age := now.Sub(p.at)
--- a/placement/notices.go
+++ b/placement/notices.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Instance identifies one process of an upstream. Another process may have the same ID
 // or the same address.
@@ -35,12 +38,18 @@
 		n = &notices{}
 		b.notices[i] = n
 	}
-	if e := b.upstreams[i.ID]; e != nil && e.Instance() == i {
-		e.notices = n
+	if b.isKnown(i) {
+		b.upstreams[i.ID].notices = n
 	}
 	return n
 }
 
+// isKnown reports whether an instance is registered or was so recently.
+func (b *Balancer) isKnown(i Instance) bool {
+	e := b.upstreams[i.ID]
+	return e != nil && e.Instance() == i
+}
+
 // RecordLeaving records that an instance has said that it leaves: it gets no further
 // calls. It reports whether that is news.
 func (b *Balancer) RecordLeaving(i Instance, now time.Time) bool {
@@ -54,6 +63,25 @@
 	return true
 }
 
+// LeavingSince returns the instances of which this VM has learned, since a time, that
+// they leave; those learned last come first. Instances that have been without a
+// registration for long are left out.
+func (b *Balancer) LeavingSince(since, now time.Time) []Instance {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []Instance
+	for i, n := range b.notices {
+		current := b.isKnown(i) || now.Sub(n.leavingSince) < unregisteredRetention
+		if n.leaving() && current && !n.leavingSince.Before(since) {
+			list = append(list, i)
+		}
+	}
+	slices.SortFunc(list, func(x, y Instance) int {
+		return b.notices[y].leavingSince.Compare(b.notices[x].leavingSince)
+	})
+	return list
+}
+
 // leavingRetention is how long it is remembered that an instance leaves after its
 // registration has gone. The registration may return while the instance serves on, which
 // takes minutes at most.
@@ -62,7 +90,7 @@
 // expireNotices drops notices that no longer keep calls from an instance.
 func (b *Balancer) expireNotices(now time.Time) {
 	for i, n := range b.notices {
-		if e := b.upstreams[i.ID]; e != nil && e.Instance() == i {
+		if b.isKnown(i) {
 			n.keptAt = now
 		}
 		expired := !n.leaving() || now.Sub(n.leavingSince) > leavingRetention && now.Sub(n.keptAt) > leavingRetention
--- a/placement/notices_test.go
+++ b/placement/notices_test.go
@@ -133,6 +133,22 @@
 	assert.Equal(t, len(b.notices), 0)
 }
 
+// Guards against peers that are told the oldest news first, not of all, or of instances
+// that left long ago.
+func TestLeavingSince(t *testing.T) {
+	b, first, second := pair()
+	b.RecordLeaving(first.Instance(), now)
+	b.RecordLeaving(second.Instance(), after(time.Second))
+	assert.DeepEqual(t, b.LeavingSince(time.Time{}, after(time.Second)), []Instance{second.Instance(), first.Instance()})
+	assert.DeepEqual(t, b.LeavingSince(after(time.Second), after(time.Second)), []Instance{second.Instance()})
+	long := after(2 * unregisteredRetention)
+	b.SetUpstreams([]Upstream{first}, now, now)
+	b.SetUpstreams([]Upstream{first}, long, long)
+	assert.DeepEqual(t, b.LeavingSince(time.Time{}, long), []Instance{first.Instance()})
+	b.SetUpstreams([]Upstream{first, second}, long, long)
+	assert.Equal(t, len(b.LeavingSince(time.Time{}, long)), 2)
+}
+
 // Guards against a refusal that is put down to another reason than the upstream's own
 // word.
 func TestNoticesAreCounted(t *testing.T) {
