gateway: an upstream that refuses with Retry-After gets nothing until then

An upstream that turns a call away may ask for no further calls for a time. The VM ignored that: it went on sending, each refused call cost the request a retry and the upstream work, and refused callers were told to return in about 0.4 s, only to be refused again.

Now this VM places no call at that instance before the end of the pause, also not as a last resort, and withdraws calls that are not yet written. Of several pauses the one that ends last applies. A reload or a lapse of the registration does not end it; a new incarnation or address does. Calls go to other upstreams as before. If every upstream that may serve a request is paused or leaves, the request is refused at once, and the caller is told when the first pause ends. Without a pause Retry-After is as before. "no upstream" counts the paused upstreams, and savoryctl explain words them.

Retry-After counts with a status of 500 or above. Below, it is addressed to the client or is about the resource: 429 may concern one organisation only, and 202 or 404 say nothing about the upstream.

--- FAIL: TestPausedUpstreamGetsNothingUntilTheEnd (each of 3 routes) notices_test.go:132: assertion failed: 23 (int) != 1 (int) --- FAIL: TestRefusalNamesTheEndOfThePause notices_test.go:162: ... is true: 517.563869ms --- FAIL: TestPauseIsForOneVM notices_test.go:65: assertion failed: ... after > 4 && after < 10: 0.518 s --- FAIL: TestExplainRefusal ... of 3 registered upstreams 1 were leaving

Why it works: the pause is kept with the other notices by instance, from the moment the header is decoded, and the same check guards the choice and the write. The pause is counted from the receipt of the answer, so it never ends before the upstream's own.

--- a/cmd/savoryctl/explain.go
+++ b/cmd/savoryctl/explain.go
@@ -193,6 +193,7 @@
 var exclusions = []struct{ field, description string }{
 	{"tried", "had been tried"}, {"unreachable", "could not be reached"}, {"failing", "failed in a row"},
 	{"leaving", "were leaving"}, {"lapsed", "were no longer registered"}, {"other_release", "ran a release that may not serve it"},
+	{"paused", "had asked for a pause"},
 }
 
 // describeCall describes how the call of a "call" line ended. It returns nothing
--- a/cmd/savoryctl/explain_test.go
+++ b/cmd/savoryctl/explain_test.go
@@ -52,6 +52,7 @@
 	}
 	for counts, want := range map[string]string{
 		`"registered":3,"tried":0,"unreachable":2,"failing":1`: "of 3 registered upstreams 2 could not be reached, 1 failed in a row",
+		`"registered":3,"leaving":1,"paused":2`:                "of 3 registered upstreams 1 were leaving, 2 had asked for a pause",
 		`"registered":3,"tried":0`:                             "of 3 registered upstreams none was kept from it",
 	} {
 		file := filepath.Join(t.TempDir(), "1.log")
--- a/entry/entrytest/notices_test.go
+++ b/entry/entrytest/notices_test.go
@@ -1,6 +1,8 @@
 package entrytest
 
 import (
+	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -47,3 +49,24 @@
 		s.reachedBy(vm, next)
 	}
 }
+
+// Guards against a pause that keeps the VMs from an upstream that did not ask them for it,
+// and against a refusal that tells its client to return before the pause ends.
+func TestPauseIsForOneVM(t *testing.T) {
+	s := New(t)
+	desk := s.Upstream("d1", "desk", "v1", standin.Behaviour{Full: true, RetryAfter: 5 * time.Second})
+	first, second := s.Start(), s.Start()
+	time.Sleep(discoveryTime)
+	for range 2 {
+		a := s.Call(first, "/book/x", standin.Key)
+		assert.Equal(t, a.Status, http.StatusServiceUnavailable)
+		after, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, after > 4 && after < 10, "%v s", after)
+	}
+	desk.SetBehaviour(plainService)
+	time.Sleep(time.Second)
+	assert.Equal(t, s.Call(first, "/book/x", standin.Key).Status, http.StatusServiceUnavailable)
+	assert.Equal(t, s.Call(second, "/book/x", standin.Key).Status, http.StatusOK)
+	assert.Equal(t, desk.Total(), 1)
+}
--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -21,13 +21,6 @@
 	// noConfigurationRetryAfter gives a starting VM time to read its
 	// configuration.
 	noConfigurationRetryAfter = 300 * time.Millisecond
-	// noUpstreamRetryAfter is about the time until a lapsed registration is
-	// renewed or another instance is started.
-	noUpstreamRetryAfter = 400 * time.Millisecond
-	// minJitter and jitterRange define the jitter of Retry-After as a factor: it
-	// is uniform between minJitter and minJitter+jitterRange.
-	minJitter   = 0.75
-	jitterRange = 0.75
 	// announceThreshold is the predicted engine time of a prompt, in seconds, from
 	// which the call is announced to peers at once. Shorter calls delay a request
 	// at the same engine by less than its client notices.
@@ -131,7 +124,7 @@
 
 // refuse responds to a request that was not run and may be retried after a delay.
 func (exec *execution) refuse(kind errkind.Kind, after time.Duration) {
-	exec.writeError(kind, after)
+	exec.writeError(kind, jitter(after, exec.req.ID))
 }
 
 // fail responds to a request that may have run, without telling the client to retry.
@@ -145,7 +138,7 @@
 	h := exec.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if after > 0 {
-		exec.srv.opts.Codec.EncodeRefusal(h, exec.req, jitter(after, exec.req.ID))
+		exec.srv.opts.Codec.EncodeRefusal(h, exec.req, after)
 	}
 	body := "savoryshift: " + string(kind) + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(body)))
@@ -154,12 +147,6 @@
 	_, _ = exec.w.Write([]byte(body))
 }
 
-// jitter varies the retry delay of a refused request by its ID, so that clients
-// that are refused together do not retry together.
-func jitter(after time.Duration, id string) time.Duration {
-	return time.Duration(float64(after) * (minJitter + jitterRange*hashFraction(id)))
-}
-
 // giveUp ends a request for which no further call can be made and which has no
 // response to deliver.
 func (exec *execution) giveUp() {
@@ -176,7 +163,7 @@
 		exec.fail(errkind.UpstreamFailed)
 	default:
 		exec.logNoUpstream()
-		exec.refuse(errkind.NoCapacity, noUpstreamRetryAfter)
+		exec.refuseUntilUsable(time.Now())
 	}
 }
 
@@ -190,7 +177,7 @@
 	exec.srv.opts.Log.Info("no upstream",
 		zap.String("request", exec.req.ID), zap.String("service", exec.service.Name), zap.Int("registered", c.Registered),
 		zap.Int("tried", c.Tried), zap.Int("leaving", c.Leaving), zap.Int("lapsed", c.Lapsed), zap.Int("other_release", c.OtherRelease),
-		zap.Int("unreachable", c.Unreachable), zap.Int("failing", c.Failing), zap.Duration("list_age", c.ListAge),
+		zap.Int("paused", c.Paused), zap.Int("unreachable", c.Unreachable), zap.Int("failing", c.Failing), zap.Duration("list_age", c.ListAge),
 		zap.Int("runs", exec.runs), zap.Int("most_runs", exec.route.MaxAttempts),
 	)
 }
@@ -299,8 +286,9 @@
 	failed
 )
 
-// errUnregistered is returned for a call whose upstream began to drain, deregistered or
-// said that it leaves after it was chosen and before the request was written.
+// errUnregistered is returned for a call whose upstream began to drain,
+// deregistered or asked for no calls after it was chosen and before the request was
+// written.
 var errUnregistered = errors.New("upstream accepts no new calls")
 
 // recordResult counts a call by its result class and excludes its upstream from
--- a/gateway/gatewaytest/codec.go
+++ b/gateway/gatewaytest/codec.go
@@ -52,6 +52,7 @@
 		r.Confidence = n
 	}
 	r.Leaving = resp.Header.Get("Leaving") != ""
+	r.RetryAfter, _ = time.ParseDuration(resp.Header.Get("Retry-After"))
 	return r
 }
 
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,4 +17,20 @@
 		opts.Log.Info("upstream leaving",
 			zap.String("request", a.exec.req.ID), zap.String("upstream", instance.ID), zap.Int64("incarnation", instance.Incarnation))
 	}
+	if pause := a.requestedPause(); pause > 0 && opts.Balancer.RecordPause(instance, pause, now) {
+		opts.Metrics.countCallEvent("upstream paused")
+		opts.Log.Info("upstream paused",
+			zap.String("request", a.exec.req.ID), zap.String("upstream", instance.ID), zap.Int64("incarnation", instance.Incarnation),
+			zap.Duration("pause", pause))
+	}
+}
+
+// requestedPause returns the time for which the upstream wants no calls. In a response
+// below 500 Retry-After is about the requested resource or about its client, and not
+// about the upstream.
+func (a *attempt) requestedPause() time.Duration {
+	if a.responseHeader.Status < http.StatusInternalServerError {
+		return 0
+	}
+	return a.responseHeader.RetryAfter
 }
--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -85,7 +85,7 @@
 			return false
 		}
 	}
-	for _, header := range []string{"Leaving: 1"} {
+	for _, header := range []string{"Leaving: 1", "Retry-After: 5s"} {
 		for name, first := range map[string]script{"misdirected": answer(http.StatusMisdirectedRequest, "", header), "foreign": foreign(header)} {
 			t.Run(name+" "+header, func(t *testing.T) {
 				var later atomic.Bool
@@ -102,3 +102,75 @@
 		}
 	}
 }
+
+// refusingOnce returns a script that refuses the first request with a pause and answers
+// the others.
+func refusingOnce(pause time.Duration) script {
+	var refused atomic.Bool
+	return func(r *http.Request, w io.Writer) bool {
+		if refused.CompareAndSwap(false, true) {
+			return answer(http.StatusServiceUnavailable, "", "Not-Run: 1", "Retry-After: "+pause.String())(r, w)
+		}
+		return events(3, lastChunk)(r, w)
+	}
+}
+
+// Guards against requests that reach an upstream before the end of the pause that it
+// asked for, and against one that gets none after it.
+func TestPausedUpstreamGetsNothingUntilTheEnd(t *testing.T) {
+	const pause = 600 * time.Millisecond
+	for _, path := range kindsOfRoute {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			s, a, b := newPreferred(t, refusingOnce(pause), events(3, lastChunk))
+			began := time.Now()
+			assert.Equal(t, s.call(path, "Model: large").status, http.StatusOK)
+			for time.Since(began) < pause-100*time.Millisecond {
+				assert.Equal(t, s.call(path, "Model: large").status, http.StatusOK)
+				time.Sleep(20 * time.Millisecond)
+			}
+			assert.Equal(t, len(a.received()), 1)
+			assert.Assert(t, len(b.received()) > 1)
+			time.Sleep(time.Until(began.Add(pause + 100*time.Millisecond)))
+			assert.Equal(t, s.call(path, "Model: large").status, http.StatusOK)
+			assert.Equal(t, len(a.received()), 2)
+			assert.Equal(t, s.logs.FilterMessage("upstream paused").Len(), 1)
+		})
+	}
+}
+
+// retryAfter returns the time after which a refused client is told to retry.
+func retryAfter(t *testing.T, r reply) time.Duration {
+	t.Helper()
+	assert.Equal(t, r.status, http.StatusServiceUnavailable)
+	after, err := time.ParseDuration(r.header.Get("Retry-After"))
+	assert.NilError(t, err)
+	return after
+}
+
+// Guards against clients that are told to return before the pause of the only upstream
+// ends, and against refusals that are held back.
+func TestRefusalNamesTheEndOfThePause(t *testing.T) {
+	const pause = 3 * time.Second
+	a := startUpstream(t, "a", refusingOnce(pause))
+	s := newSystem(t, registration(a, "v1")).configure()
+	began := time.Now()
+	for _, path := range append([]string{"/unsafe/x"}, kindsOfRoute...) {
+		asked := time.Now()
+		after := retryAfter(t, s.call(path, "Model: large", "Patience: 30000"))
+		assert.Assert(t, time.Since(asked) < 200*time.Millisecond)
+		assert.Assert(t, !time.Now().Add(after).Before(began.Add(pause)), "%v", after)
+	}
+	assert.Equal(t, len(a.received()), 1)
+	fields := s.logs.FilterMessage("no upstream").All()[1].ContextMap()
+	assert.Equal(t, fields["paused"], int64(1))
+}
+
+// Guards against a request that is refused because of a pause although another upstream
+// may take it soon, and is told to return only when that pause ends.
+func TestRefusalDoesNotWaitForOnePauseOfSeveral(t *testing.T) {
+	a := startUpstream(t, "a", refusingOnce(20*time.Second))
+	gone := placement.Upstream{ID: "b", Service: "svc", Address: "127.0.0.1:1", Release: "v1", Slots: 4}
+	s := newSystem(t, registration(a, "v1"), gone).configure()
+	assert.Assert(t, retryAfter(t, s.call("/unsafe/x", "Patience: 90000")) < time.Second)
+}
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -91,6 +91,9 @@
 	Encoded bool
 	// Leaving reports that the upstream is shutting down and wants no further calls.
 	Leaving bool
+	// RetryAfter is the time for which the upstream asks for no further calls, 0 if it
+	// does not ask. It is meaningful with a status of 500 or above.
+	RetryAfter time.Duration
 }
 
 // Codec translates between HTTP headers and the types of this package.
--- a/placement/book.go
+++ b/placement/book.go
@@ -266,7 +266,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.upstreams[i.ID]
-	return e != nil && e.Instance() == i && e.acceptsCalls() && !b.isGone(e, now)
+	return e != nil && e.Instance() == i && e.acceptsCalls(now) && !b.isGone(e, now)
 }
 
 // isGone reports whether the registration of an upstream has been missing for longer than
@@ -276,9 +276,9 @@
 }
 
 // acceptsCalls reports whether neither the registration nor an answer of the upstream
-// rules out new calls.
-func (e *upstreamState) acceptsCalls() bool {
-	return !e.Draining && !e.notices.leaving()
+// rules out new calls of this VM.
+func (e *upstreamState) acceptsCalls(now time.Time) bool {
+	return !e.Draining && !e.notices.leaving() && e.notices.pauseLeft(now) == 0
 }
 
 // Alternatives counts the upstreams of a service other than exclude that run an
--- a/placement/census.go
+++ b/placement/census.go
@@ -8,9 +8,12 @@
 type ExclusionCounts struct {
 	Registered int
 	// Tried upstreams have already been called for the request. Leaving ones are
-	// registered as draining, or one of their answers said that they leave. Lapsed ones have lost their registration. OtherRelease ones run a
-	// release that is not allowed for the request.
+	// registered as draining, or one of their answers said that they leave. Lapsed ones
+	// have lost their registration. OtherRelease ones run a release that is not allowed
+	// for the request.
 	Tried, Leaving, Lapsed, OtherRelease int
+	// Paused upstreams asked this VM for no calls until a time.
+	Paused int
 	// Unreachable upstreams accepted no connection or sent no byte recently.
 	// Failing ones are ejected after consecutive failures.
 	Unreachable, Failing int
@@ -36,6 +39,8 @@
 			c.Leaving++
 		case q.Allow != nil && !q.Allow(e.Release):
 			c.OtherRelease++
+		case e.notices.pauseLeft(q.Now) > 0:
+			c.Paused++
 		case e.health.isUnreachable(q.Now):
 			c.Unreachable++
 		case e.health.ejected(q.Now):
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -114,10 +114,10 @@
 }
 
 // usable reports whether a call may be placed at an upstream. Upstreams that accept no
-// calls, and unreachable ones, are excluded even as a last resort: refusing a request at once is
-// better than waiting for a connection.
+// calls, and unreachable ones, are excluded even as a last resort: refusing a request at
+// once is better than waiting for a connection.
 func (b *Balancer) usable(e *upstreamState, q *Query, lastResort bool) bool {
-	if !e.acceptsCalls() || q.Exclude[e.ID] || q.Allow != nil && !q.Allow(e.Release) || e.health.isUnreachable(q.Now) {
+	if !e.acceptsCalls(q.Now) || q.Exclude[e.ID] || q.Allow != nil && !q.Allow(e.Release) || e.health.isUnreachable(q.Now) {
 		return false
 	}
 	if !e.unregisteredAt.IsZero() {
--- a/placement/notices.go
+++ b/placement/notices.go
@@ -24,12 +24,23 @@
 	// leavingSince is the time at which this VM learned that the upstream leaves, zero if
 	// it has not said so.
 	leavingSince time.Time
+	pausedUntil  time.Time
+	// reportedPause is the end of the pause that RecordPause last reported as new.
+	reportedPause time.Time
 	// keptAt is the time of the last sweep that found the instance known.
 	keptAt time.Time
 }
 
 func (n *notices) leaving() bool { return n != nil && !n.leavingSince.IsZero() }
 
+// pauseLeft returns the rest of the pause, 0 if there is none.
+func (n *notices) pauseLeft(now time.Time) time.Duration {
+	if n == nil {
+		return 0
+	}
+	return max(0, n.pausedUntil.Sub(now))
+}
+
 // noticesOf returns the notices of an instance, which it adds if there are none. They are
 // kept apart from upstreamState because they must outlive a lapse of the registration.
 func (b *Balancer) noticesOf(i Instance) *notices {
@@ -63,6 +74,28 @@
 	return true
 }
 
+// minReportedExtension is the least time by which a pause must grow to be reported as
+// new. The answers to calls in flight each ask for a pause that ends a little later.
+const minReportedExtension = time.Second
+
+// RecordPause records that an instance wants no calls of this VM for a time. Of several
+// pauses the one that ends last applies. It reports whether the pause is new or much
+// longer than before.
+func (b *Balancer) RecordPause(i Instance, pause time.Duration, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := b.noticesOf(i)
+	paused, until := n.pauseLeft(now) > 0, now.Add(pause)
+	if until.After(n.pausedUntil) {
+		n.pausedUntil = until
+	}
+	if paused && until.Sub(n.reportedPause) < minReportedExtension {
+		return false
+	}
+	n.reportedPause = until
+	return true
+}
+
 // LeavingSince returns the instances of which this VM has learned, since a time, that
 // they leave; those learned last come first. Instances that have been without a
 // registration for long are left out.
@@ -82,6 +115,26 @@
 	return list
 }
 
+// ShortestPause returns the time until the first of the upstreams that may serve the
+// call has no pause any more: 0 if one of them has none now, or if there are none. Other
+// reasons against an upstream, and Query.Exclude, do not count, because they may end
+// sooner.
+func (b *Balancer) ShortestPause(q *Query) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	shortest, found := time.Duration(0), false
+	for _, e := range b.service[q.Service] {
+		if e.Draining || e.notices.leaving() || b.isGone(e, q.Now) || q.Allow != nil && !q.Allow(e.Release) {
+			continue
+		}
+		left := e.notices.pauseLeft(q.Now)
+		if !found || left < shortest {
+			shortest, found = left, true
+		}
+	}
+	return shortest
+}
+
 // leavingRetention is how long it is remembered that an instance leaves after its
 // registration has gone. The registration may return while the instance serves on, which
 // takes minutes at most.
@@ -94,7 +147,7 @@
 			n.keptAt = now
 		}
 		expired := !n.leaving() || now.Sub(n.leavingSince) > leavingRetention && now.Sub(n.keptAt) > leavingRetention
-		if expired {
+		if expired && n.pauseLeft(now) == 0 {
 			delete(b.notices, i)
 		}
 	}
