gateway: test which answers ask for a pause

Retry-After of a success, of a 4xx answer or of 429 is for the client or one organisation and must not keep all calls from the upstream. Failures and refusals (500 and above) ask for a pause on each kind of route.

On the code before the pauses 9 of 21 cases fail, those that ask for one:

--- FAIL: TestOnlyServerErrorsAskForAPause/503_Not-Run:_1/safe/x notices_test.go:204: assertion failed: 2 (int) != 1 (want int)

Now all pass.

--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -174,3 +174,35 @@
 	s := newSystem(t, registration(a, "v1"), gone).configure()
 	assert.Assert(t, retryAfter(t, s.call("/unsafe/x", "Patience: 90000")) < time.Second)
 }
+
+// Guards against a pause of the whole upstream because of a Retry-After that is about one
+// client or resource, and against a failure whose Retry-After is ignored.
+func TestOnlyServerErrorsAskForAPause(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		header string
+		pauses bool
+	}{
+		{http.StatusOK, "X: y", false},
+		{http.StatusAccepted, "X: y", false},
+		{http.StatusNotFound, "X: y", false},
+		{http.StatusTooManyRequests, "Not-Run: 1", false},
+		{http.StatusInternalServerError, "X: y", true},
+		{http.StatusServiceUnavailable, "X: y", true},
+		{http.StatusServiceUnavailable, "Not-Run: 1", true},
+	} {
+		for _, path := range kindsOfRoute {
+			t.Run(fmt.Sprintf("%d %s%s", c.status, c.header, path), func(t *testing.T) {
+				a := startUpstream(t, "a", answer(c.status, "", "Retry-After: 5s", c.header))
+				s := newSystem(t, registration(a, "v1")).configure()
+				s.call(path, "Model: large")
+				s.call(path, "Model: large")
+				want := 2
+				if c.pauses {
+					want = 1
+				}
+				assert.Equal(t, len(a.received()), want)
+			})
+		}
+	}
+}
