--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -20,6 +20,9 @@
 	call           *placement.Call
 	response       *exchange.Reply
 	responseHeader ResponseHeader
+	// withdrawn is set if the call was not written because its upstream accepts no new
+	// calls.
+	withdrawn bool
 	// status is the status of the response for log lines, which may be written before
 	// the response is handed over.
 	status atomic.Int32
@@ -47,7 +50,7 @@
 	response, err := exec.srv.opts.Pool.Send(a.ctx, a.choice.Address, exchange.Request{
 		ID: exec.req.ID, Method: exec.req.Method, Target: exec.req.Target, Host: exec.req.Host, Header: header, Body: exec.req.Body, MaxIdle: idle,
 		BeforeWrite: func() error {
-			if !exec.srv.opts.Balancer.Usable(a.choice.ID, time.Now()) {
+			if !exec.srv.opts.Balancer.Usable(a.choice.Instance(), time.Now()) {
 				return errUnregistered
 			}
 			return nil
@@ -68,7 +71,8 @@
 	if errors.Is(err, exchange.ErrNotSent) {
 		class, outcome = notRun, placement.Unreachable
 	}
-	if errors.Is(a.ctx.Err(), context.Canceled) || errors.Is(err, errUnregistered) {
+	a.withdrawn = errors.Is(err, errUnregistered)
+	if errors.Is(a.ctx.Err(), context.Canceled) || a.withdrawn {
 		outcome = placement.Neutral
 	}
 	a.finish(outcome)
@@ -80,7 +84,7 @@
 // whose body is not to be read.
 func (a *attempt) classifyResponse() resultClass {
 	switch {
-	case !a.isOwnResponse() || a.responseHeader.Encoded:
+	case !a.isOwnResponse():
 		a.drop()
 		a.logEvent("foreign answer", zap.String("answers", a.responseHeader.RequestID))
 		return failed
@@ -89,6 +93,9 @@
 		a.exec.srv.opts.Pool.CloseIdle(a.choice.Address)
 		a.logEvent("misdirected")
 		return notRun
+	}
+	a.recordNotices()
+	switch {
 	case a.responseHeader.NotRun:
 		a.finish(placement.Neutral)
 		a.logEvent("not run")
@@ -97,6 +104,10 @@
 		a.drop()
 		a.logEvent("unfounded refusal")
 		return failed
+	case a.responseHeader.Encoded:
+		a.drop()
+		a.logEvent("encoded answer")
+		return failed
 	case a.responseHeader.Status >= 500:
 		return failed
 	case a.responseHeader.Status < 300 && !a.responseHeader.Signed:
--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -21,13 +21,6 @@
 	// noConfigurationRetryAfter gives a starting VM time to read its
 	// configuration.
 	noConfigurationRetryAfter = 300 * time.Millisecond
-	// noUpstreamRetryAfter is about the time until a lapsed registration is
-	// renewed or another instance is started.
-	noUpstreamRetryAfter = 400 * time.Millisecond
-	// minJitter and jitterRange define the jitter of Retry-After as a factor: it
-	// is uniform between minJitter and minJitter+jitterRange.
-	minJitter   = 0.75
-	jitterRange = 0.75
 	// announceThreshold is the predicted engine time of a prompt, in seconds, from
 	// which the call is announced to peers at once. Shorter calls delay a request
 	// at the same engine by less than its client notices.
@@ -76,6 +69,8 @@
 	servedRelease string
 	// anyCallFailed is set once a call of the request has failed.
 	anyCallFailed bool
+	// lastWithdrawn is set if the last call was withdrawn before it was written.
+	lastWithdrawn bool
 	// mayHaveRun is set once a call ran or may have run. The client must then not
 	// be told that the request was not run.
 	mayHaveRun bool
@@ -129,7 +124,7 @@
 
 // refuse responds to a request that was not run and may be retried after a delay.
 func (exec *execution) refuse(kind errkind.Kind, after time.Duration) {
-	exec.writeError(kind, after)
+	exec.writeError(kind, jitter(after, exec.req.ID))
 }
 
 // fail responds to a request that may have run, without telling the client to retry.
@@ -143,7 +138,7 @@
 	h := exec.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if after > 0 {
-		exec.srv.opts.Codec.EncodeRefusal(h, exec.req, jitter(after, exec.req.ID))
+		exec.srv.opts.Codec.EncodeRefusal(h, exec.req, after)
 	}
 	body := "savoryshift: " + string(kind) + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(body)))
@@ -152,12 +147,6 @@
 	_, _ = exec.w.Write([]byte(body))
 }
 
-// jitter varies the retry delay of a refused request by its ID, so that clients
-// that are refused together do not retry together.
-func jitter(after time.Duration, id string) time.Duration {
-	return time.Duration(float64(after) * (minJitter + jitterRange*hashFraction(id)))
-}
-
 // giveUp ends a request for which no further call can be made and which has no
 // response to deliver.
 func (exec *execution) giveUp() {
@@ -174,7 +163,7 @@
 		exec.fail(errkind.UpstreamFailed)
 	default:
 		exec.logNoUpstream()
-		exec.refuse(errkind.NoCapacity, noUpstreamRetryAfter)
+		exec.refuseUntilUsable(time.Now())
 	}
 }
 
@@ -188,7 +177,7 @@
 	exec.srv.opts.Log.Info("no upstream",
 		zap.String("request", exec.req.ID), zap.String("service", exec.service.Name), zap.Int("registered", c.Registered),
 		zap.Int("tried", c.Tried), zap.Int("leaving", c.Leaving), zap.Int("lapsed", c.Lapsed), zap.Int("other_release", c.OtherRelease),
-		zap.Int("unreachable", c.Unreachable), zap.Int("failing", c.Failing), zap.Duration("list_age", c.ListAge),
+		zap.Int("paused", c.Paused), zap.Int("unreachable", c.Unreachable), zap.Int("failing", c.Failing), zap.Duration("list_age", c.ListAge),
 		zap.Int("runs", exec.runs), zap.Int("most_runs", exec.route.MaxAttempts),
 	)
 }
@@ -200,11 +189,16 @@
 }
 
 // allowRetry reports whether one more call may be made. If so, it charges the
-// call to the retry budget of the service, which all requests share.
+// call to the retry budget of the service, which all requests share. A call that
+// replaces one that was not written is not charged.
 func (exec *execution) allowRetry() bool {
 	if exec.callsExhausted() {
 		return false
 	}
+	if exec.lastWithdrawn {
+		exec.lastWithdrawn = false
+		return true
+	}
 	if !exec.srv.opts.RetryBudget.AllowRetry(exec.service.Name, time.Now()) {
 		exec.srv.opts.Metrics.countCallEvent("retry denied")
 		exec.srv.opts.Log.Info("retry denied", zap.String("request", exec.req.ID), zap.String("service", exec.service.Name), zap.Int("runs", exec.runs), zap.Int("sends", exec.sends))
@@ -292,13 +286,15 @@
 	failed
 )
 
-// errUnregistered is returned for a call whose upstream began to drain or
-// deregistered after it was chosen and before the request was written.
+// errUnregistered is returned for a call whose upstream began to drain,
+// deregistered or asked for no calls after it was chosen and before the request was
+// written.
 var errUnregistered = errors.New("upstream accepts no new calls")
 
 // recordResult counts a call by its result class and excludes its upstream from
 // later calls unless the response is deliverable.
 func (exec *execution) recordResult(a *attempt, class resultClass) {
+	exec.lastWithdrawn = a.withdrawn
 	if class != notRun {
 		exec.runs++
 		exec.mayHaveRun = true
