upstream: a pause of an upstream does not end a call in progress

What callers saw: a call with a long body failed with 502, "may have run", when its upstream stopped reading for a few seconds and went on. Cause: every connection had TCP_USER_TIMEOUT 2 s, and the kernel counts a closed receive window and missing acknowledgements alike. The option was meant for calls that were given up, but it also ended calls in progress. Evidence, TestUpstreamPausesInALongRequest on the code before, with a pause of 3.2 s:

pause_test.go:56: upstream call: read tcp ...: read: connection timed out (after 2.49 s)

With a pause of 2.5 s the same test passed on the code before: the kernel ended the call at 2.49 s. Not run: a host that acknowledges nothing, which needs a network that can be cut. Ruled out: the idle time-out of streams and the dial time-out; neither applies here.

Before: 2 s, in progress or not. After: 10 s while a call is in progress, and 2 s from the moment its connection is closed, which the transport does when the call is given up. A process that is killed can leave unacknowledged bytes for up to 10 s. TestGivenUpCallIsNotDeliveredLater holds before and after; without the change in Close it fails: 3145827 bytes arrive 5.7 s after the call was given up.

--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -3,6 +3,7 @@
 
 import (
 	"errors"
+	"net"
 	"syscall"
 	"time"
 
@@ -14,11 +15,27 @@
 // bytes in its send buffer, also if it has been closed. Without the option, a request
 // that was given up could reach its destination many seconds later, when a cut ends.
 func LimitUnacked(timeout time.Duration) func(network, address string, raw syscall.RawConn) error {
-	return func(_, _ string, raw syscall.RawConn) error {
-		var optionErr error
-		err := raw.Control(func(fd uintptr) {
-			optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
-		})
-		return errors.Join(err, optionErr)
+	return func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, timeout) }
+}
+
+// SetUnacked replaces the bound of LimitUnacked on an open connection. Connections
+// without a socket are left as they are.
+func SetUnacked(conn net.Conn, timeout time.Duration) error {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
 	}
+	return setUserTimeout(raw, timeout)
+}
+
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
+	var optionErr error
+	err := raw.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+	return errors.Join(err, optionErr)
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -23,8 +23,11 @@
 	AdminTimeout = 5 * time.Second
 
 	// unackedTimeout bounds the time for which the bytes of a call may be
-	// unacknowledged, also after the call was given up.
-	unackedTimeout = 2 * time.Second
+	// unacknowledged. It is above the pauses of a sound upstream.
+	unackedTimeout = 10 * time.Second
+	// givenUpUnackedTimeout replaces unackedTimeout when a connection is closed, so
+	// that the bytes of a call that was given up are not delivered much later.
+	givenUpUnackedTimeout = 2 * time.Second
 
 	idleConnsPerUpstream = 256
 	idleConnTimeout      = 60 * time.Second
@@ -69,6 +72,10 @@
 			if err != nil {
 				return nil, err
 			}
+			if err := sockopt.SetUnacked(conn, unackedTimeout); err != nil {
+				_ = conn.Close()
+				return nil, err
+			}
 			return &gatedConn{Conn: conn}, nil
 		},
 		Protocols:              protocols,
@@ -81,7 +88,7 @@
 
 func (o Options) withDefaults() Options {
 	if o.Dial == nil {
-		o.Dial = (&net.Dialer{Timeout: DefaultDialTimeout, Control: sockopt.LimitUnacked(unackedTimeout)}).DialContext
+		o.Dial = (&net.Dialer{Timeout: DefaultDialTimeout}).DialContext
 	}
 	if o.MaxResponseBytes == 0 {
 		o.MaxResponseBytes = DefaultMaxResponseBytes
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"sync"
+
+	"github.com/savoryshift/savoryshift/internal/sockopt"
 )
 
 // ErrResent reports that the transport tried to transmit an attempt a second
@@ -117,3 +119,10 @@
 	}
 	return n, err
 }
+
+// Close implements net.Conn.
+func (c *gatedConn) Close() error {
+	// The connection is closed in any case; an error means that it is closed already.
+	_ = sockopt.SetUnacked(c.Conn, givenUpUnackedTimeout)
+	return c.Conn.Close()
+}
