proxy: a stream is not given up before another call delivers its next part

What callers saw: a stream that ended with an error event although its first upstream was sound and had only paused, or was still in progress. The idle time-out of a stream cancelled the call, and only then asked for another one. With an empty retry budget, or when the others refused, failed or hung, nothing was left. The time-out may be set to 1 s; its default is 30 s. 2. A hedged stream that had delivered a part and broke off ended the first call, which was sound and in progress. 3. A first call that spoke after the hedged one was ended; when the hedged stream broke off, its resumption needed a retry that the budget no longer had.

Before: silence ended the call. After: streamRace keeps it in progress and seeks another call; a call loses the stream only to one that delivers the next part of the same version, and then it is the first candidate if that one fails and the Router plans nothing. An upstream that hangs still counts as unreachable once it is replaced. A stream whose upstream hangs and that nobody can continue now ends at its deadline, not at the idle time-out.

--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -391,6 +392,6 @@
 		PromptTokens:     result.PromptTokens,
 		CompletionTokens: result.CompletionTokens,
 		Err:              err,
-		Cancelled:        err != nil && ctx.Err() != nil,
+		Cancelled:        err != nil && ctx.Err() != nil && !errors.Is(err, upstream.ErrStreamIdle),
 	})
 }
--- a/proxy/patience.go
+++ b/proxy/patience.go
@@ -2,14 +2,9 @@
 
 import (
 	"context"
-	"errors"
-	"sync/atomic"
 	"time"
 )
 
-// errHedgeNotStarted is the result of a hedged call that was not made.
-var errHedgeNotStarted = errors.New("second call was not started")
-
 // mayHedge reports whether a hedged call to another upstream is made when the
 // call of the step exceeds its patience: nothing was delivered yet and the
 // deadline leaves time for it. Without a hedge, an engine that hangs would hold
@@ -23,8 +18,13 @@
 func (x *execution) planHedge(first Step) (Step, bool) {
 	progress := x.progress
 	progress.Failed = &first.Target
+	return x.planSecond(progress)
+}
+
+// planSecond asks the Router for a call to another upstream than the failed one.
+func (x *execution) planSecond(progress Progress) (Step, bool) {
 	next, err := x.server.options.Router.Next(x.req.route, progress)
-	if err != nil || len(next.Steps) == 0 || next.Steps[0].Upstream == first.Upstream {
+	if err != nil || len(next.Steps) == 0 || next.Steps[0].Upstream == progress.Failed.Upstream {
 		return Step{}, false
 	}
 	x.server.counters.secondCalls.Add(1)
@@ -74,47 +74,3 @@
 		}
 	}
 }
-
-// streamWithHedge forwards a streamed response, with a hedged call when the
-// first call has not sent a part within its patience. The first call to send a
-// part is forwarded.
-func (x *execution) streamWithHedge(ctx context.Context, first Step, priority int) (reply, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	results := make(chan stepResult, 2)
-	firstFailed := make(chan struct{})
-	var winner atomic.Int32 // index+1 of the call whose stream is forwarded; 0 for none
-	stream := func(index int, step Step) {
-		// No part was delivered before, see mayHedge, so the stream starts at the
-		// beginning.
-		resp, err := x.streamStep(ctx, step.Target, priority, 0, func() bool {
-			return winner.CompareAndSwap(0, int32(index+1)) || winner.Load() == int32(index+1)
-		})
-		results <- stepResult{index: index, reply: resp, err: err}
-	}
-	go stream(0, first)
-	go func() {
-		if x.waitForHedge(ctx, first.Patience, firstFailed) && winner.Load() == 0 {
-			if step, ok := x.planHedge(first); ok {
-				stream(1, step)
-				return
-			}
-		}
-		results <- stepResult{index: 1, err: errHedgeNotStarted}
-	}()
-	return x.awaitStreams(results, firstFailed, &winner, cancel)
-}
-
-// waitForHedge returns true when the patience has passed, and false when ctx
-// ends or the first call fails before.
-func (x *execution) waitForHedge(ctx context.Context, patience time.Duration, firstFailed <-chan struct{}) bool {
-	timer := time.NewTimer(patience)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-firstFailed:
-	case <-timer.C:
-		return true
-	}
-	return false
-}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -125,8 +125,8 @@
 	HeaderReadTimeoutMs Milliseconds `json:"header_read_timeout_ms" default:"5000" min:"100" max:"60000" unit:"ms"`
 	// BodyReadTimeoutMs limits the time for reading the body of a request.
 	BodyReadTimeoutMs Milliseconds `json:"body_read_timeout_ms" default:"30000" min:"100" max:"600000" unit:"ms"`
-	// StreamIdleTimeoutMs limits the time between two parts of a stream, both to
-	// the caller and from the upstream.
+	// StreamIdleTimeoutMs is the time without a part of a stream after which
+	// another upstream is asked to continue it.
 	StreamIdleTimeoutMs Milliseconds `json:"stream_idle_timeout_ms" default:"30000" min:"1000" max:"600000" unit:"ms"`
 	// OutcomeBytes limits the header and the body of the stored outcome of a call
 	// that runs at most once.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -48,9 +48,9 @@
 	// MaxHeaderBytes bounds the header of a response; default
 	// DefaultMaxHeaderBytes.
 	MaxHeaderBytes int64
-	// StreamIdle bounds the time between two parts of a stream; default
-	// DefaultStreamIdle. The wait for the first part is bounded only by the
-	// deadline of the call.
+	// StreamIdle bounds the time between two parts of a stream, unless the call
+	// has OnIdle; default DefaultStreamIdle. The wait for the first part is bounded
+	// only by the deadline of the call.
 	StreamIdle time.Duration
 }
 
@@ -130,6 +130,10 @@
 	// request is written. If it fails, nothing is sent, and its error is
 	// returned with Ran "no".
 	BeforeWrite func() error
+	// OnIdle, if set, is called once for each time that a stream sends no part for
+	// StreamIdle. The call then goes on, so that the caller can end it once another
+	// one continues the stream.
+	OnIdle func()
 }
 
 // Part is one numbered part of a streamed response. Data is valid only until
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -49,7 +49,7 @@
 	switch {
 	case answered:
 		return false
-	case errors.Is(err, errStreamIdle):
+	case errors.Is(err, ErrStreamIdle):
 		return true
 	}
 	return errkind.Of(err) == errkind.UpstreamFailed && !errors.Is(err, context.Canceled)
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -139,7 +139,7 @@
 func (x *exchange) errorKind(err error) errkind.Kind {
 	var network net.Error
 	switch {
-	case errors.Is(context.Cause(x.ctx), errStreamIdle), errors.Is(x.ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(context.Cause(x.ctx), ErrStreamIdle), errors.Is(x.ctx.Err(), context.DeadlineExceeded):
 		return errkind.UpstreamTimeout
 	case x.ctx.Err() != nil:
 		return errkind.UpstreamFailed
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -34,9 +34,9 @@
 // ErrTruncated reports a stream that ended before its end event.
 var ErrTruncated = errors.New("stream ended before its end event")
 
-// errStreamIdle is the cancellation cause of a stream that sent no part within
-// the idle timeout.
-var errStreamIdle = errors.New("no part arrived within the idle timeout")
+// ErrStreamIdle is the cancellation cause of a stream that sent no part within
+// the idle timeout. A caller that sets Call.OnIdle can cancel the call with it.
+var ErrStreamIdle = errors.New("no part arrived within the idle timeout")
 
 var (
 	// errorPrefix is the start of the error object that engines send as a part
@@ -61,7 +61,11 @@
 	if t := x.resp.Header.Get("Content-Type"); !strings.HasPrefix(t, "text/event-stream") {
 		return res, invalidResponse("answer to a streamed call has content type %q", t)
 	}
-	idle := time.AfterFunc(c.options.StreamIdle, func() { x.cancel(errStreamIdle) })
+	onIdle := call.OnIdle
+	if onIdle == nil {
+		onIdle = func() { x.cancel(ErrStreamIdle) }
+	}
+	idle := time.AfterFunc(c.options.StreamIdle, onIdle)
 	idle.Stop()
 	defer idle.Stop()
 	s := &stream{exchange: x, res: &res, emit: emit, idle: idle, idleTime: c.options.StreamIdle, from: from}
