proxy: a held answer is released before the deadline

What callers saw: the answer of the smaller model, which was in hand, came when the deadline of the request had passed, so a caller with the same deadline got none. Cause: a held answer is released 20 ms before the deadline only if it was held before the call to the better model began. It was not when that call was already in progress (early cascade), nor while the rating service was asked. Evidence, TestHeldAnswerIsReleasedInTime on the code before, 6 of 8 cases, for example:

early_better_call_hangs,_stream_false: model_test.go:328: time.Since(start) is >= deadline: after 3s

Ruled out: an answer that is dropped for a better call which then is refused, fails or breaks off (TestHeldAnswerOutlivesAFailedBetterCall, 12 cases, holds before); the plain cascade (2 of the 8 cases hold before).

Before: at the deadline. After: 20 ms before it, 8 of 8 cases. The early call ends at the release time as soon as an answer is held, and a rating that is awaited ends there too. Ratings of delivered answers keep their own time-out.

--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -111,11 +111,14 @@
 func (x *execution) deadlineReached() bool {
 	end := x.req.route.Deadline
 	if x.held != nil {
-		end = end.Add(-heldReleaseMargin)
+		end = x.req.releaseTime()
 	}
 	return !time.Now().Before(end)
 }
 
+// releaseTime returns when a held response is released at the latest.
+func (m *modelRequest) releaseTime() time.Time { return m.route.Deadline.Add(-heldReleaseMargin) }
+
 // recordMayHaveRun sets mayHaveRun unless err says that the call did not run.
 func (x *execution) recordMayHaveRun(err error) {
 	if err != nil && errkind.RanOf(err) != errkind.RanNo {
@@ -174,7 +177,7 @@
 func (x *execution) runSteps(ctx context.Context, plan Plan) (resp reply, rejected bool, err error) {
 	until := x.req.route.Deadline
 	if x.held != nil {
-		until = until.Add(-heldReleaseMargin)
+		until = x.req.releaseTime()
 	}
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
@@ -211,7 +214,7 @@
 // rejected response. The result is true for a rejected response.
 func (x *execution) acceptOrHold(ctx context.Context, step Step, resp reply) (reply, bool, error) {
 	x.progress.Failed = nil
-	if !step.Rated || x.server.rate(ctx, x.req, resp) {
+	if !step.Rated || x.rate(ctx, resp) {
 		return resp, false, nil
 	}
 	x.hold(resp)
@@ -237,6 +240,8 @@
 // or as soon as the first one failed or was rejected. The first accepted
 // response wins and the other call is cancelled.
 func (x *execution) raceSteps(ctx context.Context, plan Plan) (reply, bool, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	results := make(chan stepResult, len(plan.Steps))
 	firstFailed := make(chan struct{})
 	for i, step := range plan.Steps {
@@ -246,7 +251,7 @@
 				return
 			}
 			resp, err := x.server.callUnary(ctx, x.req, step.Target, plan.Priority)
-			accepted := err == nil && (!step.Rated || x.server.rate(ctx, x.req, resp))
+			accepted := err == nil && (!step.Rated || x.rate(ctx, resp))
 			results <- stepResult{index: i, reply: resp, accepted: accepted, err: err}
 		}()
 	}
@@ -261,6 +266,8 @@
 		}
 		if last.err == nil {
 			x.hold(last.reply)
+			release := time.AfterFunc(time.Until(x.req.releaseTime()), cancel)
+			defer release.Stop()
 		}
 		if i == 0 {
 			close(firstFailed)
@@ -289,6 +296,14 @@
 	return ctx.Err() == nil
 }
 
+// rate asks the rating service about a response while there is time left to
+// release it.
+func (x *execution) rate(ctx context.Context, resp reply) bool {
+	ctx, cancel := context.WithDeadline(ctx, x.req.releaseTime())
+	defer cancel()
+	return x.server.rate(ctx, x.req, resp)
+}
+
 // rate asks the rating service about a response. If the rating fails, the
 // response counts as not good, so that a better version is called.
 func (s *Server) rate(ctx context.Context, m *modelRequest, resp reply) bool {
--- a/proxy/model_test.go
+++ b/proxy/model_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"strings"
@@ -281,3 +282,79 @@
 		}
 	}
 }
+
+// hangingRater does not answer.
+type hangingRater struct{}
+
+func (hangingRater) Rate(ctx context.Context, _ proxy.RatingRequest) (bool, error) {
+	<-ctx.Done()
+	return false, ctx.Err()
+}
+
+// Guards against an answer in hand that reaches the caller only after the
+// deadline, because the better call or the rating of the answer hangs.
+func TestHeldAnswerIsReleasedInTime(t *testing.T) {
+	const deadline = 3 * time.Second
+	cheap, better := step("e1", "s1"), step("e2", "l1")
+	cheap.Rated = true
+	for name, c := range map[string]struct {
+		steps  []proxy.Step
+		follow []proxy.Plan
+		rater  proxy.Rater
+	}{
+		"better call hangs":       {[]proxy.Step{cheap}, []proxy.Plan{{Steps: []proxy.Step{better}}}, nil},
+		"early better call hangs": {[]proxy.Step{cheap, better}, nil, nil},
+		"rating hangs":            {[]proxy.Step{cheap}, nil, hangingRater{}},
+		"rating hangs in a race":  {[]proxy.Step{cheap, better}, nil, hangingRater{}},
+	} {
+		for _, stream := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, stream %t", name, stream), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newFixture(t)
+					w.rater.BadVersions = []string{"s1"}
+					w.engines["e2"].SetFaults(engine.Faults{Frozen: true})
+					defer w.engines["e2"].SetFaults(engine.Faults{})
+					router := w.router(c.steps...)
+					router.NextPlans = c.follow
+					o := w.options(router)
+					if c.rater != nil {
+						o.Rater = c.rater
+					}
+					body := fmt.Sprintf(`{"model":"brief","stream":%t,"max_tokens":8,"messages":[{"role":"user","content":"hello"}]}`, stream)
+					start := time.Now()
+					r := w.post(w.serve("10.1.0.1:80", o)+"/v1/chat/completions", callerKey, body, proxy.HeaderDeadline, fmt.Sprint(deadline.Milliseconds()))
+					assert.Equal(t, r.status, 200, r.body)
+					assert.Equal(t, r.header.Get(proxy.HeaderVersion), "s1")
+					assert.Assert(t, time.Since(start) < deadline, "after %v", time.Since(start))
+				})
+			})
+		}
+	}
+}
+
+// Guards against an answer in hand that is dropped for a better call, which then is
+// refused or fails.
+func TestHeldAnswerOutlivesAFailedBetterCall(t *testing.T) {
+	cheap, better := step("e1", "s1"), step("e2", "l1")
+	cheap.Rated = true
+	for name, f := range map[string]engine.Faults{"refused": {Leaving: true}, "fails": {ErrorRate: 1}, "cut": {CutAfterPart: 1}} {
+		for kind, steps := range map[string][]proxy.Step{"cascade": {cheap}, "early cascade": {cheap, better}} {
+			for _, stream := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s, %s, stream %t", name, kind, stream), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						w := newFixture(t)
+						w.rater.BadVersions = []string{"s1"}
+						w.engines["e2"].SetFaults(f)
+						router := w.router(steps...)
+						router.NextPlans = []proxy.Plan{{Steps: []proxy.Step{better}}}
+						body := fmt.Sprintf(`{"model":"brief","stream":%t,"max_tokens":8,"messages":[{"role":"user","content":"hello"}]}`, stream)
+						r := w.post(w.serve("10.1.0.1:80", w.options(router))+"/v1/chat/completions", callerKey, body)
+						assert.Equal(t, r.status, 200, r.body)
+						assert.Equal(t, r.header.Get(proxy.HeaderVersion), "s1")
+						assert.Equal(t, strings.Contains(r.body, "[DONE]"), stream)
+					})
+				})
+			}
+		}
+	}
+}
