policy: a retry that is not made is not taken from the budget

What callers saw: an error of a first call that could have been repeated, with retry_budget_spent, at a daemon that had made no retries before. Cause: Planner.Next took the retry before it looked for an engine. Where no engine was left, each slow or failed call took one in vain. The search for a replacement of a silent stream asks more often and would take more. Evidence, TestRetriesWithoutACallAreFree on the code before:

policy_test.go:181: assertion failed: retry_budget_spent (plan.Refusal errkind.Kind) != no_capacity

(fourth of nine refusals; the budget starts with three).

After: a plan without calls returns its retry.

--- a/policy/budget.go
+++ b/policy/budget.go
@@ -53,6 +53,14 @@
 	return true
 }
 
+// returnRetry gives back a retry of spendRetry that was not made.
+func (p *Planner) returnRetry(r *Request) {
+	s := p.organisationState(r.Organisation)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retryTokens = math.Min(retryBurst, s.retryTokens+1)
+}
+
 // decayedUsage returns a recorded usage after exponential decay over the given
 // time.
 func decayedUsage(usage float64, since time.Duration) float64 {
--- a/policy/next.go
+++ b/policy/next.go
@@ -28,13 +28,21 @@
 // Next decides what follows a badly rated answer or a failed call. It returns a
 // plan with one call, a plan without calls (deliver the held answer) or a
 // refusal. After a failure it takes a retry from the retry budget of the
-// organisation.
+// organisation, unless the plan has no calls.
 func (p *Planner) Next(v *View, r *Request, s Progress, now time.Duration) Plan {
-	c := v.class(r.Class)
-	remaining := (r.Deadline - now).Seconds()
 	if s.Failed && !p.spendRetry(r) {
 		return deliverOrRefuse(s, errkind.RetryBudgetSpent)
 	}
+	plan := p.planNext(v, r, s, now)
+	if s.Failed && plan.N == 0 {
+		p.returnRetry(r)
+	}
+	return plan
+}
+
+func (p *Planner) planNext(v *View, r *Request, s Progress, now time.Duration) Plan {
+	c := v.class(r.Class)
+	remaining := (r.Deadline - now).Seconds()
 	avoid := -1
 	if s.Failed {
 		avoid = s.FailedUpstream
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -170,6 +170,21 @@
 	assert.Assert(t, retries >= 95, "%d retries", retries)
 }
 
+// Guards against a retry budget that is spent on retries that are not made, because
+// no other engine could serve them.
+func TestRetriesWithoutACallAreFree(t *testing.T) {
+	p := New(Options{})
+	v := p.BuildView(testInputs(1, 1), 0)
+	r := testRequest(1)
+	for range 3 * initialRetries {
+		plan := p.Next(v, &r, Progress{Failed: true, Calls: 1}, 0)
+		assert.Equal(t, plan.Refusal, errkind.NoCapacity)
+	}
+	v = p.BuildView(testInputs(4, 1), 0)
+	plan := p.Next(v, &r, Progress{Failed: true, Calls: 1}, 0)
+	assert.Assert(t, !plan.Refused(), "%s", plan.Refusal)
+}
+
 // Guards against exploration that exceeds its budgets of requests and cost.
 func TestExplorationStaysWithinBudget(t *testing.T) {
 	const share, n = 0.02, 5000
