upstream: a connection with a foreign response is not used again

What callers saw: call after call to an engine failed, each with the response of the call before, after the engine had written one earlier response once more on a kept connection. Nothing was told "not run" wrongly; the requests ran and were lost or made again. Cause: a response with the ids of another call was rejected, but if its body was read to the end or it had none, the connection went back to the pool, one response behind. Evidence, TestResponseOfAnEarlierCall on the code before, with a server that answers each call but the first on a connection with the response before:

refused: 7 (foreign int) != 4 (int) answered_without_a_body: 7 (foreign int) != 4 (int)

7 of 8 calls got a foreign response. A second fault beside it: of several values of X-Request-Id, X-Attempt-Id or X-Ran only the first was compared, so an ambiguous refusal was believed (TestRefusalWithAmbiguousHeaders: no != unknown). Ruled out: a refusal of another call that is believed (TestRefusalNeedsTheIdsOfTheAttempt holds before); bytes between two calls, on which net/http closes the connection; the ids cover what arrives just after the next call was written.

After: such a response closes its connection, and 4 of 8 calls get one: the second on each connection.

--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -19,22 +19,34 @@
 	for _, echo := range []struct{ name, want string }{
 		{HeaderRequestID, call.RequestID}, {HeaderAttemptID, call.AttemptID}, {HeaderVersion, call.Version},
 	} {
-		if got := h.Values(echo.name); len(got) != 1 || got[0] != echo.want {
-			return invalidResponse("answer has %s %q, the call has %q", echo.name, got, echo.want)
+		if !hasOnly(h, echo.name, echo.want) {
+			x.closeConn()
+			return invalidResponse("answer has %s %q, the call has %q", echo.name, h.Values(echo.name), echo.want)
 		}
 	}
 	return nil
 }
 
+// hasOnly reports whether the header has exactly one field of the name, with the
+// given value.
+func hasOnly(h http.Header, name, value string) bool {
+	got := h.Values(name)
+	return len(got) == 1 && got[0] == value
+}
+
 // checkRefusal converts a response with an error status into an error. The
 // error says "not run" only if the response has the header X-Ran: no and the
 // ids of the call, because a refusal of another attempt proves nothing about
-// this one.
+// this one. A connection that carried it may be one response behind, so it is not
+// used again.
 func (x *exchange) checkRefusal(call Call) error {
 	h := x.resp.Header
 	body, _ := io.ReadAll(io.LimitReader(x.resp.Body, maxErrorBytes))
-	sameAttempt := h.Get(HeaderRequestID) == call.RequestID && h.Get(HeaderAttemptID) == call.AttemptID
-	if sameAttempt && h.Get(HeaderRan) == string(errkind.RanNo) {
+	sameAttempt := hasOnly(h, HeaderRequestID, call.RequestID) && hasOnly(h, HeaderAttemptID, call.AttemptID)
+	if !sameAttempt {
+		x.closeConn()
+	}
+	if sameAttempt && hasOnly(h, HeaderRan, string(errkind.RanNo)) {
 		return errkind.Wrap(errkind.UpstreamRefused, &RefusedError{
 			Status: x.resp.StatusCode, Leaving: h.Get(HeaderLeaving) == "true", Message: errorMessage(body),
 		})
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -27,6 +27,7 @@
 	gate           *gate
 	start          time.Time
 	firstByte      atomic.Bool // a response has begun
+	conn           atomic.Pointer[gatedConn]
 	resp           *http.Response
 }
 
@@ -81,6 +82,7 @@
 				x.cancel(errors.New("connection has no gate"))
 				return
 			}
+			x.conn.Store(conn)
 			conn.setGate(x.gate)
 		},
 		GotFirstResponseByte: func() { x.firstByte.Store(true) },
@@ -113,6 +115,13 @@
 	x.cancelDeadline()
 }
 
+// closeConn closes the connection, so that no other exchange uses it.
+func (x *exchange) closeConn() {
+	if conn := x.conn.Load(); conn != nil {
+		_ = conn.Close()
+	}
+}
+
 // fail converts the error of a failed exchange into one with its kind and Ran
 // value. It seals the gate, so that nothing of the attempt is transmitted
 // afterwards.
