upstream: a booking does not get the response of an earlier request

What callers saw: a booking that was made was answered with the refusal of an earlier one, which also became the stored outcome of its idempotency key. Cause: responses of plain services have no ids. On a kept connection, a service that writes an earlier response once more answers the next request with it, and each one after it. Evidence, TestBookingGetsItsOwnResponse on the code before:

foreign_test.go:141: booking 1: status 503

Ruled out: that the router itself says "not run" for it; a response of a service is passed on as it is. Rejecting such a response by its time does not work: it may come after the request was written.

After: a call that must not be repeated has a connection of its own, on which no earlier response can arrive. It costs one connection for each booking. Idempotent calls (GET and what the settings declare so) keep using connections; there a foreign response of a faulty service still can't be told.

Tests: TestBookingIsSentOnce shows that the transport does not send again on a reused connection, which Forward no longer has, so it calls forward with kept connections; its checks are the same. TestHopByHopFieldsAreDropped makes its GET repeatable, because net/http's server replaces the handler's Connection field when the client closes.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -59,14 +59,21 @@
 type Client struct {
 	options   Options
 	transport *http.Transport
+	singleUse *http.Transport // uses each connection for one request
 }
 
 // New returns a client with its own connection pool.
 func New(options Options) *Client {
 	options = options.withDefaults()
+	singleUse := newTransport(options)
+	singleUse.DisableKeepAlives = true
+	return &Client{options: options, transport: newTransport(options), singleUse: singleUse}
+}
+
+func newTransport(options Options) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &Client{options: options, transport: &http.Transport{
+	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := options.Dial(ctx, network, address)
 			if err != nil {
@@ -83,7 +90,7 @@
 		MaxIdleConnsPerHost:    idleConnsPerUpstream,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: options.MaxHeaderBytes,
-	}}
+	}
 }
 
 func (o Options) withDefaults() Options {
--- a/upstream/foreign_test.go
+++ b/upstream/foreign_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -135,3 +136,22 @@
 		assert.Equal(t, errkind.RanOf(err), errkind.RanUnknown, "%s: %v", name, err)
 	}
 }
+
+// Guards against a booking that gets the response of an earlier one, as a refusal,
+// although it was made. The responses of services have no ids.
+func TestBookingGetsItsOwnResponse(t *testing.T) {
+	var bookings atomic.Int32
+	s := &repeatingServer{respond: func(r *http.Request) string {
+		if bookings.Add(1) == 1 {
+			return "HTTP/1.1 503 X\r\nContent-Length: 4\r\n\r\nfull"
+		}
+		return "HTTP/1.1 201 X\r\nContent-Length: 2\r\n\r\nok"
+	}}
+	url, c := s.serve(t), newClient(t, upstream.Options{})
+	for i := range 4 {
+		res, err := c.Forward(context.Background(), booking(url, http.MethodPost, `{}`, false))
+		assert.NilError(t, err)
+		assert.Equal(t, res.Status == http.StatusServiceUnavailable, i == 0, "booking %d: status %d", i, res.Status)
+	}
+	assert.Equal(t, len(s.attempts()), 4)
+}
--- a/upstream/resend_test.go
+++ b/upstream/resend_test.go
@@ -82,9 +82,9 @@
 		t.Run(fmt.Sprint(tc.method, len(tc.body), tc.repeatable), func(t *testing.T) {
 			f, c := &breakingServer{}, newClient(t, upstream.Options{})
 			url := f.serve(t)
-			_, err := c.Forward(context.Background(), booking(url, tc.method, tc.body, tc.repeatable))
+			_, err := c.ForwardOnKept(context.Background(), booking(url, tc.method, tc.body, tc.repeatable))
 			assert.NilError(t, err)
-			_, err = c.Forward(context.Background(), booking(url, tc.method, tc.body, tc.repeatable))
+			_, err = c.ForwardOnKept(context.Background(), booking(url, tc.method, tc.body, tc.repeatable))
 			assert.Equal(t, f.executed.Load(), tc.executed)
 			if tc.repeatable {
 				assert.NilError(t, err)
@@ -150,7 +150,7 @@
 		w.Header().Set("X-Outer", "1")
 	}))
 	res, err := newClient(t, upstream.Options{}).Forward(context.Background(), upstream.ServiceCall{
-		URL: url, Method: http.MethodGet, Path: "/a%2Fb", Query: "q=1",
+		URL: url, Method: http.MethodGet, Path: "/a%2Fb", Query: "q=1", Repeatable: true,
 		Header: http.Header{"Connection": {"close, X-Private"}, "X-Private": {"1"}, "Te": {"trailers"}, "X-Public": {"1"}},
 	})
 	assert.NilError(t, err)
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -38,6 +38,7 @@
 	body        []byte
 	deadline    time.Time
 	repeatable  bool
+	ownConn     bool // the request uses a connection of its own
 	beforeWrite func() error
 }
 
@@ -54,7 +55,7 @@
 		x.release()
 		return nil, errkind.New(errkind.BadRequest, "upstream request: %w", err)
 	}
-	x.resp, err = c.transport.RoundTrip(req)
+	x.resp, err = c.transportFor(out).RoundTrip(req)
 	if err != nil {
 		defer x.release()
 		return nil, x.fail(err)
@@ -62,6 +63,16 @@
 	return x, nil
 }
 
+// transportFor returns the transport for a request. A plain service does not name
+// the request in its response, so a request that is not repeatable gets a connection
+// of its own, on which no response to an earlier request can arrive.
+func (c *Client) transportFor(out outgoingRequest) *http.Transport {
+	if out.ownConn {
+		return c.singleUse
+	}
+	return c.transport
+}
+
 func newExchange(ctx context.Context, out outgoingRequest) *exchange {
 	x := &exchange{start: time.Now(), cancelDeadline: func() {}}
 	if !out.deadline.IsZero() {
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -25,7 +25,8 @@
 	// Deadline bounds the call; if it is zero, only the context bounds the call.
 	Deadline time.Time
 	// Repeatable allows the transport to retransmit the call when a reused
-	// connection breaks. Any other call is transmitted at most once.
+	// connection breaks. Any other call is transmitted at most once, on a
+	// connection of its own.
 	Repeatable bool
 	// BeforeWrite is called before the first write, as in Call.
 	BeforeWrite func() error
@@ -42,6 +43,11 @@
 
 // Forward sends a call to a plain service and returns its complete response.
 func (c *Client) Forward(ctx context.Context, call ServiceCall) (ServiceResult, error) {
+	return c.forward(ctx, call, !call.Repeatable)
+}
+
+// forward sends a call, on a connection of its own if ownConn is set.
+func (c *Client) forward(ctx context.Context, call ServiceCall, ownConn bool) (ServiceResult, error) {
 	if !strings.HasPrefix(call.Path, "/") {
 		return ServiceResult{}, errkind.New(errkind.BadRequest, "path %q does not begin with a slash", call.Path)
 	}
@@ -51,7 +57,7 @@
 	}
 	x, err := c.send(ctx, outgoingRequest{
 		method: call.Method, url: target, header: withoutHopByHop(call.Header), body: call.Body,
-		deadline: call.Deadline, repeatable: call.Repeatable, beforeWrite: call.BeforeWrite,
+		deadline: call.Deadline, repeatable: call.Repeatable, ownConn: ownConn, beforeWrite: call.BeforeWrite,
 	})
 	if err != nil {
 		return ServiceResult{}, err
