proxy: an error after the first part of a stream says that the request ran

What callers saw: a stream that broke off and could not be resumed ended with an error event with "ran":"unknown". The API says that an error after the first part says "yes"; the caller has parts of the answer. Cause: only "no" was replaced, by a comparison with the last call, of which it may be unknown whether it ran. Evidence, TestResumptionGoesWrong on the code before, for example no_bytes,_third_upstream_false:

data: {"error":{"message":"upstream call: stream ended before its end event", ... "ran":"unknown" ...}}

also for 500, 503, 404, 302 and 204. Ruled out by the same test: text of an upstream's response in the stream, parts repeated or missing, and an end marker, for an error status, another content type, no bytes, parts from 1 again, a part missing and [DONE] too early (hold before).

--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -104,16 +104,14 @@
 }
 
 // reportError returns err if the response has not started, and otherwise sends
-// it as an event of the stream. The missing end marker tells the caller that
-// the response is incomplete.
+// it as an event of the stream, which proves that the request ran. The missing
+// end marker tells the caller that the response is incomplete.
 func (x *execution) reportError(err error) error {
 	if !x.events.started {
 		return err
 	}
 	x.server.counters.errors.Add(string(errkind.Of(err)), 1)
-	if errkind.RanOf(err) == errkind.RanNo {
-		err = errkind.WithRan(err, errkind.RanYes)
-	}
+	err = errkind.WithRan(err, errkind.RanYes)
 	data, marshalErr := json.Marshal(errorBody(err, x.req.route.RequestID))
 	if marshalErr == nil {
 		// A write error means that the caller has disconnected.
