upstream: an error object of any form is no part of a stream

What callers saw: the text of an engine's error in the middle of a resumed stream, which went on and ended as complete. And a sound stream failed when its parts began with "error":null. Cause: a part was taken for an error if its bytes began with {"error", without spaces or other members, whatever its value. Evidence, TestResumptionGoesWrong/error_with_other_fields on the code before:

-data: {"object":"error", "error":{"message":"no memory"}} +data: {"part":4}

and TestMalformedAnswersAreRejected, rows "error with a space", "error after other members" and "no error" ("upstream answered with status 200: no message").

After: a part is an error if its member error is set and not null. The member is decoded only in parts that contain "error" with its quotes, so other parts cost one search; TestAllocationsPerPartAreConstant holds.

--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -39,9 +39,8 @@
 var ErrStreamIdle = errors.New("no part arrived within the idle timeout")
 
 var (
-	// errorPrefix is the start of the error object that engines send as a part
-	// of a stream.
-	errorPrefix = []byte(`{"error"`)
+	// errorMember is in each part with which an engine reports an error.
+	errorMember = []byte(`"error"`)
 	readerPool  = sync.Pool{New: func() any {
 		return &eventReader{r: bufio.NewReaderSize(nil, streamBufferBytes)}
 	}}
@@ -159,7 +158,7 @@
 	if !json.Valid(ev.data) {
 		return invalidResponse("part %d is not valid JSON", ev.id)
 	}
-	if bytes.HasPrefix(ev.data, errorPrefix) {
+	if isError(ev.data) {
 		err := &ReportedError{Status: s.res.Status, Message: errorMessage(ev.data)}
 		return errkind.WithRan(errkind.Wrap(errkind.UpstreamFailed, err), errkind.RanYes)
 	}
@@ -178,6 +177,18 @@
 	return s.deliverBuffered()
 }
 
+// isError reports whether a part is an error object instead of a part of the
+// response.
+func isError(data []byte) bool {
+	if !bytes.Contains(data, errorMember) {
+		return false
+	}
+	var part struct {
+		Error json.RawMessage `json:"error"`
+	}
+	return json.Unmarshal(data, &part) == nil && len(part.Error) > 0 && string(part.Error) != "null"
+}
+
 // bufferPart keeps a part until all earlier ones have arrived.
 func (s *stream) bufferPart(ev *event) error {
 	if _, ok := s.buffered[ev.id]; ok {
