upstream: a stream with a missing part is not complete

What callers saw: a resumed stream that ended with [DONE] although the engine had sent parts behind a gap. Cause: the end event was compared with the number of delivered parts only. Parts 5 and 6 after part 3, with an end event that counts three, were kept for part 4 and dropped. Evidence, TestResumptionGoesWrong/parts_after_a_gap on the code before: parts 1 to 3 and [DONE]; and TestMalformedAnswersAreRejected/stream/parts_after_a_gap: err is nil.

After: parts that wait for an earlier one at the end make the response invalid, and the stream is resumed elsewhere. Still accepted: a resumption that has no parts and whose end event counts exactly the delivered ones; it can't be told from a stream that broke off before its end event.

--- a/proxy/resume_test.go
+++ b/proxy/resume_test.go
@@ -64,6 +64,7 @@
 		"from 1 again":            {200, events, streamOf(5, 1, 2, 3, 4, 5), true},
 		"from 1 again, shorter":   {200, events, streamOf(2, 1, 2), false},
 		"a part missing":          {200, events, streamOf(5, 5), false},
+		"parts after a gap":       {200, events, streamOf(3, 5, 6), false},
 		"end counts fewer":        {200, events, streamOf(4, 4, 5), false},
 	} {
 		for _, third := range []bool{false, true} {
--- a/upstream/checks_test.go
+++ b/upstream/checks_test.go
@@ -84,6 +84,7 @@
 		{"unknown event", "event: other\ndata: {}\n\n" + endOne, invalid, 0},
 		{"unknown field", "broken line\n\n" + endOne, invalid, 0},
 		{"error in the stream", "id: 1\ndata: {}\n\nid: 2\ndata: {\"error\":{\"message\":\"oom\"}}\n\n" + endOne, failed, 1},
+		{"parts after a gap", "id: 1\ndata: {}\n\nid: 3\ndata: {}\n\n" + endOne, invalid, 1},
 		{"error with a space", "id: 1\ndata: {}\n\nid: 2\ndata: { \"error\": {\"message\":\"oom\"}}\n\n" + endOne, failed, 1},
 		{"error after other members", "id: 1\ndata: {}\n\nid: 2\ndata: {\"object\":\"error\",\"error\":\"oom\"}\n\n" + endOne, failed, 1},
 		{"no error", "id: 1\ndata: {\"error\":null,\"choices\":[{\"delta\":{\"content\":\"error\"}}]}\n\n" + endOne, "", 1},
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -251,7 +251,7 @@
 }
 
 // finish checks at [DONE] that the number of delivered parts is that of the end
-// event.
+// event, and that no part arrived that could not be delivered.
 func (s *stream) finish() error {
 	if s.end == nil {
 		return invalidResponse("stream has no end event")
@@ -259,6 +259,9 @@
 	if *s.end.Parts != s.res.Parts {
 		return invalidResponse("stream has %d parts, its end event says %d", s.res.Parts, *s.end.Parts)
 	}
+	if len(s.buffered) > 0 {
+		return invalidResponse("part %d is missing before %d later parts", s.res.Parts+1, len(s.buffered))
+	}
 	s.res.PromptTokens, s.res.CompletionTokens = s.end.PromptTokens, s.end.CompletionTokens
 	return nil
 }
