upstream: impossible load reports are rejected

What callers saw: requests that went to one engine, as if it had no load. Cause: only negative numbers were rejected. The policy adds running and queued; two large numbers overflow to a negative load, which counts as none. The age is converted to a duration; a large one overflows and dates the report in the future, so that no later report of that engine is believed.

Ruled out: negative numbers, numbers out of the range of the type, deep nesting (rejected before; the probe then counts as failed).

After: each number has the range 0 to 2^30. The effects on placement were read in policy.peerCallsAt and system.LoadReports, not run.

--- a/upstream/admin.go
+++ b/upstream/admin.go
@@ -14,6 +14,10 @@
 // completion.
 const maxAdminBytes = 4 << 20
 
+// maxReported bounds the numbers of a load report, so that sums and durations of
+// them cannot overflow.
+const maxReported = 1 << 30
+
 // Cancel tells an engine to stop an attempt. It succeeds when the attempt is
 // unknown to the engine or has already ended.
 func (c *Client) Cancel(ctx context.Context, base, attemptID string) error {
@@ -24,10 +28,15 @@
 func (c *Client) Load(ctx context.Context, base string) (LoadReport, error) {
 	var report LoadReport
 	err := c.adminCall(ctx, http.MethodGet, base+PathLoad, nil, &report)
-	if err == nil && (report.Slots < 0 || report.Running < 0 || report.Queued < 0 || report.AgeMs < 0) {
-		return LoadReport{}, invalidResponse("load report has negative counts")
+	if err != nil {
+		return LoadReport{}, err
+	}
+	for _, n := range []int64{int64(report.Slots), int64(report.Running), int64(report.Queued), report.AgeMs} {
+		if n < 0 || n > maxReported {
+			return LoadReport{}, invalidResponse("load report has %d, the range is 0 to %d", n, int64(maxReported))
+		}
 	}
-	return report, err
+	return report, nil
 }
 
 // CacheEvents returns the cache events of an engine with a sequence number
--- a/upstream/checks_test.go
+++ b/upstream/checks_test.go
@@ -383,3 +383,25 @@
 	}
 	return got, nil
 }
+
+// Guards against an engine that is preferred for good because of an impossible load
+// report: counts whose sum overflows, or an age that dates the report in the future.
+func TestImpossibleLoadReportsAreRejected(t *testing.T) {
+	for name, tc := range map[string]struct {
+		body string
+		ok   bool
+	}{
+		"good":              {`{"slots":8,"running":3,"queued":1,"age_ms":200}`, true},
+		"negative":          {`{"slots":8,"running":-1}`, false},
+		"sum overflows":     {`{"running":9223372036854775807,"queued":9223372036854775807}`, false},
+		"age overflows":     {`{"age_ms":9300000000000}`, false},
+		"number too large":  {`{"running":1e40}`, false},
+		"number with parts": {`{"running":1.5}`, false},
+		"text":              {`{"running":"none"}`, false},
+		"deeply nested":     {`{"running":1,"x":` + strings.Repeat("[", 20000) + strings.Repeat("]", 20000) + `}`, false},
+	} {
+		url := serve(t, cannedResponse("application/json", tc.body))
+		report, err := newClient(t, upstream.Options{}).Load(context.Background(), url)
+		assert.Check(t, (err == nil) == tc.ok, "%s: %+v %v", name, report, err)
+	}
+}
