daemon: odd registrations are passed over

What callers saw: a daemon that could not reach another one, or was not reachable itself, after one odd row in the table of registrations. Cause: an address was taken as it was, and replaced a good one from the settings or an earlier row; an incarnation of any size in a daemon's own row kept it from registering for good.

A real later incarnation still keeps its row.

--- a/daemon/registry.go
+++ b/daemon/registry.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"errors"
 	"maps"
+	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -24,6 +26,9 @@
 	registryPeriod = time.Second
 	// registryPage bounds the rows that are read in one call.
 	registryPage = 100
+	// maxClockLead is how far a registered incarnation, which is a time, may be ahead
+	// of the clock of this daemon.
+	maxClockLead = 24 * time.Hour
 )
 
 // registration is the value of the row of one daemon.
@@ -32,6 +37,22 @@
 	Incarnation int64  `json:"incarnation"`
 }
 
+// hasAddress reports whether the address has a host and the number of a port.
+func (r registration) hasAddress() bool {
+	host, port, err := net.SplitHostPort(r.Address)
+	if err != nil || host == "" {
+		return false
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && n > 0
+}
+
+// replaces reports whether the registration belongs to a later incarnation than the
+// given one.
+func (r registration) replaces(incarnation int64) bool {
+	return r.Incarnation > incarnation && r.Incarnation <= time.Now().Add(maxClockLead).UnixNano()
+}
+
 // registry knows the peer addresses of other daemons: those of the settings,
 // and those that the daemons have written to the platform's table. It reads the
 // rows of only those daemons that this one sends messages to, because a scan of
@@ -151,7 +172,7 @@
 		return err
 	}
 	var old registration
-	if rows[0].Version > 0 && json.Unmarshal(rows[0].Value, &old) == nil && old.Incarnation > r.self.Incarnation {
+	if rows[0].Version > 0 && json.Unmarshal(rows[0].Value, &old) == nil && old.replaces(r.self.Incarnation) {
 		return errReplaced
 	}
 	value, err := json.Marshal(registration{Address: r.address, Incarnation: r.self.Incarnation})
@@ -206,7 +227,7 @@
 	defer r.mu.Unlock()
 	for _, row := range rows {
 		var reg registration
-		if row.Version > 0 && json.Unmarshal(row.Value, &reg) == nil && reg.Address != "" {
+		if row.Version > 0 && json.Unmarshal(row.Value, &reg) == nil && reg.hasAddress() {
 			r.addresses[strings.TrimPrefix(row.Key, registryPrefix)] = reg.Address
 		}
 	}
--- a/daemon/registry_test.go
+++ b/daemon/registry_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,8 @@
 
 	"github.com/savoryshift/savoryshift/coord/member"
 	"github.com/savoryshift/savoryshift/coord/memstore"
+	"github.com/savoryshift/savoryshift/coord/store"
+	"github.com/savoryshift/savoryshift/settings"
 )
 
 // Guards against a registry that reads the rows of all daemons, that keeps the
@@ -55,3 +58,45 @@
 		stop()
 	})
 }
+
+// Guards against an odd row that ends the reading of registrations, replaces a good
+// address or keeps a daemon from registering.
+func TestOddRegistrations(t *testing.T) {
+	const good = "10.0.0.7:1"
+	now := time.Now().UnixNano()
+	for name, value := range map[string]string{
+		"deeply nested":         `{"address":` + strings.Repeat("[", 20000) + strings.Repeat("]", 20000) + `}`,
+		"number too large":      `{"address":"10.0.0.8:1","incarnation":1e40}`,
+		"port out of range":     `{"address":"10.0.0.8:99999","incarnation":1}`,
+		"port 0":                `{"address":"10.0.0.8:0","incarnation":1}`,
+		"negative port":         `{"address":"10.0.0.8:-1","incarnation":1}`,
+		"port is a name":        `{"address":"10.0.0.8:http","incarnation":1}`,
+		"no port":               `{"address":"10.0.0.8","incarnation":1}`,
+		"no host":               `{"address":":80","incarnation":1}`,
+		"list":                  `["10.0.0.8:1"]`,
+		"no JSON":               "\xff",
+		"incarnation far ahead": `{"address":"10.0.0.8:1","incarnation":9223372036854775807}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := memstore.New()
+			put := func(id, value string) {
+				assert.NilError(t, m.Commit(t.Context(), []store.Op{{Key: registryPrefix + id, Expect: store.AnyVersion, Value: []byte(value)}}))
+			}
+			put("a/odd", value)
+			put("a/other", `{"address":"10.0.0.9:1","incarnation":1}`)
+			r := newRegistry(m, member.VM{ID: "a/self", Incarnation: now}, "10.0.0.2:1", []settings.SeedPeer{{VM: "odd", AvailabilityZone: "a", Address: good}})
+			r.readAddresses(t.Context(), []string{"a/odd", "a/other"})
+			address, _ := r.addressOf("a/odd")
+			assert.Check(t, address == good || name == "incarnation far ahead", "address %s", address)
+			address, _ = r.addressOf("a/other")
+			assert.Check(t, address == "10.0.0.9:1", "address %q", address)
+			registered, err := registeredVMs(t.Context(), m)
+			assert.Check(t, err == nil && len(registered) == 2, "%v", err)
+
+			put("a/self", value)
+			assert.Check(t, r.register(t.Context()))
+			put("a/self", fmt.Sprintf(`{"address":"10.0.0.8:1","incarnation":%d}`, now+int64(time.Hour)))
+			assert.ErrorIs(t, r.register(t.Context()), errReplaced)
+		})
+	}
+}
