infra: a malformed entry does not hide the list of VMs

What callers saw: requests that still went to upstreams the platform listed as leaving, at every daemon, for as long as one entry of the list was malformed. A daemon that started then had no list. Cause: the list was decoded as a whole, so one deeply nested entry, a number out of range or a list in the place of a text made the reading fail, and the previous list stayed in use. An entry without an id was taken for a VM with an empty name. Evidence, TestMalformedEntryOfVMs on the code before, 7 of 7 entries, for example:

deeply_nested: platform reply to GET /vms: invalid character '[' exceeded max depth

Ruled out: a daemon that ends because of it, or one that prefers such a VM (both by reading; the error is returned and the next read tries again).

After: the entries are decoded one by one if the list as a whole can't be. A list with a malformed entry can add VMs and mark them as leaving, but removes none, and shares of VMs that it lacks are not reclaimed. A list that is cut off is still an error.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -241,7 +241,7 @@
 func (c *control) readVMs(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	vms, err := c.platform.VMs(callCtx)
+	vms, complete, err := c.platform.VMs(callCtx)
 	if err != nil {
 		return // the previous list stays in use
 	}
@@ -252,7 +252,9 @@
 		}
 	}
 	c.config.node.SetPlatformList(entryVMs)
-	c.storeEntryVMs(entryVMs)
+	if complete {
+		c.storeEntryVMs(entryVMs) // a VM that it lacks loses its shares
+	}
 	c.collect(func(in *system.Inputs) { in.VMs = vms })
 }
 
--- a/infra/client.go
+++ b/infra/client.go
@@ -111,8 +111,8 @@
 // decode decodes the JSON body of a reply with status 200 or 409 into out, unless
 // out is nil. Other statuses are errors.
 func (a response) decode(out any) error {
-	if a.status != http.StatusOK && a.status != http.StatusConflict {
-		return oops.Errorf("platform answered %s %s with status %d: %s", a.method, a.path, a.status, a.data)
+	if err := a.checkStatus(); err != nil {
+		return err
 	}
 	if out == nil {
 		return nil
@@ -120,6 +120,14 @@
 	return oops.Wrapf(json.Unmarshal(a.data, out), "platform reply to %s %s", a.method, a.path)
 }
 
+// checkStatus returns an error unless the status is 200 or 409.
+func (a response) checkStatus() error {
+	if a.status != http.StatusOK && a.status != http.StatusConflict {
+		return oops.Errorf("platform answered %s %s with status %d: %s", a.method, a.path, a.status, a.data)
+	}
+	return nil
+}
+
 // call sends a request without headers and returns the status and body of the
 // reply.
 func (c *Client) call(ctx context.Context, method, path string, body []byte, write bool) (int, []byte, error) {
--- a/infra/services.go
+++ b/infra/services.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+
+	"github.com/samber/oops"
 )
 
 // VMKind distinguishes entry VMs, which run the daemon, from upstream VMs.
@@ -31,7 +33,7 @@
 	State            VMState `json:"state"`
 }
 
-// vmList is the last list of VMs that was read, with its entity tag.
+// vmList is the last complete list of VMs that was read, with its entity tag, if any.
 type vmList struct {
 	etag string
 	vms  []VM
@@ -40,28 +42,35 @@
 // VMs returns the platform's list of VMs, which can be out of date. If the platform
 // sends an ETag, the list is transferred only when it has changed, because a list
 // of thousands of VMs every few seconds would exceed the network budget for
-// control traffic. The caller must not modify the list.
-func (c *Client) VMs(ctx context.Context) ([]VM, error) {
+// control traffic. The caller must not modify the list. If the list has malformed
+// entries, complete is false, and the list has the VMs of the last complete one that
+// it would lack.
+func (c *Client) VMs(ctx context.Context) (vms []VM, complete bool, err error) {
 	last := c.vms.Load()
 	header := http.Header{}
-	if last != nil {
+	if last != nil && last.etag != "" {
 		header.Set("If-None-Match", last.etag)
 	}
 	r, err := c.exchange(ctx, request{method: http.MethodGet, path: "/vms", header: header})
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	if r.status == http.StatusNotModified && last != nil {
-		return last.vms, nil
+		return last.vms, true, nil
 	}
-	var vms []VM
-	if err := r.decode(&vms); err != nil {
-		return nil, err
+	if err := r.checkStatus(); err != nil {
+		return nil, false, err
 	}
-	if etag := r.header.Get("ETag"); etag != "" {
-		c.vms.Store(&vmList{etag, vms})
+	vms, complete, err = decodeVMs(r.data)
+	switch {
+	case err != nil:
+		return nil, false, oops.Wrapf(err, "platform reply to %s %s", r.method, r.path)
+	case complete:
+		c.vms.Store(&vmList{r.header.Get("ETag"), vms})
+	case last != nil:
+		vms = withMissing(vms, last.vms)
 	}
-	return vms, nil
+	return vms, complete, nil
 }
 
 // RatingRequest asks the rating service whether one answer is good.
