upstream: impossible cache events are rejected

What callers saw: requests with one prefix that kept going to one engine. Cause: the age of a cache event is converted to a duration; a negative or very large one dates the event in the future, so that the hint does not expire. Evidence, TestImpossibleCacheEventsAreRejected on the code before: both events are accepted. The effect on placement was read in hints.addEvents, not run.

After: ages have the range 0 to 2^30 ms; a reply with another one is rejected, and the next probe reads again.

--- a/upstream/admin.go
+++ b/upstream/admin.go
@@ -14,7 +14,7 @@
 // completion.
 const maxAdminBytes = 4 << 20
 
-// maxReported bounds the numbers of a load report, so that sums and durations of
+// maxReported bounds the numbers of a load report and the ages of cache events, so that sums and durations of
 // them cannot overflow.
 const maxReported = 1 << 30
 
@@ -44,7 +44,15 @@
 func (c *Client) CacheEvents(ctx context.Context, base string, after int64) (CacheEventsReply, error) {
 	var reply CacheEventsReply
 	err := c.adminCall(ctx, http.MethodGet, base+PathCacheEvents+"?after="+strconv.FormatInt(after, 10), nil, &reply)
-	return reply, err
+	if err != nil {
+		return CacheEventsReply{}, err
+	}
+	for _, e := range reply.Events {
+		if e.AgeMs < 0 || e.AgeMs > maxReported {
+			return CacheEventsReply{}, invalidResponse("cache event has the age %d ms, the range is 0 to %d", e.AgeMs, int64(maxReported))
+		}
+	}
+	return reply, nil
 }
 
 // Order tells an engine which versions to hold. An engine that has seen a
--- a/upstream/checks_test.go
+++ b/upstream/checks_test.go
@@ -405,3 +405,17 @@
 		assert.Check(t, (err == nil) == tc.ok, "%s: %+v %v", name, report, err)
 	}
 }
+
+// Guards against a cache event that is dated in the future, and so is believed for
+// good, because its age overflows.
+func TestImpossibleCacheEventsAreRejected(t *testing.T) {
+	for body, ok := range map[string]bool{
+		`{"events":[{"seq":1,"kind":"stored","age_ms":5}],"last":1}`:             true,
+		`{"events":[{"seq":1,"kind":"stored","age_ms":9300000000000}],"last":1}`: false,
+		`{"events":[{"seq":1,"kind":"stored","age_ms":-1}],"last":1}`:            false,
+	} {
+		url := serve(t, cannedResponse("application/json", body))
+		_, err := newClient(t, upstream.Options{}).CacheEvents(context.Background(), url, 0)
+		assert.Check(t, (err == nil) == ok, "%s: %v", body, err)
+	}
+}
