tests: waits without a bound in the tests of the own interface

Found and bounded:

- daemon: the client and the end of the daemon in TestListenersUseTLS
- daemon/daemontest: Daemon.Stop, System.Close, the client of readiness checks, the client of TestRunsSentTellsSendingFromArrival and the wait for a kill; the bounds are in virtual time, which daemons with tickers advance without an end
- peer: the end of the server in newTCPClient
- proxy: the client of the fixture, and the connections of the cost tests

Looked at and left: receives whose sender is bounded by one of these (answers of Chat, which has a deadline; traffic and bookings; barriers of the cost tests), accept loops that end with their listener and for which no test waits, waits for computations (policy), synctest.Wait, and benchmarks.

--- a/daemon/daemontest/daemons.go
+++ b/daemon/daemontest/daemons.go
@@ -107,10 +107,22 @@
 // Stop shuts the daemon down gracefully and returns the result of its Run.
 func (d *Daemon) Stop() error {
 	d.cancel()
-	<-d.done
+	d.waitEnded()
 	return d.err
 }
 
+// maxWait bounds, in virtual time, the waits that no deadline of a request bounds.
+const maxWait = 10 * time.Minute
+
+// waitEnded waits until Run has returned.
+func (d *Daemon) waitEnded() {
+	select {
+	case <-d.done:
+	case <-time.After(maxWait):
+		d.system.T.Fatalf("daemon %s did not end within %s", d.ID, maxWait)
+	}
+}
+
 // Freeze simulates a paused process: no traffic reaches the daemon or leaves it.
 // Its goroutines still run, so the pause should be short in virtual time.
 func (d *Daemon) Freeze() { d.system.Net.Freeze(d.Host) }
--- a/daemon/daemontest/kill_test.go
+++ b/daemon/daemontest/kill_test.go
@@ -48,7 +48,11 @@
 		k.first = send(d, k.key)
 		answered := s.Net.CancelKill(d.Host)
 		if !answered {
-			<-dead
+			select {
+			case <-dead:
+			case <-time.After(time.Minute):
+				t.Fatal("the daemon was not killed within a minute")
+			}
 		}
 		d.Kill()
 		k.executionsBeforeRepeat = s.Bookings()[k.key]
--- a/daemon/daemontest/system.go
+++ b/daemon/daemontest/system.go
@@ -106,7 +106,7 @@
 	}
 	s.platform = s.Net.NewHost(PlatformHost, PlatformHost)
 	s.clients = s.Net.NewHost("client", ClientZone)
-	s.http = &http.Client{Transport: &http.Transport{DialContext: s.clients.Dial, DisableKeepAlives: true}}
+	s.http = &http.Client{Transport: &http.Transport{DialContext: s.clients.Dial, DisableKeepAlives: true}, Timeout: maxWait}
 	s.Platform = standin.New(standin.Options{
 		VMListLag:  vmListLag,
 		RateAnswer: func(r infra.RatingRequest) bool { return !strings.Contains(r.Answer, engine.PoorMarker) },
@@ -268,6 +268,6 @@
 		e.SetFaults(engine.Faults{})
 	}
 	for _, d := range append(s.killedDaemons, s.Daemons...) {
-		<-d.done
+		d.waitEnded()
 	}
 }
--- a/daemon/daemontest/system_test.go
+++ b/daemon/daemontest/system_test.go
@@ -50,7 +50,7 @@
 // after it.
 func TestRunsSentTellsSendingFromArrival(t *testing.T) {
 	run(t, daemontest.Options{}, func(t *testing.T, s *daemontest.System) {
-		client := &http.Client{Transport: &http.Transport{DialContext: s.Daemons[0].Host.Dial}}
+		client := &http.Client{Transport: &http.Transport{DialContext: s.Daemons[0].Host.Dial}, Timeout: time.Minute}
 		defer client.CloseIdleConnections()
 		// The connection must be open before the cut, which holds back what is
 		// written to it but lets no new one through.
--- a/daemon/listeners_test.go
+++ b/daemon/listeners_test.go
@@ -78,7 +78,7 @@
 		if pair, err := tls.LoadX509KeyPair(own.CertFile, own.KeyFile); err == nil {
 			config.Certificates = []tls.Certificate{pair}
 		}
-		client := &http.Client{Transport: &http.Transport{TLSClientConfig: config, DisableKeepAlives: true}}
+		client := &http.Client{Transport: &http.Transport{TLSClientConfig: config, DisableKeepAlives: true}, Timeout: time.Minute}
 		resp, err := client.Get(url)
 		if err != nil {
 			return 0
@@ -93,5 +93,10 @@
 	assert.Equal(t, get("https://"+operators+"/livez", mutual, mutual), http.StatusOK)
 	assert.Equal(t, get("https://"+operators+"/livez", mutual, none), 0)
 	cancel()
-	assert.NilError(t, <-done)
+	select {
+	case err := <-done:
+		assert.NilError(t, err)
+	case <-time.After(time.Minute):
+		t.Fatal("the daemon did not end within a minute")
+	}
 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -320,7 +320,12 @@
 	tb.Cleanup(func() {
 		client.Close()
 		assert.NilError(tb, server.Close())
-		assert.NilError(tb, <-served)
+		select {
+		case err := <-served:
+			assert.NilError(tb, err)
+		case <-time.After(time.Minute):
+			tb.Error("the server did not end within a minute")
+		}
 	})
 	return client
 }
--- a/proxy/fixture_test.go
+++ b/proxy/fixture_test.go
@@ -110,7 +110,7 @@
 		w.net.Serve(t, address, e)
 	}
 	w.net.Serve(t, "10.0.0.3:80", w.desk)
-	w.client = &http.Client{Transport: &http.Transport{DialContext: w.net.Dial}}
+	w.client = &http.Client{Transport: &http.Transport{DialContext: w.net.Dial}, Timeout: 10 * time.Minute}
 	t.Cleanup(w.client.CloseIdleConnections)
 	w.apply(baseTree(), 1)
 	return w
--- a/proxy/stream_cost_test.go
+++ b/proxy/stream_cost_test.go
@@ -93,6 +93,7 @@
 			conn, err := w.net.Dial(context.Background(), "", "10.0.1.1:80")
 			assert.NilError(t, err)
 			defer conn.Close()
+			assert.Check(t, conn.SetDeadline(time.Now().Add(3*barrierTimeout)))
 			buf := make([]byte, 4096)
 			assert.NilError(t, requestStream(conn, buf)) // opens the connections
 			return testing.AllocsPerRun(3, func() { assert.NilError(t, requestStream(conn, buf)) })
@@ -146,6 +147,7 @@
 				return
 			}
 			defer conn.Close()
+			assert.Check(t, conn.SetDeadline(time.Now().Add(3*barrierTimeout)))
 			assert.Check(t, requestStream(conn, make([]byte, 1024)))
 		})
 	}
--- a/upstream/checks_test.go
+++ b/upstream/checks_test.go
@@ -98,7 +98,7 @@
 	} {
 		t.Run("stream/"+tc.name, func(t *testing.T) {
 			url := serve(t, cannedResponse("text/event-stream", tc.body))
-			res, err := newClient(t, smallLimits).Stream(context.Background(), call(url, streamBody), 0, func(upstream.Part) error { return nil })
+			res, err := newClient(t, smallLimits).Stream(bounded(t), call(url, streamBody), 0, func(upstream.Part) error { return nil })
 			checkKind(t, err, tc.kind)
 			assert.Equal(t, res.Parts, tc.parts)
 		})
@@ -125,7 +125,7 @@
 	} {
 		t.Run("whole/"+tc.name, func(t *testing.T) {
 			url := serve(t, cannedResponse("application/json", tc.body, tc.header...))
-			_, err := newClient(t, smallLimits).Complete(context.Background(), call(url, wholeBody))
+			_, err := newClient(t, smallLimits).Complete(bounded(t), call(url, wholeBody))
 			checkKind(t, err, tc.kind)
 		})
 	}
@@ -163,7 +163,7 @@
 			w.Header().Set(upstream.HeaderRan, "no")
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}))
-		_, err := newClient(t, upstream.Options{}).Complete(context.Background(), call(url, wholeBody))
+		_, err := newClient(t, upstream.Options{}).Complete(bounded(t), call(url, wholeBody))
 		assert.Equal(t, errkind.RanOf(err), ran, "attempt %s: %v", attempt, err)
 	}
 }
@@ -181,11 +181,11 @@
 	} {
 		bad := call(url, wholeBody)
 		change(&bad)
-		_, err := c.Complete(context.Background(), bad)
+		_, err := c.Complete(bounded(t), bad)
 		assert.Equal(t, errkind.Of(err), errkind.BadRequest, "%s: %v", name, err)
 		assert.Equal(t, errkind.RanOf(err), errkind.RanNo, name)
 	}
-	_, err := c.Forward(context.Background(), upstream.ServiceCall{URL: url, Method: http.MethodGet, Path: "@127.0.0.1:1/"})
+	_, err := c.Forward(bounded(t), upstream.ServiceCall{URL: url, Method: http.MethodGet, Path: "@127.0.0.1:1/"})
 	assert.Equal(t, errkind.Of(err), errkind.BadRequest, "%v", err)
 }
 
@@ -193,7 +193,7 @@
 // Content-Length, which is the length of a body that is not sent.
 func TestHeadOfALongAnswer(t *testing.T) {
 	url := serve(t, cannedResponse("text/plain", "", "Content-Length", "99999"))
-	res, err := newClient(t, smallLimits).Forward(context.Background(), upstream.ServiceCall{URL: url, Method: http.MethodHead, Path: "/"})
+	res, err := newClient(t, smallLimits).Forward(bounded(t), upstream.ServiceCall{URL: url, Method: http.MethodHead, Path: "/"})
 	assert.NilError(t, err)
 	assert.Equal(t, res.Status, http.StatusOK)
 }
@@ -251,7 +251,7 @@
 		c, url := newClient(t, upstream.Options{Dial: network.Dial}), network.Serve(t, "engine:80", e)
 		e.SetFaults(engine.Faults{Frozen: true})
 		start := time.Now()
-		_, err := c.Load(context.Background(), url)
+		_, err := c.Load(bounded(t), url)
 		assert.Equal(t, errkind.Of(err), errkind.UpstreamTimeout)
 		assert.Equal(t, time.Since(start), upstream.AdminTimeout)
 		e.SetFaults(engine.Faults{})
@@ -280,7 +280,7 @@
 				time.AfterFunc(tc.freeze, func() { e.SetFaults(engine.Faults{Frozen: true}) })
 				synctest.Wait()
 				start := time.Now()
-				res, err := c.Stream(context.Background(), stalled, 0, func(upstream.Part) error { return nil })
+				res, err := c.Stream(bounded(t), stalled, 0, func(upstream.Part) error { return nil })
 				assert.Equal(t, errkind.Of(err), errkind.UpstreamTimeout, "%v", err)
 				assert.Equal(t, time.Since(start), tc.want)
 				assert.Equal(t, res.Parts, tc.parts)
@@ -372,7 +372,7 @@
 	from, upstreams := 0, rapid.IntRange(1, 3).Draw(rt, "upstreams")
 	for i := range upstreams {
 		url := network.Serve(t, fmt.Sprintf("engine-%d:80", i), drawScript(rt, i == upstreams-1))
-		res, err := c.Stream(context.Background(), call(url, streamBody), from, func(p upstream.Part) error {
+		res, err := c.Stream(bounded(t), call(url, streamBody), from, func(p upstream.Part) error {
 			got = append(got, string(p.Data))
 			return nil
 		})
@@ -401,7 +401,7 @@
 		"deeply nested":     {`{"running":1,"x":` + strings.Repeat("[", 20000) + strings.Repeat("]", 20000) + `}`, false},
 	} {
 		url := serve(t, cannedResponse("application/json", tc.body))
-		report, err := newClient(t, upstream.Options{}).Load(context.Background(), url)
+		report, err := newClient(t, upstream.Options{}).Load(bounded(t), url)
 		assert.Check(t, (err == nil) == tc.ok, "%s: %+v %v", name, report, err)
 	}
 }
@@ -415,7 +415,7 @@
 		`{"events":[{"seq":1,"kind":"stored","age_ms":-1}],"last":1}`:            false,
 	} {
 		url := serve(t, cannedResponse("application/json", body))
-		_, err := newClient(t, upstream.Options{}).CacheEvents(context.Background(), url, 0)
+		_, err := newClient(t, upstream.Options{}).CacheEvents(bounded(t), url, 0)
 		assert.Check(t, (err == nil) == ok, "%s: %v", body, err)
 	}
 }
--- a/upstream/foreign_test.go
+++ b/upstream/foreign_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -108,7 +107,7 @@
 				one := call(url, wholeBody)
 				one.RequestID, one.AttemptID = fmt.Sprint("r", i), fmt.Sprint("a", i)
 				sent = append(sent, one.AttemptID)
-				_, err := c.Complete(context.Background(), one)
+				_, err := c.Complete(bounded(t), one)
 				own := err == nil || errkind.Of(err) == errkind.UpstreamRefused || strings.Contains(err.Error(), "chat completion")
 				if !own {
 					foreign++
@@ -132,7 +131,7 @@
 			w.Header().Add(name, "other")
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}))
-		_, err := newClient(t, upstream.Options{}).Complete(context.Background(), call(url, wholeBody))
+		_, err := newClient(t, upstream.Options{}).Complete(bounded(t), call(url, wholeBody))
 		assert.Equal(t, errkind.RanOf(err), errkind.RanUnknown, "%s: %v", name, err)
 	}
 }
@@ -149,7 +148,7 @@
 	}}
 	url, c := s.serve(t), newClient(t, upstream.Options{})
 	for i := range 4 {
-		res, err := c.Forward(context.Background(), booking(url, http.MethodPost, `{}`, false))
+		res, err := c.Forward(bounded(t), booking(url, http.MethodPost, `{}`, false))
 		assert.NilError(t, err)
 		assert.Equal(t, res.Status == http.StatusServiceUnavailable, i == 0, "booking %d: status %d", i, res.Status)
 	}
--- a/upstream/once_test.go
+++ b/upstream/once_test.go
@@ -114,7 +114,7 @@
 			return func(key string, check func() error) (bool, errkind.Ran) {
 				one := booking("http://service:80", http.MethodPost, `{}`, false)
 				one.Header, one.BeforeWrite = http.Header{"Idempotency-Key": {key}}, check
-				_, err := c.Forward(context.Background(), one)
+				_, err := c.Forward(bounded(t), one)
 				return err == nil, errkind.RanOf(err)
 			}
 		})(rt))
@@ -131,7 +131,7 @@
 			transport := &http.Transport{DialContext: dial}
 			rt.Cleanup(transport.CloseIdleConnections)
 			return func(key string, _ func() error) (bool, errkind.Ran) {
-				req, err := http.NewRequest(http.MethodPost, "http://service:80/bookings", strings.NewReader("{}"))
+				req, err := http.NewRequestWithContext(bounded(t), http.MethodPost, "http://service:80/bookings", strings.NewReader("{}"))
 				assert.NilError(rt, err)
 				req.Header.Set("Idempotency-Key", key)
 				resp, err := transport.RoundTrip(req)
--- a/upstream/resend_test.go
+++ b/upstream/resend_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -82,9 +81,9 @@
 		t.Run(fmt.Sprint(tc.method, len(tc.body), tc.repeatable), func(t *testing.T) {
 			f, c := &breakingServer{}, newClient(t, upstream.Options{})
 			url := f.serve(t)
-			_, err := c.ForwardOnKept(context.Background(), booking(url, tc.method, tc.body, tc.repeatable))
+			_, err := c.ForwardOnKept(bounded(t), booking(url, tc.method, tc.body, tc.repeatable))
 			assert.NilError(t, err)
-			_, err = c.ForwardOnKept(context.Background(), booking(url, tc.method, tc.body, tc.repeatable))
+			_, err = c.ForwardOnKept(bounded(t), booking(url, tc.method, tc.body, tc.repeatable))
 			assert.Equal(t, f.executed.Load(), tc.executed)
 			if tc.repeatable {
 				assert.NilError(t, err)
@@ -105,7 +104,7 @@
 	transport := &http.Transport{}
 	defer transport.CloseIdleConnections()
 	for range 2 {
-		req, err := http.NewRequest(http.MethodPost, url, strings.NewReader("{}"))
+		req, err := http.NewRequestWithContext(bounded(t), http.MethodPost, url, strings.NewReader("{}"))
 		assert.NilError(t, err)
 		req.Header.Set("Idempotency-Key", "k1")
 		resp, err := transport.RoundTrip(req)
@@ -127,11 +126,11 @@
 		checks := 0
 		guarded := booking(url, http.MethodPost, body, true)
 		guarded.BeforeWrite = func() error { checks++; return nil }
-		_, err := c.Forward(context.Background(), guarded)
+		_, err := c.Forward(bounded(t), guarded)
 		assert.NilError(t, err)
 		lapsed := errors.New("lapsed")
 		guarded.BeforeWrite = func() error { checks++; return lapsed }
-		_, err = c.Forward(context.Background(), guarded)
+		_, err = c.Forward(bounded(t), guarded)
 		assert.ErrorIs(t, err, lapsed)
 		assert.Equal(t, errkind.RanOf(err), errkind.RanNo)
 		assert.Equal(t, checks, 2)
@@ -149,7 +148,7 @@
 		w.Header().Set("X-Inner", "1")
 		w.Header().Set("X-Outer", "1")
 	}))
-	res, err := newClient(t, upstream.Options{}).Forward(context.Background(), upstream.ServiceCall{
+	res, err := newClient(t, upstream.Options{}).Forward(bounded(t), upstream.ServiceCall{
 		URL: url, Method: http.MethodGet, Path: "/a%2Fb", Query: "q=1", Repeatable: true,
 		Header: http.Header{"Connection": {"close, X-Private"}, "X-Private": {"1"}, "Te": {"trailers"}, "X-Public": {"1"}},
 	})
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -28,6 +29,13 @@
 	return server.URL
 }
 
+// bounded returns a context that ends a call that hangs.
+func bounded(t testing.TB) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	t.Cleanup(cancel)
+	return ctx
+}
+
 func newClient(t *testing.T, o upstream.Options) *upstream.Client {
 	t.Helper()
 	c := upstream.New(o)
@@ -42,7 +50,7 @@
 // Guards the basic operations: complete, streamed, resumed and refused calls to
 // an engine, and a booking.
 func TestCallsReachEngineAndService(t *testing.T) {
-	ctx, c := context.Background(), newClient(t, upstream.Options{})
+	ctx, c := bounded(t), newClient(t, upstream.Options{})
 	e := engine.New(engine.Options{Versions: map[string]engine.Profile{"s1": {Quality: 1}}})
 	url := serve(t, e)
 
@@ -78,7 +86,7 @@
 // Guards against "not run" for a call that was sent: after a failed check and
 // after a refused connection nothing is sent.
 func TestNotRunIsTrue(t *testing.T) {
-	ctx, c := context.Background(), newClient(t, upstream.Options{})
+	ctx, c := bounded(t), newClient(t, upstream.Options{})
 	e := engine.New(engine.Options{})
 	blocked := call(serve(t, e), wholeBody)
 	lapsed := errkind.New(errkind.Isolated, "lease has lapsed")
