daemon: callers are asked to close their connections before a planned stop

What callers saw: a request on a kept connection ended without an answer or a refusal (EOF) when its daemon stopped. Cause: during the readiness delay responses kept their connections open, and http.Server.Shutdown then closed the idle ones, also one that a request was on its way to.

After: each response during the readiness delay has Connection: close, so a caller that uses a connection in that time does not keep it. A connection that is first used again when the delay ends can still be closed under a request; package entry closes idle connections without that gap, and the daemon does not use it yet.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -154,12 +154,24 @@
 	})
 }
 
+// callerHandler serves callers. While the daemon leaves the load balancer, it asks
+// callers to close their connections: one that is idle at the end of the readiness
+// delay is closed without an answer to a request that is on its way.
+func (d *Daemon) callerHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		d.proxy.ServeHTTP(w, r)
+	})
+}
+
 // addCallers adds the caller listener. Its interrupt returns when all requests
 // in flight have ended, or after the drain timeout.
 func (d *Daemon) addCallers(g *run.Group) {
 	b := d.opts.Settings.Bounds
 	server := &http.Server{
-		Handler:           d.proxy,
+		Handler:           d.callerHandler(),
 		ReadHeaderTimeout: b.HeaderReadTimeoutMs.Duration(),
 		MaxHeaderBytes:    int(b.HeaderBytes),
 	}
--- a/daemon/listeners_test.go
+++ b/daemon/listeners_test.go
@@ -100,3 +100,42 @@
 		t.Fatal("the daemon did not end within a minute")
 	}
 }
+
+// Guards against a stopping daemon whose callers keep their connections, and send
+// a request on one that is being closed.
+func TestStoppingDaemonEndsConnections(t *testing.T) {
+	s := settings.Defaults()
+	s.VM, s.AvailabilityZone, s.PlatformURL, s.ClusterToken = "vm0", "a", "http://127.0.0.1:1", "a token of the cluster"
+	s.SessionKeys = []settings.SessionKey{{ID: "k", SecretBase64: base64.StdEncoding.EncodeToString(make([]byte, 32))}}
+	s.Listen = settings.Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0"}
+	s.Periods.ReadinessDelayMs = 2000
+	d, err := New(Options{Settings: s})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	client := &http.Client{Transport: &http.Transport{}, Timeout: time.Minute}
+	defer client.CloseIdleConnections()
+	get := func() *http.Response {
+		resp, err := client.Get("http://" + d.opts.Callers.Addr().String() + "/v1/models")
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		return resp
+	}
+	assert.Assert(t, !get().Close)
+	cancel()
+	for range 1000 {
+		if d.draining.Load() {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, get().Close)
+	select {
+	case err := <-done:
+		assert.NilError(t, err)
+	case <-time.After(time.Minute):
+		t.Fatal("the daemon did not end within a minute")
+	}
+}
