--- a/upstream/client.go
+++ b/upstream/client.go
@@ -23,8 +23,11 @@
 	AdminTimeout = 5 * time.Second
 
 	// unackedTimeout bounds the time for which the bytes of a call may be
-	// unacknowledged, also after the call was given up.
-	unackedTimeout = 2 * time.Second
+	// unacknowledged. It is above the pauses of a sound upstream.
+	unackedTimeout = 10 * time.Second
+	// givenUpUnackedTimeout replaces unackedTimeout when a connection is closed, so
+	// that the bytes of a call that was given up are not delivered much later.
+	givenUpUnackedTimeout = 2 * time.Second
 
 	idleConnsPerUpstream = 256
 	idleConnTimeout      = 60 * time.Second
@@ -45,9 +48,9 @@
 	// MaxHeaderBytes bounds the header of a response; default
 	// DefaultMaxHeaderBytes.
 	MaxHeaderBytes int64
-	// StreamIdle bounds the time between two parts of a stream; default
-	// DefaultStreamIdle. The wait for the first part is bounded only by the
-	// deadline of the call.
+	// StreamIdle bounds the time between two parts of a stream, unless the call
+	// has OnIdle; default DefaultStreamIdle. The wait for the first part is bounded
+	// only by the deadline of the call.
 	StreamIdle time.Duration
 }
 
@@ -56,19 +59,30 @@
 type Client struct {
 	options   Options
 	transport *http.Transport
+	singleUse *http.Transport // uses each connection for one request
 }
 
 // New returns a client with its own connection pool.
 func New(options Options) *Client {
 	options = options.withDefaults()
+	singleUse := newTransport(options)
+	singleUse.DisableKeepAlives = true
+	return &Client{options: options, transport: newTransport(options), singleUse: singleUse}
+}
+
+func newTransport(options Options) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &Client{options: options, transport: &http.Transport{
+	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := options.Dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
+			if err := sockopt.SetUnacked(conn, unackedTimeout); err != nil {
+				_ = conn.Close()
+				return nil, err
+			}
 			return &gatedConn{Conn: conn}, nil
 		},
 		Protocols:              protocols,
@@ -76,12 +90,12 @@
 		MaxIdleConnsPerHost:    idleConnsPerUpstream,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: options.MaxHeaderBytes,
-	}}
+	}
 }
 
 func (o Options) withDefaults() Options {
 	if o.Dial == nil {
-		o.Dial = (&net.Dialer{Timeout: DefaultDialTimeout, Control: sockopt.LimitUnacked(unackedTimeout)}).DialContext
+		o.Dial = (&net.Dialer{Timeout: DefaultDialTimeout}).DialContext
 	}
 	if o.MaxResponseBytes == 0 {
 		o.MaxResponseBytes = DefaultMaxResponseBytes
@@ -123,6 +137,10 @@
 	// request is written. If it fails, nothing is sent, and its error is
 	// returned with Ran "no".
 	BeforeWrite func() error
+	// OnIdle, if set, is called once for each time that a stream sends no part for
+	// StreamIdle. The call then goes on, so that the caller can end it once another
+	// one continues the stream.
+	OnIdle func()
 }
 
 // Part is one numbered part of a streamed response. Data is valid only until
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -27,6 +27,7 @@
 	gate           *gate
 	start          time.Time
 	firstByte      atomic.Bool // a response has begun
+	conn           atomic.Pointer[gatedConn]
 	resp           *http.Response
 }
 
@@ -37,6 +38,7 @@
 	body        []byte
 	deadline    time.Time
 	repeatable  bool
+	ownConn     bool // the request uses a connection of its own
 	beforeWrite func() error
 }
 
@@ -53,7 +55,7 @@
 		x.release()
 		return nil, errkind.New(errkind.BadRequest, "upstream request: %w", err)
 	}
-	x.resp, err = c.transport.RoundTrip(req)
+	x.resp, err = c.transportFor(out).RoundTrip(req)
 	if err != nil {
 		defer x.release()
 		return nil, x.fail(err)
@@ -61,6 +63,16 @@
 	return x, nil
 }
 
+// transportFor returns the transport for a request. A plain service does not name
+// the request in its response, so a request that is not repeatable gets a connection
+// of its own, on which no response to an earlier request can arrive.
+func (c *Client) transportFor(out outgoingRequest) *http.Transport {
+	if out.ownConn {
+		return c.singleUse
+	}
+	return c.transport
+}
+
 func newExchange(ctx context.Context, out outgoingRequest) *exchange {
 	x := &exchange{start: time.Now(), cancelDeadline: func() {}}
 	if !out.deadline.IsZero() {
@@ -81,6 +93,7 @@
 				x.cancel(errors.New("connection has no gate"))
 				return
 			}
+			x.conn.Store(conn)
 			conn.setGate(x.gate)
 		},
 		GotFirstResponseByte: func() { x.firstByte.Store(true) },
@@ -113,6 +126,13 @@
 	x.cancelDeadline()
 }
 
+// closeConn closes the connection, so that no other exchange uses it.
+func (x *exchange) closeConn() {
+	if conn := x.conn.Load(); conn != nil {
+		_ = conn.Close()
+	}
+}
+
 // fail converts the error of a failed exchange into one with its kind and Ran
 // value. It seals the gate, so that nothing of the attempt is transmitted
 // afterwards.
@@ -139,7 +159,7 @@
 func (x *exchange) errorKind(err error) errkind.Kind {
 	var network net.Error
 	switch {
-	case errors.Is(context.Cause(x.ctx), errStreamIdle), errors.Is(x.ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(context.Cause(x.ctx), ErrStreamIdle), errors.Is(x.ctx.Err(), context.DeadlineExceeded):
 		return errkind.UpstreamTimeout
 	case x.ctx.Err() != nil:
 		return errkind.UpstreamFailed
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -34,14 +34,13 @@
 // ErrTruncated reports a stream that ended before its end event.
 var ErrTruncated = errors.New("stream ended before its end event")
 
-// errStreamIdle is the cancellation cause of a stream that sent no part within
-// the idle timeout.
-var errStreamIdle = errors.New("no part arrived within the idle timeout")
+// ErrStreamIdle is the cancellation cause of a stream that sent no part within
+// the idle timeout. A caller that sets Call.OnIdle can cancel the call with it.
+var ErrStreamIdle = errors.New("no part arrived within the idle timeout")
 
 var (
-	// errorPrefix is the start of the error object that engines send as a part
-	// of a stream.
-	errorPrefix = []byte(`{"error"`)
+	// errorMember is in each part with which an engine reports an error.
+	errorMember = []byte(`"error"`)
 	readerPool  = sync.Pool{New: func() any {
 		return &eventReader{r: bufio.NewReaderSize(nil, streamBufferBytes)}
 	}}
@@ -61,7 +60,11 @@
 	if t := x.resp.Header.Get("Content-Type"); !strings.HasPrefix(t, "text/event-stream") {
 		return res, invalidResponse("answer to a streamed call has content type %q", t)
 	}
-	idle := time.AfterFunc(c.options.StreamIdle, func() { x.cancel(errStreamIdle) })
+	onIdle := call.OnIdle
+	if onIdle == nil {
+		onIdle = func() { x.cancel(ErrStreamIdle) }
+	}
+	idle := time.AfterFunc(c.options.StreamIdle, onIdle)
 	idle.Stop()
 	defer idle.Stop()
 	s := &stream{exchange: x, res: &res, emit: emit, idle: idle, idleTime: c.options.StreamIdle, from: from}
@@ -155,7 +158,7 @@
 	if !json.Valid(ev.data) {
 		return invalidResponse("part %d is not valid JSON", ev.id)
 	}
-	if bytes.HasPrefix(ev.data, errorPrefix) {
+	if isError(ev.data) {
 		err := &ReportedError{Status: s.res.Status, Message: errorMessage(ev.data)}
 		return errkind.WithRan(errkind.Wrap(errkind.UpstreamFailed, err), errkind.RanYes)
 	}
@@ -174,6 +177,18 @@
 	return s.deliverBuffered()
 }
 
+// isError reports whether a part is an error object instead of a part of the
+// response.
+func isError(data []byte) bool {
+	if !bytes.Contains(data, errorMember) {
+		return false
+	}
+	var part struct {
+		Error json.RawMessage `json:"error"`
+	}
+	return json.Unmarshal(data, &part) == nil && len(part.Error) > 0 && string(part.Error) != "null"
+}
+
 // bufferPart keeps a part until all earlier ones have arrived.
 func (s *stream) bufferPart(ev *event) error {
 	if _, ok := s.buffered[ev.id]; ok {
@@ -236,7 +251,7 @@
 }
 
 // finish checks at [DONE] that the number of delivered parts is that of the end
-// event.
+// event, and that no part arrived that could not be delivered.
 func (s *stream) finish() error {
 	if s.end == nil {
 		return invalidResponse("stream has no end event")
@@ -244,6 +259,9 @@
 	if *s.end.Parts != s.res.Parts {
 		return invalidResponse("stream has %d parts, its end event says %d", s.res.Parts, *s.end.Parts)
 	}
+	if len(s.buffered) > 0 {
+		return invalidResponse("part %d is missing before %d later parts", s.res.Parts+1, len(s.buffered))
+	}
 	s.res.PromptTokens, s.res.CompletionTokens = s.end.PromptTokens, s.end.CompletionTokens
 	return nil
 }
