exchange: a pause of an upstream does not end a call in progress

Callers with a long body got 502 when their upstream stopped reading for some seconds and went on, and calls ended when the host of a sound upstream acknowledged nothing for two.

Cause: the kernel drops a connection after 2 s without acknowledgement, and counts a closed receive window, and a keep-alive probe that was sent after 1 s, in the same way. The bound is meant for requests that do not arrive, and also ended calls that had.

Now the bound is 4 s while a long body is sent, and 2 s again when the connection is closed or returned; the first probe is sent after 3 s, so the host may pause for about 4 s.

A host that acknowledges nothing was not run; it needs a network that can be cut. A dark upstream whose call nobody can take over is now noticed after 4 s instead of 2 to 3 s. Ruled out: the connection time-out, which ends no call that was sent.

--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/savoryshift/savoryshift/internal/sockopt"
@@ -19,13 +20,19 @@
 	// is first retransmitted (1 s), so that another upstream is tried instead.
 	dialTimeout = 250 * time.Millisecond
 	// keepAliveIdle, keepAliveInterval and keepAliveCount configure TCP keep-alive,
-	// in whole seconds. A dead connection is detected after two to three seconds.
-	keepAliveIdle     = time.Second
+	// in whole seconds. With unackedTimeout the kernel drops a connection after one
+	// unanswered probe, four seconds after the last byte. The host of a sound upstream
+	// may pause for less.
+	keepAliveIdle     = 3 * time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
 	// unackedTimeout bounds the time for which the bytes of a request may be
 	// unacknowledged, also after the request was given up.
 	unackedTimeout = 2 * time.Second
+	// longBodyUnackedTimeout replaces unackedTimeout while a body is sent that an
+	// upstream may not have room for. The kernel counts the time in which the upstream
+	// does not read like missing acknowledgements.
+	longBodyUnackedTimeout = 4 * time.Second
 	// defaultIdleTimeout is how long an idle connection is kept if the upstream
 	// does not state its idle timeout.
 	defaultIdleTimeout = 2 * time.Second
@@ -94,6 +101,8 @@
 	// reusableUntil is the end of the time in which an idle connection may be reused.
 	reusableUntil time.Time
 	lastUsed      time.Time
+	// longBody is set while the connection has longBodyUnackedTimeout.
+	longBody atomic.Bool
 	// requests holds the hashes of the IDs of the requests that were sent.
 	requests    []uint64
 	discardOnce sync.Once
@@ -103,6 +112,7 @@
 // discard closes the connection; it may be called more than once.
 func (c *connection) discard() {
 	c.discardOnce.Do(func() {
+		c.endLongBody()
 		_ = c.Close()
 		c.pool.mu.Lock()
 		defer c.pool.mu.Unlock()
@@ -158,6 +168,21 @@
 	return nil
 }
 
+// beginLongBody allows for an upstream that pauses while a long body is sent.
+func (c *connection) beginLongBody() {
+	if sockopt.SetUnacked(c.Conn, longBodyUnackedTimeout) == nil {
+		c.longBody.Store(true)
+	}
+}
+
+// endLongBody ends the effect of beginLongBody. An error means that the connection is
+// closed already.
+func (c *connection) endLongBody() {
+	if c.longBody.Swap(false) {
+		_ = sockopt.SetUnacked(c.Conn, unackedTimeout)
+	}
+}
+
 // connect opens a new connection.
 func (p *Pool) connect(ctx context.Context, address string) (*connection, error) {
 	conn, err := p.dial(ctx, address)
@@ -179,6 +204,7 @@
 	if statedTimeout > 0 {
 		idle = min(maxIdleTimeout, time.Duration(idleTimeoutShare*float64(statedTimeout)))
 	}
+	c.endLongBody()
 	c.lastUsed = p.now()
 	c.reusableUntil = c.lastUsed.Add(idle)
 	p.mu.Lock()
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -122,6 +122,7 @@
 	if err := c.writeAll(head.Bytes()); err != nil {
 		return nil, err
 	}
+	c.beginLongBody()
 	done := make(chan error, 1)
 	go func() {
 		_, err := c.Write(req.Body)
