--- /dev/null
+++ b/gateway/escalation.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/savoryshift/savoryshift/cascade"
+	"github.com/savoryshift/savoryshift/placement"
+)
+
+// escalate decides whether the response of the current model is dropped in favour of a
+// larger model. If so, the call to the larger model becomes the candidate.
+func (t *streamExecution) escalate(c *streamCall, now time.Time) {
+	largest := len(t.route.Models) - 1
+	if !t.req.AnyModel || t.modelRank >= largest || t.wroteHeader || c.responseHeader.Confidence < 0 {
+		return
+	}
+	escalation := t.place(t.ctx, t.route.Models[largest], largest)
+	if escalation == nil {
+		return
+	}
+	in := t.cascadeInput(c.attempt, escalation, now)
+	d := cascade.Decide(in)
+	ok := d.Drop && t.allowRetry()
+	c.logEvent("confidence", zap.Int("confidence", in.Confidence), zap.Duration("larger", in.PredictedFirstEvent), zap.Duration("left", in.TimeLeft),
+		zap.Float64("wait", in.Wait), zap.Float64("gain", d.Gain), zap.Float64("price", d.Price), zap.Bool("dropped", ok))
+	if !ok {
+		t.unplace(escalation)
+		return
+	}
+	t.candidate, t.escalating = t.begin(escalation, largest), true
+	t.timer.Reset(maxEscalationOverlap)
+}
+
+// unplace takes back a call that was placed and is not made.
+func (t *streamExecution) unplace(a *attempt) {
+	a.end(placement.Neutral)
+	t.sends--
+	t.lastUpstream = t.current.choice.ID
+}
+
+// cascadeInput collects the inputs of the decision between the current response
+// and a call to the larger model.
+func (t *streamExecution) cascadeInput(a, next *attempt, now time.Time) cascade.Input {
+	generated := float64(t.req.expectedOutput())
+	size := float64(t.req.PromptTokens) + outputTokenWeight*generated
+	cost := 0.0
+	for _, m := range t.service.Models {
+		if m.Name == next.model {
+			cost = cascade.Cost(m.Cost, generated, next.choice.UncachedTokens)
+		}
+	}
+	return cascade.Input{
+		Confidence:          a.responseHeader.Confidence,
+		Value:               cascade.Value(t.route.Priority, size, t.srv.requestSizes.observe(t.route.Name, size)),
+		Cost:                cost,
+		EngineTime:          next.choice.PrefillSeconds,
+		Wait:                next.choice.Wait,
+		PredictedFirstEvent: time.Duration(next.choice.FirstEvent * float64(time.Second)),
+		TimeLeft:            t.route.Objective - now.Sub(t.start),
+	}
+}
+
+const (
+	// The engine priority of a request is baseEnginePriority plus
+	// enginePriorityStep times its route or organisation priority; lower values are
+	// served first. The step of 2 leaves a value for repeated calls in between.
+	// maxEnginePriority is the largest value, which is served last.
+	baseEnginePriority = 2
+	enginePriorityStep = 2
+	maxEnginePriority  = 9
+)
+
+// enginePriority returns the scheduling priority at the engine. After a call of
+// the request has run, further calls, such as one that replaces a dropped
+// response or resumes a stream, are served before first calls of the same
+// priority.
+func (t *streamExecution) enginePriority() int {
+	p := baseEnginePriority + enginePriorityStep*t.priority
+	if t.runs > 0 {
+		p--
+	}
+	return max(0, min(maxEnginePriority, p))
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/savoryshift/savoryshift/cascade"
 	"github.com/savoryshift/savoryshift/errkind"
 	"github.com/savoryshift/savoryshift/placement"
 )
@@ -288,138 +287,6 @@
 	}
 }
 
-// escalate decides whether the response of the current model is dropped in favour of a
-// larger model. If so, the call to the larger model becomes the candidate.
-func (t *streamExecution) escalate(c *streamCall, now time.Time) {
-	largest := len(t.route.Models) - 1
-	if !t.req.AnyModel || t.modelRank >= largest || t.wroteHeader || c.responseHeader.Confidence < 0 {
-		return
-	}
-	escalation := t.place(t.ctx, t.route.Models[largest], largest)
-	if escalation == nil {
-		return
-	}
-	in := t.cascadeInput(c.attempt, escalation, now)
-	d := cascade.Decide(in)
-	ok := d.Drop && t.allowRetry()
-	c.logEvent("confidence", zap.Int("confidence", in.Confidence), zap.Duration("larger", in.PredictedFirstEvent), zap.Duration("left", in.TimeLeft),
-		zap.Float64("wait", in.Wait), zap.Float64("gain", d.Gain), zap.Float64("price", d.Price), zap.Bool("dropped", ok))
-	if !ok {
-		t.unplace(escalation)
-		return
-	}
-	t.candidate, t.escalating = t.begin(escalation, largest), true
-	t.timer.Reset(maxEscalationOverlap)
-}
-
-// unplace takes back a call that was placed and is not made.
-func (t *streamExecution) unplace(a *attempt) {
-	a.end(placement.Neutral)
-	t.sends--
-	t.lastUpstream = t.current.choice.ID
-}
-
-// cascadeInput collects the inputs of the decision between the current response
-// and a call to the larger model.
-func (t *streamExecution) cascadeInput(a, next *attempt, now time.Time) cascade.Input {
-	generated := float64(t.req.expectedOutput())
-	size := float64(t.req.PromptTokens) + outputTokenWeight*generated
-	cost := 0.0
-	for _, m := range t.service.Models {
-		if m.Name == next.model {
-			cost = cascade.Cost(m.Cost, generated, next.choice.UncachedTokens)
-		}
-	}
-	return cascade.Input{
-		Confidence:          a.responseHeader.Confidence,
-		Value:               cascade.Value(t.route.Priority, size, t.srv.requestSizes.observe(t.route.Name, size)),
-		Cost:                cost,
-		EngineTime:          next.choice.PrefillSeconds,
-		Wait:                next.choice.Wait,
-		PredictedFirstEvent: time.Duration(next.choice.FirstEvent * float64(time.Second)),
-		TimeLeft:            t.route.Objective - now.Sub(t.start),
-	}
-}
-
-const (
-	// The engine priority of a request is baseEnginePriority plus
-	// enginePriorityStep times its route or organisation priority; lower values are
-	// served first. The step of 2 leaves a value for repeated calls in between.
-	// maxEnginePriority is the largest value, which is served last.
-	baseEnginePriority = 2
-	enginePriorityStep = 2
-	maxEnginePriority  = 9
-)
-
-// enginePriority returns the scheduling priority at the engine. After a call of
-// the request has run, further calls, such as one that replaces a dropped
-// response or resumes a stream, are served before first calls of the same
-// priority.
-func (t *streamExecution) enginePriority() int {
-	p := baseEnginePriority + enginePriorityStep*t.priority
-	if t.runs > 0 {
-		p--
-	}
-	return max(0, min(maxEnginePriority, p))
-}
-
-// handleEvent forwards an event of the current call to the client. It returns true
-// when the stream has ended properly.
-func (t *streamExecution) handleEvent(event streamEvent) bool {
-	c := t.current
-	switch {
-	case event.err != nil:
-		return t.handleBrokenStream(event.err)
-	case event.end && c.resumed && !c.forwarding:
-		return t.handleBrokenStream(errNoEvents)
-	case event.end:
-		t.startForwarding(c)
-		c.end(placement.Answered)
-		return true
-	case !t.sequence.accept(event.data, event.id, c.resumed):
-		return t.handleBrokenStream(errOutOfSequence)
-	}
-	t.dropCandidate()
-	t.startForwarding(c)
-	t.recordEventTime(event.at)
-	if err := t.write(event); err != nil {
-		t.abortStream(placement.Neutral, "caller left")
-	}
-	c.recordProgress(time.Now())
-	return false
-}
-
-// startForwarding sends the response header of the first call whose response is
-// forwarded, and records which model and release produce the stream.
-func (t *streamExecution) startForwarding(c *streamCall) {
-	if c.forwarding {
-		return
-	}
-	c.forwarding = true
-	t.model, t.confidence, t.streamRelease = c.model, c.responseHeader.Confidence, c.choice.Release
-	if t.wroteHeader {
-		return
-	}
-	copyResponseHeader(t.w.Header(), c.response.Header)
-	t.contentType = c.response.Header.Get("Content-Type")
-	t.status, t.wroteHeader = c.responseHeader.Status, true
-	t.w.WriteHeader(t.status)
-}
-
-// write writes an event to the client, and flushes it unless another event is at hand.
-func (t *streamExecution) write(event streamEvent) error {
-	if _, err := t.w.Write(event.data); err != nil {
-		return err
-	}
-	if event.id != "" {
-		t.lastEventID = event.id
-	}
-	if event.more {
-		return nil
-	}
-	return t.controller.Flush()
-}
-
 // handleBrokenStream ends the current call, whose stream broke, and goes on with the
 // next one. It returns true when the request is finished.
 func (t *streamExecution) handleBrokenStream(cause error) bool {
@@ -459,13 +326,3 @@
 	t.reason = reason
 	panic(http.ErrAbortHandler)
 }
-
-// recordEventTime updates the time to the first event and the longest pause.
-func (t *streamExecution) recordEventTime(now time.Time) {
-	if t.timeToFirstEvent == 0 {
-		t.timeToFirstEvent = now.Sub(t.start)
-		t.lastEventAt = now
-	}
-	t.longestPause = max(t.longestPause, now.Sub(t.lastEventAt))
-	t.lastEventAt = now
-}
