demo: a daemon stops only after the balancer has seen that it is not ready

Seen: "requests were not answered completely", because a worker sent a request to the daemon that had stopped:

whole: status 0, error Post "http://127.0.0.1:56669/v1/chat/completions": dial tcp 127.0.0.1:56669: connect: connection refused

Cause, in the check: the daemons of the demonstration accept requests for 300 ms after they say that they are not ready (the default is 3 s). The balancer asks six daemons one after the other, each for up to 1 s, so under load it learns of the stop too late.

After: the checks of one round run at the same time, and the daemons stay for two of their time-outs. A daemon that does not end bounds close as well.

--- a/demo/system.go
+++ b/demo/system.go
@@ -186,7 +186,7 @@
 	file.SessionKeys = []settings.SessionKey{{ID: "k1", SecretBase64: base64.StdEncoding.EncodeToString([]byte(sessionSecret))}}
 	file.Periods.VMListMs = settings.Milliseconds(standinLag.Milliseconds())
 	file.Periods.LedgerFlushMs = 500
-	file.Periods.ReadinessDelayMs = 300
+	file.Periods.ReadinessDelayMs = settings.Milliseconds(readinessDelay.Milliseconds())
 	return file
 }
 
@@ -208,7 +208,7 @@
 		n.stop()
 	}
 	for _, n := range s.daemons {
-		<-n.done
+		_ = n.stopAndWait(stopTimeout)
 	}
 	for _, c := range s.closers {
 		c()
--- a/demo/traffic.go
+++ b/demo/traffic.go
@@ -15,6 +15,11 @@
 	// balancerPeriod is the interval of the balancer's readiness checks, and of the
 	// polls for readiness of all daemons and for the bill.
 	balancerPeriod = 50 * time.Millisecond
+	// readinessTimeout bounds one readiness check.
+	readinessTimeout = time.Second
+	// readinessDelay is the readiness delay of the daemons. A stopping daemon must
+	// accept requests until the balancer has seen that it is not ready.
+	readinessDelay = 2 * readinessTimeout
 )
 
 // balancer distributes requests over the ready daemons by round-robin, as the
@@ -29,7 +34,7 @@
 }
 
 func newBalancer(nodes []*node) *balancer {
-	return &balancer{nodes: nodes, http: &http.Client{Timeout: time.Second}}
+	return &balancer{nodes: nodes, http: &http.Client{Timeout: readinessTimeout}}
 }
 
 // run checks the readiness of the daemons periodically until ctx ends.
@@ -48,18 +53,15 @@
 
 // poll replaces the list of ready daemons.
 func (b *balancer) poll(ctx context.Context) {
+	isReady := make([]bool, len(b.nodes))
+	var checks sync.WaitGroup
+	for i, n := range b.nodes {
+		checks.Go(func() { isReady[i] = b.isReady(ctx, n) })
+	}
+	checks.Wait()
 	var ready []*node
-	for _, n := range b.nodes {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, n.operatorURL+"/readyz", nil)
-		if err != nil {
-			continue
-		}
-		resp, err := b.http.Do(req)
-		if err != nil {
-			continue
-		}
-		_ = resp.Body.Close()
-		if resp.StatusCode == http.StatusOK {
+	for i, n := range b.nodes {
+		if isReady[i] {
 			ready = append(ready, n)
 		}
 	}
@@ -68,6 +70,21 @@
 	b.ready = ready
 }
 
+// isReady checks the readiness of one daemon. One that does not answer in time is not
+// ready.
+func (b *balancer) isReady(ctx context.Context, n *node) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, n.operatorURL+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := b.http.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 // next returns the URL of the next ready daemon: another one than the last time if
 // several are ready, and the first daemon if none is.
 func (b *balancer) next() string {
