gateway: a rejection of the second call does not end the first one

A caller of a safe request got 429 or 404 of a second upstream although the first one, which was only slow, would have answered 200. Same class as the silent calls: the call in hand was given up for a response that is no answer.

TestRejectedHedgeEndsTheFirstCall on: 429 and 404 instead of 200 after 2.2 s. Now a response of 300 and above of the second call waits for the first, and is delivered if that one fails. A 5xx body is kept in the same way; before, a refusal of the second call after it lost it.

--- a/gateway/candidate_test.go
+++ b/gateway/candidate_test.go
@@ -215,6 +215,18 @@
 	}
 }
 
+// Guards against a rejection of the second call that ends the sound first one.
+func TestRejectedHedgeEndsTheFirstCall(t *testing.T) {
+	for _, status := range []int{429, 404} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			t.Parallel()
+			s, _, _ := newPair(t, hesitating(2200*time.Millisecond, answer(200, "good")), answer(status, "odd"))
+			r := s.call("/safe/x")
+			assert.Equal(t, r.status, 200, r.body)
+		})
+	}
+}
+
 // Guards against a client that does not read and holds its stream past the timeout.
 func TestClientThatDoesNotReadHoldsItsStream(t *testing.T) {
 	t.Parallel()
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -59,8 +59,9 @@
 
 // callHedged makes one call and, if the route is idempotent and the call is
 // slow, a second call in parallel. It returns the first deliverable result, or
-// the last result if none is; false means that no call could be placed. With retry,
-// the retry budget must allow the call.
+// the last result if none is; false means that no call could be placed. A failure that
+// the second call would deliver waits for the result of the first. With retry, the retry
+// budget must allow the call.
 func (exec *execution) callHedged(ctx context.Context, retry bool) (*callResult, bool) {
 	results := make(chan *callResult, 2)
 	place := exec.place
@@ -74,6 +75,7 @@
 	first.sendAsync(results)
 	running := []*attempt{first}
 	var hedge <-chan time.Time
+	var held *callResult
 	if exec.route.Idempotent() {
 		timer := time.NewTimer(max(minHedgeDelay, time.Duration(hedgeDelayShare*float64(exec.route.Objective))))
 		defer timer.Stop()
@@ -87,10 +89,14 @@
 				result.attempt.observeRelease(result.resultClass != deliverable, 0)
 			}
 			running = slices.DeleteFunc(running, func(a *attempt) bool { return a == result.attempt })
-			if result.resultClass != deliverable && len(running) > 0 {
-				hedge = nil
+			wins := result.resultClass == deliverable && (result.attempt == first || result.attempt.responseHeader.Status < http.StatusMultipleChoices)
+			if len(running) > 0 && !wins {
+				hedge, held = nil, result
 				continue
 			}
+			if held != nil && result.rank() < held.rank() {
+				result = held
+			}
 			for _, a := range running {
 				if a == first {
 					// The hedged call finished first, so this upstream is slow or silent.
@@ -113,6 +119,17 @@
 	}
 }
 
+// rank orders results of parallel calls by what the client learns from them.
+func (r *callResult) rank() int {
+	switch {
+	case r.resultClass == deliverable:
+		return 2
+	case r.body != nil:
+		return 1
+	}
+	return 0
+}
+
 // sendAsync makes the call in a new goroutine, which owns the response until it
 // sends the result.
 func (a *attempt) sendAsync(results chan<- *callResult) {
