proxy: at most two calls of a stream need no retry from the budget

Found by the review, by reading: two upstreams that pause in turn could be called again and again, each time without a charge, until the deadline. Not run: no test makes more than two such calls; the tests of package proxy pass with the bound.

--- a/proxy/race.go
+++ b/proxy/race.go
@@ -45,6 +45,8 @@
 	// superseded lists the calls that were ended for another one and not made
 	// again.
 	superseded []Target
+	// restarts counts the calls of startSuperseded.
+	restarts int
 	// failure is the result of the last owner that failed, or of the last call if
 	// none delivered a part.
 	failure raceResult
@@ -245,13 +247,17 @@
 	return r.startSuperseded()
 }
 
+// maxRestarts bounds the calls of a stream that need no retry from the budget.
+const maxRestarts = 2
+
 // startSuperseded makes a superseded call again. It needs no retry from the budget,
 // because the call was ended by this router and not by its upstream.
 func (r *streamRace) startSuperseded() bool {
 	i := slices.IndexFunc(r.superseded, func(t Target) bool { return t.Version == r.deliveredVersion() })
-	if i < 0 {
+	if i < 0 || r.restarts >= maxRestarts {
 		return false
 	}
+	r.restarts++
 	t := r.superseded[i]
 	r.superseded = slices.Delete(r.superseded, i, i+1)
 	r.start(t)
