--- /dev/null
+++ b/proxy/dispatch.go
@@ -0,0 +1,100 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/savoryshift/savoryshift/errkind"
+	"github.com/savoryshift/savoryshift/upstream"
+)
+
+// callUnary gets a complete, non-streamed response from the target.
+func (s *Server) callUnary(ctx context.Context, m *modelRequest, target Target, priority int) (reply, error) {
+	resp := reply{target: target}
+	call, err := s.newCall(m, target, priority, false)
+	if err != nil {
+		return resp, err
+	}
+	s.options.Router.Started(m.route, target)
+	resp.result, err = s.options.Upstream.Complete(ctx, call)
+	resp.text = string(resp.result.Body)
+	s.reportFinished(ctx, m, target, resp.result, err)
+	s.cancelAbandoned(ctx, call, err)
+	return resp, err
+}
+
+// cancelTimeout bounds the request that cancels a call on its engine.
+const cancelTimeout = time.Second
+
+// cancelAbandoned tells the engine to stop a call whose context has ended,
+// because an engine may continue to generate after its connection is closed.
+func (s *Server) cancelAbandoned(ctx context.Context, call upstream.Call, err error) {
+	if err == nil || ctx.Err() == nil {
+		return
+	}
+	go func() {
+		limited, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		if s.options.Upstream.Cancel(limited, call.URL, call.AttemptID) != nil {
+			s.counters.cancelsFailed.Add(1)
+		}
+	}()
+}
+
+// newCall prepares a call to an engine. Its BeforeWrite check keeps a daemon
+// that was suspended between the plan and the write from sending by an outdated
+// decision.
+func (s *Server) newCall(m *modelRequest, target Target, priority int, stream bool) (upstream.Call, error) {
+	body, err := m.chat.bodyFor(target.Model, stream)
+	if err != nil {
+		return upstream.Call{}, err
+	}
+	return upstream.Call{
+		URL:         target.URL,
+		RequestID:   m.route.RequestID,
+		AttemptID:   uuid.NewString(),
+		Model:       target.Model,
+		Version:     target.Version,
+		Deadline:    m.route.Deadline,
+		Priority:    priority,
+		Body:        body,
+		BeforeWrite: func() error { return s.checkDispatch(m, target) },
+	}, nil
+}
+
+// checkDispatch returns an error unless the version may run the request by the
+// current configuration, halts and evidence.
+func (s *Server) checkDispatch(m *modelRequest, target Target) error {
+	if !time.Now().Before(m.route.Deadline) {
+		return errkind.New(errkind.DeadlinePassed, "the deadline passed before the request was sent")
+	}
+	if !s.options.Router.Usable(target) {
+		return errkind.New(errkind.UpstreamRefused, "upstream %q takes no new work", target.Upstream)
+	}
+	allowed, err := s.allowedVersions(m.route.Organisation, m.route.Service, m.session.name)
+	if err != nil {
+		return err
+	}
+	if !slices.Contains(allowed, target.Version) {
+		return errkind.New(errkind.NoAllowedVersion, "version %q may not be used any more", target.Version)
+	}
+	return nil
+}
+
+// reportFinished reports the end of a call to the Router.
+func (s *Server) reportFinished(ctx context.Context, m *modelRequest, target Target, result upstream.Result, err error) {
+	s.options.Router.Finished(Outcome{
+		Request:          m.route,
+		Target:           target,
+		FirstToken:       result.FirstToken,
+		Total:            result.Total,
+		PromptTokens:     result.PromptTokens,
+		CompletionTokens: result.CompletionTokens,
+		Err:              err,
+		Cancelled:        err != nil && ctx.Err() != nil && !errors.Is(err, upstream.ErrStreamIdle),
+	})
+}
