--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -174,7 +174,7 @@
 // Guards against a slow client that makes its upstream look silent.
 func TestSlowClientMovesItsStream(t *testing.T) {
 	t.Parallel()
-	const size, last = 256 << 10, 64
+	const size, last = 128 << 10, 64
 	long := func(r *http.Request, w io.Writer) bool {
 		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
 		for i := 1; i <= last; i++ {
@@ -187,8 +187,9 @@
 	conn, err := net.Dial("tcp4", strings.TrimPrefix(s.url, "http://"))
 	assert.NilError(t, err)
 	defer conn.Close()
+	assert.NilError(t, conn.(*net.TCPConn).SetReadBuffer(64<<10))
 	fmt.Fprint(conn, "POST /stream/x HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: key\r\nModel: large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
-	time.Sleep(2 * time.Second)
+	time.Sleep(1500 * time.Millisecond)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	assert.NilError(t, err)
 	body, err := io.ReadAll(resp.Body)
