gateway: a log line for each request that was unanswered when its upstream ended

What the incident lacks: no line named the parts of a prompt or said that an upstream had ended, so that the accused requests could not be told from those beside them. When a response breaks before its first event, the host is asked for a connection once; if it refuses, or if another process takes the place of the upstream within 3 s, "upstream ended" names the request and its shared parts.

--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -9,6 +9,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/savoryshift/savoryshift/internal/oldhead"
@@ -208,6 +209,16 @@
 	return c, nil
 }
 
+// Refuses reports whether the host of an address refuses a connection at once, because no
+// process listens there.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	conn, err := p.dial(ctx, address)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // put returns a connection to the pool after a complete response. statedTimeout
 // is the idle timeout that the upstream stated, 0 if it stated none.
 func (p *Pool) put(c *connection, statedTimeout time.Duration) {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -28,10 +28,13 @@
 	// status is the status of the response for log lines, which may be written before
 	// the response is handed over.
 	status atomic.Int32
-	model  string
-	start  time.Time
-	ctx    context.Context
-	cancel context.CancelFunc
+	// resumed is set for a call that continues a stream of which the client has
+	// received events.
+	resumed bool
+	model   string
+	start   time.Time
+	ctx     context.Context
+	cancel  context.CancelFunc
 }
 
 // send makes the call and classifies it by the response header.
@@ -81,6 +84,9 @@
 	if errors.Is(err, exchange.ErrNotSent) {
 		class, outcome = notRun, placement.Unreachable
 	}
+	if class == failed {
+		a.reportBreak()
+	}
 	a.withdrawn = errors.Is(err, errUnregistered) || errors.Is(err, errOutlastsStop)
 	if errors.Is(a.ctx.Err(), context.Canceled) || a.withdrawn {
 		outcome = placement.Neutral
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -66,6 +66,7 @@
 	requestSizes requestSizes
 	durations    routeDurations
 	buffers      bufferBudget
+	ends         endExaminer
 }
 
 // New returns a server without a configuration. It refuses all requests until
@@ -80,6 +81,7 @@
 	return &Server{
 		opts: opts, stop: newStopState(), requestSizes: requestSizes{means: map[string]*meanSize{}},
 		durations: routeDurations{byRoute: map[string]*durations{}}, buffers: bufferBudget{limit: opts.MaxBuffered},
+		ends: endExaminer{pending: map[placement.Instance][]brokenCall{}},
 	}
 }
 
--- a/gateway/streamcall.go
+++ b/gateway/streamcall.go
@@ -40,11 +40,8 @@
 type streamCall struct {
 	*attempt
 	modelRank int
-	// resumed is set for a call that continues a stream of which the client has
-	// received events.
-	resumed bool
-	result  chan *callResult
-	events  chan streamEvent
+	result    chan *callResult
+	events    chan streamEvent
 
 	// responded is set when the result has been received, accepted when the response
 	// is a stream that can be forwarded, and forwarding when the client has received a
@@ -67,8 +64,9 @@
 	if a == nil {
 		return nil
 	}
+	a.resumed = t.wroteHeader
 	c := &streamCall{
-		attempt: a, modelRank: modelRank, resumed: t.wroteHeader, lastProgress: a.start,
+		attempt: a, modelRank: modelRank, lastProgress: a.start,
 		result: make(chan *callResult, 1), events: make(chan streamEvent, 1),
 		timeout: max(minFirstEventTimeout, time.Duration(firstEventTimeoutFactor*a.choice.FirstEvent*float64(time.Second))),
 	}
@@ -100,6 +98,9 @@
 			err = errNoWholeEvent
 		}
 		begun = begun || err == nil && !isComment(data)
+		if err != nil && err != io.EOF && !begun {
+			c.reportBreak()
+		}
 		event := streamEvent{data: bytes.Clone(data), id: id, at: time.Now(), more: reader.buffered()}
 		switch {
 		case err == io.EOF && c.response.Complete():
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -151,6 +151,7 @@
 	body, err := a.exec.srv.buffers.readAll(a.response, maxBufferedResponse)
 	switch {
 	case err != nil || !a.response.Complete():
+		a.reportBreak()
 		a.finish(placement.Failed)
 		a.logEvent("broken answer", zap.Error(err), zap.String("framing", string(a.response.Framing())))
 		result.resultClass = failed
--- a/placement/book.go
+++ b/placement/book.go
@@ -284,6 +284,18 @@
 	return !e.Draining && !e.notices.leaving() && e.notices.pauseLeft(now) == 0
 }
 
+// Replaced reports whether another process has the ID or the address of an instance.
+func (b *Balancer) Replaced(i Instance) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range b.upstreams {
+		if e.unregisteredAt.IsZero() && e.Instance() != i && (e.ID == i.ID || e.Address == i.Address) {
+			return true
+		}
+	}
+	return false
+}
+
 // Alternatives counts the upstreams of a service other than exclude that run an
 // allowed release, are usable and are not in another zone that is suspected to be cut
 // off.
--- /dev/null
+++ b/quarantine/evidence.go
@@ -0,0 +1,155 @@
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"slices"
+	"time"
+)
+
+// Part identifies a part of a prompt on all VMs.
+type Part uint64
+
+// Request identifies a request on all VMs.
+type Request uint64
+
+const (
+	// maxParts bounds the parts of a prompt that are tracked.
+	maxParts = 256
+	// manyParts stands for the parts of a prompt beyond maxParts.
+	manyParts = Part(1)
+)
+
+// HashParts returns the parts that other prompts may share, given the IDs of all parts
+// in order. The last part belongs to its request alone and is left out.
+func HashParts(ids []string) []Part {
+	if len(ids) < 2 {
+		return nil
+	}
+	ids = ids[:len(ids)-1]
+	parts := make([]Part, 0, min(len(ids), maxParts+1))
+	for _, id := range ids[:min(len(ids), maxParts)] {
+		parts = append(parts, Part(hash(id)))
+	}
+	if len(ids) > maxParts {
+		parts = append(parts, manyParts)
+	}
+	slices.Sort(parts)
+	return slices.Compact(parts)
+}
+
+// HashRequest returns the identity of a request with an ID.
+func HashRequest(id string) Request { return Request(hash(id)) }
+
+// hash is cryptographic, so that a client cannot choose an ID that collides with the
+// part of another.
+func hash(id string) uint64 {
+	sum := sha256.Sum256([]byte(id))
+	return binary.BigEndian.Uint64(sum[:8])
+}
+
+// End is the end of an upstream while a request was in flight there that had no event of
+// an answer yet.
+type End struct {
+	// Upstream identifies the process that ended.
+	Upstream string
+	Request  Request
+	// Parts are those that may be the cause, in ascending order.
+	Parts []Part
+	Age   time.Duration
+}
+
+// Answer says that a request with a part was answered.
+type Answer struct {
+	Part Part
+	Age  time.Duration
+}
+
+// Report is the evidence that a VM tells its peers.
+type Report struct {
+	Ends    []End
+	Answers []Answer
+	// Accused are the parts that the sender keeps from upstreams. Ends holds their ends.
+	Accused []Part
+}
+
+// endKey identifies an end.
+type endKey struct {
+	upstream string
+	request  Request
+}
+
+// end is an End with the parts that have not been answered since.
+type end struct {
+	endKey
+	parts []Part
+	at    time.Time
+	// learnedAt is when this VM learned of it.
+	learnedAt time.Time
+}
+
+// suspect is a part that was in flight at the end of an upstream and has not been answered
+// since.
+type suspect struct {
+	ends []*end
+	// answersBefore is the number of answers of this VM to other requests before the
+	// first of the ends was learned.
+	answersBefore int
+	// answered is set if the part had been answered before the first of the ends.
+	answered bool
+	// corroborated is set once a peer has accused the part.
+	corroborated bool
+	// testUntil is the end of the time in which no further request tests the part after
+	// one was let through.
+	testUntil time.Time
+}
+
+// upstreams counts the different upstreams that ended.
+func (s *suspect) upstreams() int {
+	seen := map[string]bool{}
+	for _, e := range s.ends {
+		seen[e.upstream] = true
+	}
+	return len(seen)
+}
+
+// lastEnd returns the time of the last end.
+func (s *suspect) lastEnd() time.Time {
+	var last time.Time
+	for _, e := range s.ends {
+		if e.at.After(last) {
+			last = e.at
+		}
+	}
+	return last
+}
+
+// recentParts remembers when parts were answered, for the parts answered last.
+type recentParts struct {
+	at map[Part]time.Time
+	// order holds the parts in the order in which they were added; next is the index at
+	// which the oldest is replaced.
+	order []Part
+	next  int
+	size  int
+}
+
+func newRecentParts(size int) *recentParts { return &recentParts{at: map[Part]time.Time{}, size: size} }
+
+func (r *recentParts) record(p Part, at time.Time) {
+	known, ok := r.at[p]
+	if ok {
+		if at.After(known) {
+			r.at[p] = at
+		}
+		return
+	}
+	if len(r.order) < r.size {
+		r.order = append(r.order, p)
+	} else {
+		delete(r.at, r.order[r.next])
+		r.order[r.next] = p
+		r.next = (r.next + 1) % r.size
+	}
+	r.at[p] = at
+}
