quarantine: a sound part met by a burst of other ends is not accused

Cause: strong evidence was taken to be enough even where no other part explained any of it, and two requests in two bursts sufficed. Now a part that was answered before is not accused for a single burst, and three requests must have been in flight at the ends.

--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -11,12 +11,12 @@
 	// minUpstreams is the number of upstreams that must have ended before a part is
 	// accused, and minRequests that of the requests that were in flight there.
 	minUpstreams = 3
-	minRequests  = 2
-	// minUpstreamsStrict and minRequestsStrict replace them for a part that was answered
-	// before, and for ends within burstTime: when upstreams end in quick succession, the
-	// retries of a sound request may meet several of them.
+	minRequests  = 3
+	// minUpstreamsStrict replaces minUpstreams for a part that was answered before, and for
+	// ends within burstTime: when upstreams end in quick succession, the retries of a sound
+	// request may meet several of them. A part that was answered before is not accused for
+	// a single burst at all.
 	minUpstreamsStrict = 5
-	minRequestsStrict  = 3
 	burstTime          = time.Second
 	// minExplained is the fraction of the ends, from the first to the last of those of a
 	// part, that the part must explain: what ends most upstreams explains most ends. A
@@ -215,8 +215,9 @@
 	}
 	all, open := collect(s, nil), collect(s, explained)
 	enough := open.isEnough(s.answered) && (open.isClear() || open.explains(t.endsBetween(open.first, open.last, explained)))
-	// A part with many ends that another one explains is accused with the next end.
-	if !enough && (len(open.upstreams) == 0 || !all.isStrong()) {
+	// A part with many ends of which another one explains some is accused with the next.
+	partly := len(open.upstreams) > 0 && len(open.upstreams) < len(all.upstreams)
+	if !enough && !(partly && all.isStrong()) {
 		return weight{}
 	}
 	return weight{upstreams: len(open.upstreams), requests: len(open.requests)}
@@ -259,14 +260,15 @@
 // isEnough reports whether the ends are enough to accuse a part, which was answered before
 // or not.
 func (c *summary) isEnough(answered bool) bool {
-	if answered || c.last.Sub(c.first) < burstTime {
-		return c.isStrong()
+	burst := c.last.Sub(c.first) < burstTime
+	if answered || burst {
+		return c.isStrong() && !(answered && burst)
 	}
 	return c.spaced >= minUpstreams && len(c.requests) >= minRequests
 }
 
 func (c *summary) isStrong() bool {
-	return c.spaced >= minUpstreamsStrict && len(c.requests) >= minRequestsStrict
+	return c.spaced >= minUpstreamsStrict && len(c.requests) >= minRequests
 }
 
 func (c *summary) isClear() bool {
