gateway: a call that reached no upstream is not charged to the retry budget

Cause: only calls withdrawn by this VM were free; a connection that an ended process refuses was charged like a call that ran, although the budget bounds what arrives at upstreams.

TestRefusedConnectionUsesTheRetryBudget fails before (503 with an empty budget) and passes now; the rest of the package passes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -22,9 +22,9 @@
 	responseHeader ResponseHeader
 	// previousUpstream is the upstream of the call that was placed before.
 	previousUpstream string
-	// withdrawn is set if the call was not written because its upstream accepts no new
-	// calls, or because it may outlast a planned stop.
-	withdrawn bool
+	// unsent is set if no byte of the call was written: the upstream could not be reached,
+	// or the call was withdrawn before.
+	unsent bool
 	// status is the status of the response for log lines, which may be written before
 	// the response is handed over.
 	status atomic.Int32
@@ -85,14 +85,14 @@
 // classifyError classifies a call that got no response, and finishes it.
 func (a *attempt) classifyError(err error) resultClass {
 	class, outcome := failed, placement.Failed
-	if errors.Is(err, exchange.ErrNotSent) {
+	if a.unsent = errors.Is(err, exchange.ErrNotSent); a.unsent {
 		class, outcome = notRun, placement.Unreachable
 	}
 	if class == failed {
 		a.reportBreak()
 	}
-	a.withdrawn = errors.Is(err, errUnregistered) || errors.Is(err, errOutlastsStop) || errors.Is(err, errQuarantined)
-	if errors.Is(a.ctx.Err(), context.Canceled) || a.withdrawn {
+	withdrawn := errors.Is(err, errUnregistered) || errors.Is(err, errOutlastsStop) || errors.Is(err, errQuarantined)
+	if errors.Is(a.ctx.Err(), context.Canceled) || withdrawn {
 		outcome = placement.Neutral
 	}
 	a.finish(outcome)
--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -77,8 +77,8 @@
 	servedRelease string
 	// anyCallFailed is set once a call of the request has failed.
 	anyCallFailed bool
-	// lastWithdrawn is set if the last call was withdrawn before it was written.
-	lastWithdrawn bool
+	// lastUnsent is set if no byte of the last call was written.
+	lastUnsent bool
 	// mayHaveRun is set once a call ran or may have run. The client must then not
 	// be told that the request was not run.
 	mayHaveRun bool
@@ -234,8 +234,8 @@
 // share, and reports whether the budget allows it. A call that replaces one that was not
 // written is not charged.
 func (exec *execution) chargeRetry() bool {
-	if exec.lastWithdrawn {
-		exec.lastWithdrawn = false
+	if exec.lastUnsent {
+		exec.lastUnsent = false
 		return true
 	}
 	if !exec.srv.opts.RetryBudget.AllowRetry(exec.service.Name, time.Now()) {
@@ -364,7 +364,7 @@
 // countResult counts a call by its result class and excludes its upstream from later
 // calls unless the response is deliverable.
 func (exec *execution) countResult(a *attempt, class resultClass) {
-	exec.lastWithdrawn = a.withdrawn
+	exec.lastUnsent = a.unsent
 	if class != notRun {
 		exec.runs++
 		exec.mayHaveRun = true
--- a/gateway/withdrawn_test.go
+++ b/gateway/withdrawn_test.go
@@ -24,3 +24,20 @@
 	assert.Equal(t, len(a.received()), 0)
 	assert.Equal(t, len(b.received()), 1)
 }
+
+// Guards against a request that is refused because the retry budget is empty, although its
+// only call found no process at the upstream and so reached none.
+func TestRefusedConnectionUsesTheRetryBudget(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/stream/x", "/unsafe/x"} {
+		gone := startUpstream(t, "gone", answer(200, "gone"))
+		good := startUpstream(t, "good", events(3, lastChunk))
+		ended := registration(gone, "v1")
+		ended.Address = "127.0.0.1:1"
+		s := newSystem(t, ended, registration(good, "v1")).configure()
+		s.budget.left = 0
+		s.book.SetPeer("p", map[string]placement.Load{"good": {Calls: 4, PrefillSeconds: 1}}, time.Now())
+		reply := s.call(path)
+		assert.Assert(t, reply.complete && reply.status == 200, "%s: %d %q", path, reply.status, reply.body)
+		assert.Equal(t, len(good.received()), 1)
+	}
+}
