gateway: a stream that continues without a length or chunks ends with its connection

Callers saw: a stream whose first upstream broke off and whose second one sent neither a length nor chunks was broken off after its last event.

Cause: the end of such a continuation was taken for no proof while the client receives chunks. The platform now says that a stream may end with its connection, and that one which ends inside an event has been broken off. So the end after a whole event is the end, whatever the first upstream's framing was; within an event, or without any, the stream goes on elsewhere or is broken for the client.

TestUnframedContinuationIsBroken: of seven cases "chunks, then unframed" fails before; all pass now. The cut tests of both framings pass unchanged.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -19,8 +19,6 @@
 	case !event.end && c.resumed && !c.forwarding && isComment(event.data):
 		// A comment does not show that the response continues the stream.
 		return false
-	case event.end && c.unframed() && t.wroteHeader && !t.unframed:
-		return t.handleBrokenStream(errEndUnproved)
 	case event.end:
 		t.startForwarding(c)
 		c.end(placement.Answered)
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -111,3 +111,46 @@
 	assert.Equal(t, len(eventIDs(r.body)), 0, "%q", r.body)
 	assert.Equal(t, r.status, http.StatusBadGateway)
 }
+
+// unframedEvents returns a script that streams the events up to number last without a
+// length or chunks, beginning after the event in the Last header, and then rest.
+func unframedEvents(last int, rest string) script {
+	return func(r *http.Request, w io.Writer) bool {
+		from := 0
+		_, _ = fmt.Sscanf(r.Header.Get("Last"), "%d", &from)
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nConnection: close\r\n\r\n", r.Header.Get("Id"))
+		for i := from + 1; i <= last; i++ {
+			fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", i, r.Header.Get("Model"), i)
+		}
+		fmt.Fprint(w, rest)
+		return false
+	}
+}
+
+// Guards against a whole stream that is broken because the upstream that finished it sent
+// neither a length nor chunks, and against one that ended inside an event and looks whole.
+func TestUnframedContinuationIsBroken(t *testing.T) {
+	for name, c := range map[string]struct {
+		first, second script
+		complete      bool
+	}{
+		"chunks, then unframed":               {events(2, ""), unframedEvents(4, ""), true},
+		"unframed, then chunks":               {unframedEvents(2, "id: 3\nda"), events(4, lastChunk), true},
+		"unframed, then unframed":             {unframedEvents(2, "id: 3\nda"), unframedEvents(4, ""), true},
+		"unframed":                            {unframedEvents(4, ""), unframedEvents(4, ""), true},
+		"chunks, then unframed that ends":     {events(2, ""), unframedEvents(2, "id: 3\ndata: sm"), false},
+		"unframed, then unframed that ends":   {unframedEvents(2, "id: 3\nda"), unframedEvents(3, "id: 4\n"), false},
+		"chunks, then unframed with no event": {events(2, ""), unframedEvents(2, ""), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, _, _ := newPair(t, c.first, c.second)
+			reply := s.call("/twice/x", "Model: small")
+			assert.Equal(t, reply.status, 200)
+			assert.Equal(t, reply.complete, c.complete, "%q", reply.body)
+			if c.complete {
+				assert.Equal(t, reply.body, "id: 1\ndata: small-1\n\nid: 2\ndata: small-2\n\nid: 3\ndata: small-3\n\nid: 4\ndata: small-4\n\n")
+			}
+			assert.Assert(t, strings.HasSuffix(reply.body, "\n\n"), "%q", reply.body)
+		})
+	}
+}
--- a/gateway/streamcall.go
+++ b/gateway/streamcall.go
@@ -14,9 +14,6 @@
 	// errOutOfSequence is the cause of the end of a stream whose next event does not
 	// follow the last one that was forwarded.
 	errOutOfSequence = errors.New("the event does not follow the last one")
-	// errEndUnproved is the cause of the end of a response without a length and without
-	// chunks that continues one which the client receives in chunks.
-	errEndUnproved = errors.New("the end of the connection does not prove that the stream is complete")
 	// errNoWholeEvent is the cause of the end of a response without a length and without
 	// chunks before its first event.
 	errNoWholeEvent = errors.New("the connection ended before the first event of a body without a length")
