gateway: an event is passed on without waiting for the rest of the next one

Callers saw: an event up to as late as the upstream's next write, or never, if that write held the beginning of another event.

Cause: a flush was left out whenever unread bytes were buffered, which were taken for a whole event. Now they must hold the end of one.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -57,9 +57,20 @@
 	}
 }
 
-// buffered reports whether unread bytes are buffered, so that the next event may
-// be available without a read from the network.
-func (e *eventReader) buffered() bool { return e.r.Buffered() > 0 }
+// buffered reports whether the next event is available without a read from the network.
+func (e *eventReader) buffered() bool {
+	data, _ := e.r.Peek(e.r.Buffered()) // cannot fail for bytes that are buffered
+	for {
+		line, rest, found := bytes.Cut(data, []byte("\n"))
+		if !found {
+			return false
+		}
+		if next, _, ok := bytes.Cut(rest, []byte("\n")); ok && len(bytes.TrimRight(line, "\r")) > 0 && len(bytes.TrimRight(next, "\r")) == 0 {
+			return true
+		}
+		data = rest
+	}
+}
 
 // eventID returns the value of the event's id field, or "" if it has none.
 func eventID(event []byte) string {
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -154,3 +154,33 @@
 		})
 	}
 }
+
+// Guards against an event that its client gets late, or not at all, because the upstream sent
+// the beginning of the next one with it.
+func TestEventWaitsForTheRestOfTheNextOne(t *testing.T) {
+	for _, end := range []string{"\n\n", "\r\n\r\n"} {
+		a := startUpstream(t, "a", func(r *http.Request, w io.Writer) bool {
+			fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+			chunk(w, "id: 1\ndata: one"+end+"id: 2\nda")
+			time.Sleep(700 * time.Millisecond)
+			chunk(w, "ta: two"+end)
+			fmt.Fprint(w, lastChunk)
+			return true
+		})
+		s := newSystem(t, registration(a, "v1")).configure()
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.url+"/stream/x", strings.NewReader("body"))
+		assert.NilError(t, err)
+		req.Host, req.Close, req.Header = "h", true, http.Header{"Id": {"r1"}, "Key": {"key"}}
+		begun := time.Now()
+		resp, err := (&http.Transport{}).RoundTrip(req)
+		assert.NilError(t, err)
+		defer resp.Body.Close()
+		first := make([]byte, len("id: 1\ndata: one"+end))
+		_, err = io.ReadFull(resp.Body, first)
+		assert.NilError(t, err)
+		assert.Check(t, time.Since(begun) < 350*time.Millisecond, "after %v", time.Since(begun))
+		rest, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(rest), "id: 2\ndata: two"+end)
+	}
+}
