upstream, gateway: bodies and events that are being read share a bound on memory

Cause: each body, line and event had a bound, their number none; only whole bodies on the platform's interface shared one. Class: a bound for each that is no bound for all.

Fix: package internal/bodybudget, which was part of gateway, bounds what all bodies and long events hold; the one that does not fit fails. Own interface: 24 MB.

--- a/e2e/process.go
+++ b/e2e/process.go
@@ -88,6 +88,9 @@
 	return text[max(0, len(text)-maxLength):]
 }
 
+// Pid returns the process ID.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) {
 	p.t.Helper()
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/savoryshift/savoryshift/gateway"
 	"github.com/savoryshift/savoryshift/placement"
 )
 
@@ -86,3 +87,28 @@
 		t.Fatal("the connection is still open after 10 s")
 	}
 }
+
+// Guards against events without end from many upstreams at once, each of which has a bound,
+// that together use up the memory of the VM.
+func TestLongEventsShareTheMemory(t *testing.T) {
+	const line = "data: "
+	release := make(chan struct{})
+	hold := startUpstream(t, "hold", func(r *http.Request, w io.Writer) bool {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+		chunk(w, line+strings.Repeat("x", 400<<10))
+		<-release
+		chunk(w, "\n\n")
+		fmt.Fprint(w, lastChunk)
+		return false
+	})
+	s := newSystem(t, registration(hold, "v1"))
+	s.restart(gateway.Options{MaxBuffered: 1 << 20}).configure()
+	first := make(chan reply)
+	go func() { first <- s.call("/stream/x", "Id: first") }()
+	time.Sleep(300 * time.Millisecond)
+	second := s.call("/stream/x", "Id: second")
+	assert.Assert(t, !second.complete || second.status != http.StatusOK, "%d", second.status)
+	close(release)
+	got := <-first
+	assert.Assert(t, got.complete && got.status == http.StatusOK && len(got.body) > 400<<10, "%d, %d bytes", got.status, len(got.body))
+}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"bytes"
 	"io"
+
+	"github.com/savoryshift/savoryshift/internal/bodybudget"
 )
 
 const (
@@ -19,10 +21,12 @@
 type eventReader struct {
 	r   *bufio.Reader
 	buf []byte
+	// memory holds the buffer of a long event.
+	memory *bodybudget.Share
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, eventBufferBytes)}
+func newEventReader(r io.Reader, memory *bodybudget.Share) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, eventBufferBytes), memory: memory}
 }
 
 // next returns the bytes of the next whole event, including the empty line that
@@ -33,6 +37,10 @@
 	empty := 0
 	for {
 		line, err := e.r.ReadSlice('\n')
+		// The event is copied when it is passed on.
+		if err := e.memory.Hold(2 * (len(e.buf) + len(line))); err != nil {
+			return nil, "", err
+		}
 		e.buf = append(e.buf, line...)
 		if len(e.buf) > maxEventBytes || empty > maxEmptyBytes {
 			return nil, "", bufio.ErrTooLong
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -153,16 +153,22 @@
 	s := &system{t: t, budget: &budget{left: 100}, book: placement.NewBalancer(placement.Options{})}
 	s.rollouts = rollout.New(rollout.Options{SessionIdle: time.Second, Log: zap.NewNop()})
 	s.book.SetUpstreams(upstreams, time.Now(), time.Now())
+	return s.restart(gateway.Options{})
+}
+
+// restart starts a gateway that has the given options besides those of the system.
+func (s *system) restart(o gateway.Options) *system {
+	t := s.t
+	t.Helper()
 	var core zapcore.Core
 	core, s.logs = observer.New(zap.InfoLevel)
-	s.server = gateway.New(gateway.Options{
-		Codec: gatewaytest.Codec{}, Balancer: s.book, Pool: exchange.NewPool(), Splitter: s.rollouts, RetryBudget: s.budget, Log: zap.New(core),
-		Announce: func() {
-			if s.onLongPrompt != nil {
-				s.onLongPrompt()
-			}
-		},
-	})
+	o.Codec, o.Balancer, o.Pool, o.Splitter, o.RetryBudget, o.Log = gatewaytest.Codec{}, s.book, exchange.NewPool(), s.rollouts, s.budget, zap.New(core)
+	o.Announce = func() {
+		if s.onLongPrompt != nil {
+			s.onLongPrompt()
+		}
+	}
+	s.server = gateway.New(o)
 	front := httptest.NewUnstartedServer(s.server)
 	front.Config.ConnContext = cutoff.ConnContext
 	front.Start()
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/savoryshift/savoryshift/errkind"
 	"github.com/savoryshift/savoryshift/exchange"
+	"github.com/savoryshift/savoryshift/internal/bodybudget"
 	"github.com/savoryshift/savoryshift/placement"
 	"github.com/savoryshift/savoryshift/quarantine"
 	"github.com/savoryshift/savoryshift/routing"
@@ -25,6 +26,8 @@
 	// defaultMaxBody bounds request bodies, in bytes, if the configuration sets no
 	// limit.
 	defaultMaxBody = 4 << 20
+	// defaultMaxBuffered is the default of Options.MaxBuffered.
+	defaultMaxBuffered = 64 << 20
 )
 
 // Options configures a Server.
@@ -69,7 +72,7 @@
 	active       atomic.Int64
 	requestSizes requestSizes
 	durations    routeDurations
-	buffers      bufferBudget
+	buffers      *bodybudget.Budget
 	ends         endExaminer
 }
 
@@ -87,7 +90,7 @@
 	}
 	return &Server{
 		opts: opts, stop: newStopState(), requestSizes: requestSizes{means: map[string]*meanSize{}},
-		durations: routeDurations{byRoute: map[string]*durations{}}, buffers: bufferBudget{limit: opts.MaxBuffered},
+		durations: routeDurations{byRoute: map[string]*durations{}}, buffers: bodybudget.New(opts.MaxBuffered),
 		ends: endExaminer{pending: map[placement.Instance][]brokenCall{}},
 	}
 }
--- a/gateway/streamcall.go
+++ b/gateway/streamcall.go
@@ -88,7 +88,9 @@
 // readEvents sends the events of the response until it ends.
 func (c *streamCall) readEvents() {
 	defer c.response.Close()
-	reader := newEventReader(c.response)
+	memory := c.exec.srv.buffers.Share()
+	defer memory.Release()
+	reader := newEventReader(c.response, memory)
 	for begun := false; ; {
 		data, id, err := reader.next()
 		if err == io.EOF && !begun && c.unframed() {
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -148,7 +148,7 @@
 // readBody reads the response body to its end, sets the body and the class of
 // result, and finishes the call.
 func (a *attempt) readBody(result *callResult) {
-	body, err := a.exec.srv.buffers.readAll(a.response, maxBufferedResponse)
+	body, err := a.exec.srv.buffers.ReadAll(a.response, maxBufferedResponse)
 	switch {
 	case err != nil || !a.response.Complete():
 		a.reportBreak()
--- /dev/null
+++ b/internal/bodybudget/budget.go
@@ -0,0 +1,95 @@
+// Package bodybudget bounds the memory for the bodies of responses that are being read.
+// Without it, upstreams that send bytes without end could together use up the memory of a
+// VM, although each body has a bound.
+package bodybudget
+
+import (
+	"errors"
+	"io"
+	"sync/atomic"
+)
+
+const (
+	// firstBufferBytes is the first size of the buffer of a body. Buffers of up to
+	// UnbudgetedBytes do not count towards a budget.
+	firstBufferBytes = 4 << 10
+	UnbudgetedBytes  = 64 << 10
+)
+
+// ErrFull is returned for a body that does not fit into the budget.
+var ErrFull = errors.New("the memory for response bodies is full")
+
+// Budget is the memory for the bodies that are being read. It is safe for concurrent use.
+type Budget struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// New returns a budget of a number of bytes.
+func New(limit int64) *Budget { return &Budget{limit: limit} }
+
+// Used returns the number of bytes that are in use.
+func (b *Budget) Used() int64 { return b.used.Load() }
+
+// ReadAll reads r to its end, or up to most bytes.
+func (b *Budget) ReadAll(r io.Reader, most int) ([]byte, error) {
+	share := b.Share()
+	defer share.Release()
+	data := make([]byte, 0, firstBufferBytes)
+	for len(data) < most {
+		if len(data) == cap(data) {
+			size := min(2*cap(data), most)
+			// While the data is copied, both buffers exist.
+			if err := share.Hold(size + cap(data)); err != nil {
+				return nil, err
+			}
+			data = append(make([]byte, 0, size), data...)
+		}
+		n, err := r.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if err == io.EOF {
+			return data, nil
+		}
+		if err != nil {
+			return data, err
+		}
+	}
+	return data, nil
+}
+
+// Share is the part of a budget that one body uses. Only one goroutine may use it. A nil
+// share has no bound.
+type Share struct {
+	budget *Budget
+	held   int64
+}
+
+// Share returns a share of nothing.
+func (b *Budget) Share() *Share { return &Share{budget: b} }
+
+// Hold makes the share hold a number of bytes. It never shrinks. After an error the share
+// is as before.
+func (s *Share) Hold(bytes int) error {
+	if s == nil {
+		return nil
+	}
+	more := int64(bytes) - s.held
+	if bytes <= UnbudgetedBytes || more <= 0 {
+		return nil
+	}
+	if s.budget.used.Add(more) > s.budget.limit {
+		s.budget.used.Add(-more)
+		return ErrFull
+	}
+	s.held += more
+	return nil
+}
+
+// Release returns the share.
+func (s *Share) Release() {
+	if s == nil {
+		return
+	}
+	s.budget.used.Add(-s.held)
+	s.held = 0
+}
--- a/gateway/buffers_test.go
+++ b/internal/bodybudget/budget_test.go
@@ -1,4 +1,4 @@
-package gateway
+package bodybudget
 
 import (
 	"bytes"
@@ -17,28 +17,29 @@
 // Guards against upstreams that use up the memory of a VM with several bodies without
 // end at once, and against an answer of ordinary size that fails because of them.
 func TestEndlessBodiesUseUpTheMemory(t *testing.T) {
-	b := &bufferBudget{limit: 1 << 20}
+	const most = 4 << 20
+	b := New(1 << 20)
 	reading, blocked := make(chan struct{}), make(chan struct{})
 	done := make(chan error)
 	go func() {
 		large := io.LimitReader(zeros{}, 400<<10)
-		_, err := b.readAll(io.MultiReader(large, readFunc(func([]byte) (int, error) {
+		_, err := b.ReadAll(io.MultiReader(large, readFunc(func([]byte) (int, error) {
 			close(reading)
 			<-blocked
 			return 0, io.EOF
-		})), maxBufferedResponse)
+		})), most)
 		done <- err
 	}()
 	<-reading
-	_, err := b.readAll(zeros{}, maxBufferedResponse)
-	assert.Assert(t, errors.Is(err, errBuffersFull), "%v", err)
-	ordinary := bytes.Repeat([]byte("a"), unbudgetedBytes-1)
-	data, err := b.readAll(bytes.NewReader(ordinary), maxBufferedResponse)
+	_, err := b.ReadAll(zeros{}, most)
+	assert.Assert(t, errors.Is(err, ErrFull), "%v", err)
+	ordinary := bytes.Repeat([]byte("a"), UnbudgetedBytes-1)
+	data, err := b.ReadAll(bytes.NewReader(ordinary), most)
 	assert.NilError(t, err)
 	assert.Assert(t, bytes.Equal(data, ordinary))
 	close(blocked)
 	assert.NilError(t, <-done)
-	assert.Equal(t, b.used.Load(), int64(0))
+	assert.Equal(t, b.Used(), int64(0))
 }
 
 // readFunc is a reader made of a function.
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/savoryshift/savoryshift/errkind"
+	"github.com/savoryshift/savoryshift/standin/endless"
 	"github.com/savoryshift/savoryshift/upstream"
 )
 
@@ -166,9 +167,29 @@
 	if waits && !e.waitWhileFrozen(r.Context().Done()) {
 		return
 	}
+	if kind := e.endless(); kind != "" && !strings.HasPrefix(r.URL.Path, "/standin/") {
+		endless.Write(w, kind, responseHeader(r))
+		return
+	}
 	e.mux.ServeHTTP(w, r)
 }
 
+// endless returns the kind of response without end that is injected, or "".
+func (e *Engine) endless() endless.Kind {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.Endless
+}
+
+// responseHeader returns the header fields by which a client knows the response to its call.
+func responseHeader(r *http.Request) http.Header {
+	h := http.Header{}
+	for _, name := range []string{upstream.HeaderRequestID, upstream.HeaderAttemptID, upstream.HeaderVersion} {
+		h.Set(name, r.Header.Get(name))
+	}
+	return h
+}
+
 // Runs returns the recorded runs in the order in which they started.
 func (e *Engine) Runs() []Run { return e.runs.list() }
 
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -4,6 +4,8 @@
 	"maps"
 	"net/http"
 	"time"
+
+	"github.com/savoryshift/savoryshift/standin/endless"
 )
 
 // Faults is the set of injected faults; the zero value injects none.
@@ -23,6 +25,9 @@
 	// CutAfterPart breaks the connection of a stream after the part with this
 	// number; 0 means never. A non-streamed answer is cut off in the middle.
 	CutAfterPart int `json:"cut_after_part"`
+	// Endless, if not empty, is the response without end to every request, except
+	// below /standin/.
+	Endless endless.Kind `json:"endless,omitempty"`
 	// Frozen stops all progress, except below /standin/, until it is unset.
 	Frozen bool `json:"frozen"`
 	// Slow divides the token rate and multiplies the time to the first token; 0
--- a/upstream/admin.go
+++ b/upstream/admin.go
@@ -104,7 +104,7 @@
 		return err
 	}
 	defer x.release()
-	data, err := x.readAll(maxAdminBytes)
+	data, err := x.readAll(c.buffers, maxAdminBytes)
 	if err != nil {
 		return err
 	}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -6,12 +6,14 @@
 	"net/http"
 	"time"
 
+	"github.com/savoryshift/savoryshift/internal/bodybudget"
 	"github.com/savoryshift/savoryshift/internal/sockopt"
 )
 
 // Defaults of Options.
 const (
 	DefaultMaxResponseBytes = 16 << 20
+	DefaultMaxBuffered      = 24 << 20
 	DefaultMaxPartBytes     = 256 << 10
 	DefaultMaxLineBytes     = 256 << 10
 	DefaultMaxHeaderBytes   = 64 << 10
@@ -45,6 +47,9 @@
 	// MaxHeaderBytes bounds the header of a response; default
 	// DefaultMaxHeaderBytes.
 	MaxHeaderBytes int64
+	// MaxBuffered bounds the memory, in bytes, for all responses that are being read;
+	// default DefaultMaxBuffered.
+	MaxBuffered int64
 	// StreamIdle bounds the time between two parts of a stream, unless the call
 	// has OnIdle; default DefaultStreamIdle. The wait for the first part is bounded
 	// only by the deadline of the call.
@@ -57,6 +62,7 @@
 	options   Options
 	transport *http.Transport
 	singleUse *http.Transport // uses each connection for one request
+	buffers   *bodybudget.Budget
 }
 
 // New returns a client with its own connection pool.
@@ -64,7 +70,7 @@
 	options = options.withDefaults()
 	singleUse := newTransport(options)
 	singleUse.DisableKeepAlives = true
-	return &Client{options: options, transport: newTransport(options), singleUse: singleUse}
+	return &Client{options: options, transport: newTransport(options), singleUse: singleUse, buffers: bodybudget.New(options.MaxBuffered)}
 }
 
 func newTransport(options Options) *http.Transport {
@@ -94,6 +100,9 @@
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{Timeout: DefaultDialTimeout}).DialContext
 	}
+	if o.MaxBuffered == 0 {
+		o.MaxBuffered = DefaultMaxBuffered
+	}
 	if o.MaxResponseBytes == 0 {
 		o.MaxResponseBytes = DefaultMaxResponseBytes
 	}
@@ -177,7 +186,7 @@
 	}
 	defer x.release()
 	res := Result{Status: x.resp.StatusCode, Header: x.resp.Header, Version: call.Version, FirstToken: time.Since(x.start)}
-	body, err := x.readAll(c.options.MaxResponseBytes)
+	body, err := x.readAll(c.buffers, c.options.MaxResponseBytes)
 	res.Total = time.Since(x.start)
 	if err != nil {
 		return res, err
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/savoryshift/savoryshift/errkind"
+	"github.com/savoryshift/savoryshift/internal/bodybudget"
 )
 
 // maxErrorBytes bounds what is read of the body of an error response.
@@ -213,11 +214,11 @@
 }
 
 // readAll reads the body of a response, which may have at most limit bytes.
-func (x *exchange) readAll(limit int64) ([]byte, error) {
+func (x *exchange) readAll(buffers *bodybudget.Budget, limit int64) ([]byte, error) {
 	if x.resp.ContentLength > limit && x.resp.Request.Method != http.MethodHead {
 		return nil, invalidResponse("answer of %d bytes is longer than %d", x.resp.ContentLength, limit)
 	}
-	body, err := io.ReadAll(io.LimitReader(x.resp.Body, limit+1))
+	body, err := buffers.ReadAll(x.resp.Body, int(limit)+1)
 	if err != nil {
 		return nil, x.fail(err)
 	}
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -71,7 +71,7 @@
 		return ServiceResult{}, err
 	}
 	defer x.release()
-	body, err := x.readAll(c.options.MaxResponseBytes)
+	body, err := x.readAll(c.buffers, c.options.MaxResponseBytes)
 	if err != nil {
 		return ServiceResult{}, err
 	}
--- a/upstream/sse.go
+++ b/upstream/sse.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"io"
 	"unicode/utf8"
+
+	"github.com/savoryshift/savoryshift/internal/bodybudget"
 )
 
 // event is one server-sent event. Its slices are valid until the next call of
@@ -23,6 +25,8 @@
 	maxLine int
 	maxData int
 
+	// memory holds the buffers of long lines and parts.
+	memory   *bodybudget.Share
 	longLine []byte // a line that spans several reads
 	name     []byte
 	data     []byte
@@ -102,6 +106,11 @@
 	return n, n > 0
 }
 
+// hold makes memory hold the buffers and some more bytes.
+func (e *eventReader) hold(more int) error {
+	return e.memory.Hold(len(e.longLine) + len(e.data) + more)
+}
+
 // line returns the next line without its line ending.
 func (e *eventReader) line() ([]byte, error) {
 	e.longLine = e.longLine[:0]
@@ -112,6 +121,9 @@
 		}
 		switch {
 		case err == bufio.ErrBufferFull:
+			if err := e.hold(len(chunk)); err != nil {
+				return nil, err
+			}
 			e.longLine = append(e.longLine, chunk...)
 			continue
 		case err == io.EOF, err != nil:
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -80,11 +80,12 @@
 func (c *Client) newReader(body io.Reader) *eventReader {
 	r := readerPool.Get().(*eventReader)
 	r.r.Reset(body)
-	r.maxLine, r.maxData = c.options.MaxLineBytes, c.options.MaxPartBytes
+	r.maxLine, r.maxData, r.memory = c.options.MaxLineBytes, c.options.MaxPartBytes, c.buffers.Share()
 	return r
 }
 
 func putReader(r *eventReader) {
+	r.memory.Release()
 	if cap(r.data)+cap(r.longLine) > maxPooledBytes {
 		return
 	}
@@ -112,6 +113,9 @@
 	var ev event
 	for {
 		err := r.next(&ev)
+		if err == nil {
+			err = r.hold(s.bufferedBytes)
+		}
 		switch {
 		case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 			return s.callError(ErrTruncated)
