fleet, platform, infra: replies and messages without end are bounded

By reading: net/rpc and gob take messages of up to 1 GiB from whoever connects as a peer or listens at the address of one; a reply of the store could have 8 MiB, three tables at a time, and a header of 10 MiB; one of the own platform 64 MiB.

The wire format stays.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -36,7 +36,7 @@
 	s := d.opts.Settings
 	d.platform = infra.New(infra.Options{
 		URL:  s.PlatformURL,
-		HTTP: &http.Client{Transport: &http.Transport{DialContext: d.opts.Dial, MaxIdleConnsPerHost: platformIdleConns}},
+		HTTP: &http.Client{Transport: &http.Transport{DialContext: d.opts.Dial, MaxIdleConnsPerHost: platformIdleConns, MaxResponseHeaderBytes: infra.MaxReplyHeaderBytes}},
 	})
 	d.config = newConfiguration(configurationOptions{
 		table:   d.platform,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,6 +52,9 @@
 	// bufferedShare is the fraction of the VM's memory for response bodies that are
 	// being read.
 	bufferedShare = 0.12
+	// receivedShare is the fraction of the VM's memory for long messages of peers that are
+	// being received.
+	receivedShare = 0.08
 	// gcPercent is the GOGC value. It is above the default of 100, which trades
 	// memory for less CPU time of the garbage collector; the heap is small.
 	gcPercent = 200
@@ -131,7 +134,7 @@
 	e.rollouts = rollout.New(rollout.Options{SessionIdle: s.Bounds.SessionIdle, Exposure: s.Bounds.ExposureShare, Log: opts.Log})
 	e.fleet = fleet.New(fleet.Options{
 		Self:        fleet.Member{VM: s.VM, AvailabilityZone: s.AvailabilityZone, Address: s.Peer, Capacity: s.Cores},
-		Incarnation: e.started.UnixNano(), Seeds: s.Seeds, Node: e, Log: opts.Log,
+		Incarnation: e.started.UnixNano(), Seeds: s.Seeds, Node: e, Log: opts.Log, MaxReceived: int64(receivedShare * float64(s.MemoryBytes)),
 	})
 	e.quarantine = e.newQuarantine()
 	e.gateway = gateway.New(gateway.Options{
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -135,7 +135,7 @@
 	if err != nil {
 		return nil, oops.Wrap(err)
 	}
-	client = rpc.NewClient(conn)
+	client = rpc.NewClient(f.bound(conn))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p.client = client
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -5,6 +5,7 @@
 	"net/rpc"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -76,6 +77,9 @@
 	Seeds       []string
 	Node        Node
 	Log         *zap.Logger
+	// MaxReceived bounds the memory, in bytes, for long messages of peers that are being
+	// received. Default: 16 MiB.
+	MaxReceived int64
 }
 
 // peer is the state of the exchanges with another VM.
@@ -103,6 +107,8 @@
 	peers       map[string]*peer
 	conns       map[net.Conn]bool
 	reportStore *reportStore
+	// received counts the bytes of long messages that are being received.
+	received atomic.Int64
 	// wake signals that exchanges are due before the next tick.
 	wake chan struct{}
 	// members are the VMs that were alive at membersComputedAt, including this one.
@@ -113,6 +119,9 @@
 // New returns a fleet. Run must be called to initiate exchanges, and Serve to
 // accept them.
 func New(opts Options) *Fleet {
+	if opts.MaxReceived == 0 {
+		opts.MaxReceived = defaultMaxReceived
+	}
 	f := &Fleet{opts: opts, peers: map[string]*peer{}, conns: map[net.Conn]bool{}, reportStore: newReportStore(), wake: make(chan struct{}, 1)}
 	now := time.Now()
 	for _, seed := range opts.Seeds {
@@ -165,7 +174,7 @@
 		f.track(conn, true)
 		go func() {
 			defer f.track(conn, false)
-			server.ServeConn(conn)
+			server.ServeConn(f.bound(conn))
 		}()
 	}
 }
--- a/infra/client.go
+++ b/infra/client.go
@@ -19,12 +19,17 @@
 )
 
 const (
-	// maxReplyBytes bounds the bytes that are read of one reply.
-	maxReplyBytes = 64 << 20
+	// maxReplyBytes bounds the body of a reply. The largest ones are objects that hold the
+	// whole settings tree. MaxReplyHeaderBytes bounds its header.
+	maxReplyBytes       = 8 << 20
+	MaxReplyHeaderBytes = 64 << 10
 	// DefaultTimeout bounds one call. A shorter deadline of the context holds.
 	DefaultTimeout = 5 * time.Second
 )
 
+// errReplyTooLong is returned for a reply that exceeds maxReplyBytes.
+var errReplyTooLong = errors.New("the reply of the platform is too long")
+
 // Options configures a Client.
 type Options struct {
 	// URL is the base URL of the platform, for example http://127.0.0.1:7000.
@@ -52,7 +57,7 @@
 // New returns a client for the platform at o.URL.
 func New(o Options) *Client {
 	if o.HTTP == nil {
-		o.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+		o.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, MaxResponseHeaderBytes: MaxReplyHeaderBytes}}
 	}
 	if o.Timeout == 0 {
 		o.Timeout = DefaultTimeout
@@ -95,7 +100,10 @@
 		return response{}, store.TransportError(err, r.write)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	if err == nil && len(data) > maxReplyBytes {
+		err = errReplyTooLong
+	}
 	if err != nil {
 		return response{}, store.TransportError(err, r.write)
 	}
