soak, platform/standin: requests that end engines and bytes without end, beside other faults

Checked: at most three arrivals, by VMs in touch, later than 3 s after a part's fifth end; at least half of the sound requests from 6 s on.

--- a/entry/entrytest/fatal_test.go
+++ b/entry/entrytest/fatal_test.go
@@ -91,7 +91,7 @@
 // lateArrivals counts the requests with a part that reached engines later than touchTime
 // after the fifth end.
 func (d *fatalDay) lateArrivals(part string) int {
-	ends, n := d.engines.Ends(), 0
+	ends, n := d.engines.Ends(part), 0
 	if len(ends) < fatalEnds {
 		return 0
 	}
@@ -135,13 +135,13 @@
 				}
 				// The last VM gets none of them before the others should know them.
 				vms := d.VMs[:max(1, c.vms-1)]
-				if ends := d.engines.Ends(); len(ends) >= fatalEnds && time.Since(ends[fatalEnds-1]) > touchTime {
+				if ends := d.engines.Ends("fatal"); len(ends) >= fatalEnds && time.Since(ends[fatalEnds-1]) > touchTime {
 					vms = d.VMs
 				}
 				d.send(vms[n%len(vms)], false, c.parts...)
 			}
 			d.wait.Wait()
-			ends := d.engines.Ends()
+			ends := d.engines.Ends("fatal")
 			assert.Assert(t, len(ends) > 0)
 			after := ends[min(fatalEnds, len(ends))-1].Add(2 * touchTime).Sub(d.begun)
 			_, before := d.soundShare(0, calm)
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -125,6 +125,8 @@
 	Length     time.Duration
 	// FewRetries leaves the VMs almost no budget for retries.
 	FewRetries bool
+	// Engines replaces the upstreams of the model by engines that requests can end.
+	Engines bool
 	// DirectCalls makes callers connect straight to a VM that stops as planned.
 	DirectCalls bool
 }
@@ -190,6 +192,8 @@
 func NewPlan(seed uint64, s Shape) []Step {
 	r := rand.New(rand.NewPCG(seed, 0))
 	switch {
+	case seed >= firstFatalSeed:
+		return newFatalPlan(r, s)
 	case seed >= firstAnswerSeed:
 		return newAnswerPlan(r, s)
 	case seed >= firstStopSeed:
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -78,8 +78,19 @@
 			runSeed(t, binaries.Daemon, uint64(firstAnswerSeed+first+seed), shape)
 		}
 	})
+	fatal := shape
+	fatal.Engines, fatal.Length = true, max(shape.Length, minFatalLength)
+	t.Run("fatal seeds", func(t *testing.T) {
+		for seed := range envInt(t, seedsVariable, 1) {
+			runFatalSeed(t, binaries.Daemon, uint64(firstFatalSeed+first+seed), fatal)
+		}
+	})
 	t.Run("seeds that failed", func(t *testing.T) {
 		for _, seed := range failedSeeds(t) {
+			if seed >= firstFatalSeed {
+				runFatalSeed(t, binaries.Daemon, seed, fatal)
+				continue
+			}
 			if seed >= firstBlindSeed && seed < firstPauseSeed {
 				runSeed(t, binaries.Daemon, seed, blind)
 				continue
@@ -123,6 +134,26 @@
 	})
 }
 
+// minFatalLength leaves time for two parts and the checks after them.
+const minFatalLength = 26 * time.Second
+
+// runFatalSeed runs the plan of a seed with requests that end engines.
+func runFatalSeed(t *testing.T, binary string, seed uint64, shape Shape) {
+	t.Run(fmt.Sprint(seed), func(t *testing.T) {
+		plan := NewPlan(seed, shape)
+		s := Start(t, binary, shape)
+		for _, violation := range s.runFatal(seed, plan, shape.Length) {
+			t.Error(violation)
+		}
+		if t.Failed() {
+			t.Logf("plan: %+v", plan)
+		}
+		if t.Failed() || os.Getenv(keepLogsVariable) != "" {
+			s.saveLogs(seed)
+		}
+	})
+}
+
 // saveLogs copies the logs of a failed run to a directory that is not removed after
 // the test.
 func (s *System) saveLogs(seed uint64) {
--- a/soak/system.go
+++ b/soak/system.go
@@ -98,7 +98,9 @@
 	s.mu.Lock()
 	for range shape.Upstreams {
 		for _, service := range []string{"model", "desk", "desk2"} {
-			s.addUpstream(service)
+			if service != "model" || !shape.Engines {
+				s.addUpstream(service)
+			}
 		}
 	}
 	s.mu.Unlock()
