--- a/entry/entrytest/fatal_test.go
+++ b/entry/entrytest/fatal_test.go
@@ -33,8 +33,10 @@
 	mu     sync.Mutex
 	next   int
 	served map[time.Duration][]bool // by the second in which the request was sent
-	begun  time.Time
-	wait   sync.WaitGroup
+	// refusals counts the refusals of the VMs by reason.
+	refusals map[string]int
+	begun    time.Time
+	wait     sync.WaitGroup
 }
 
 func newFatalDay(t *testing.T, engines, vms int) *fatalDay {
@@ -43,7 +45,7 @@
 	g, err := standin.StartEngines(s.Store, engines, engineRestart, modelEngine)
 	assert.NilError(t, err)
 	t.Cleanup(g.Close)
-	d := &fatalDay{System: s, engines: g, served: map[time.Duration][]bool{}}
+	d := &fatalDay{System: s, engines: g, served: map[time.Duration][]bool{}, refusals: map[string]int{}}
 	for range vms {
 		s.Start()
 	}
@@ -64,6 +66,9 @@
 		ok := a.Status == http.StatusOK && a.Complete && strings.Count(a.Body, "data: ") == modelEngine.Events
 		d.mu.Lock()
 		defer d.mu.Unlock()
+		if reason, found := strings.CutPrefix(strings.TrimSpace(a.Body), "savoryshift: "); found && a.Status == http.StatusServiceUnavailable {
+			d.refusals[reason]++
+		}
 		if sound {
 			second := at.Truncate(time.Second)
 			d.served[second] = append(d.served[second], ok)
@@ -154,3 +159,40 @@
 		})
 	}
 }
+
+// Guards against sound requests that are refused because engines end in series for reasons
+// of their own, while all requests share parts.
+func TestEnginesThatEndInSeriesKeepSoundRequestsOut(t *testing.T) {
+	for _, gap := range []time.Duration{60 * time.Millisecond, 400 * time.Millisecond} {
+		t.Run(gap.String(), func(t *testing.T) {
+			t.Parallel()
+			d := newFatalDay(t, 10, 3)
+			const length = 9 * time.Second
+			d.wait.Go(func() {
+				for time.Since(d.begun) < length-engineRestart {
+					time.Sleep(gap)
+					d.engines.EndOne()
+				}
+			})
+			tick := time.NewTicker(20 * time.Millisecond)
+			defer tick.Stop()
+			for n := 0; time.Since(d.begun) < length; n++ {
+				<-tick.C
+				d.send(d.VMs[n%3], true, "shared", fmt.Sprintf("session%d", n%7))
+			}
+			d.wait.Wait()
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			t.Logf("%d engines ended, refusals: %v", len(d.engines.Ends("")), d.refusals)
+			assert.Check(t, len(d.engines.Ends("")) > 10)
+			assert.Equal(t, d.refusals["quarantined"], 0)
+			sent, share := 0, 0.0
+			for _, ok := range d.served[length-time.Second] {
+				if sent++; ok {
+					share++
+				}
+			}
+			assert.Check(t, share > 0.9*float64(sent), "%v of %d are served at the end", share, sent)
+		})
+	}
+}
