--- a/cmd/savoryctl/explain.go
+++ b/cmd/savoryctl/explain.go
@@ -129,7 +129,8 @@
 // printRequest prints the lines of one request and then the cause of its outcome.
 func (l *logs) printRequest(w io.Writer, id string) error {
 	var cause string
-	var last, lastCall, noUpstream logLine
+	var last, lastCall, noUpstream, quarantined logLine
+	ended := 0
 	for _, line := range l.lines {
 		if line.Request != id {
 			continue
@@ -142,6 +143,10 @@
 			lastCall = line
 		case "no upstream":
 			noUpstream = line
+		case "quarantined":
+			quarantined = line
+		case "upstream ended":
+			ended++
 		}
 		last = line
 	}
@@ -152,7 +157,7 @@
 	if cause == "" {
 		cause = "the log ends before the request ended, or the process that served it was killed"
 	}
-	fmt.Fprintf(w, "cause: %s\n", cause)
+	fmt.Fprintf(w, "cause: %s%s%s\n", cause, quarantined.describeQuarantine(), describeEnds(ended))
 	return nil
 }
 
@@ -210,6 +215,23 @@
 	return fmt.Sprintf("; the last call at upstream %v ended with %q", l.fields["upstream"], l.Event)
 }
 
+// describeQuarantine describes why a request was refused because of a part of its prompt.
+// It returns nothing for a zero line.
+func (l *logLine) describeQuarantine() string {
+	if l.Request == "" {
+		return ""
+	}
+	return fmt.Sprintf("; %v upstreams had ended under prompts with the part %v", l.fields["upstreams_ended"], l.fields["part"])
+}
+
+// describeEnds describes the ends of upstreams that had not answered the request.
+func describeEnds(n int) string {
+	if n == 0 {
+		return ""
+	}
+	return fmt.Sprintf("; %d upstreams ended under it", n)
+}
+
 // describeExclusions describes why no upstream could serve the request, from the
 // counts of a "no upstream" line. It returns nothing for a zero line.
 func (l *logLine) describeExclusions() string {
--- a/cmd/savoryctl/explain_test.go
+++ b/cmd/savoryctl/explain_test.go
@@ -107,3 +107,23 @@
 		assert.NilError(t, l.read(strings.NewReader(text)))
 	})
 }
+
+// Guards against a request that was kept from upstreams, or that ended some, being
+// explained without the part of its prompt and the ends.
+func TestExplainQuarantine(t *testing.T) {
+	const lines = `{"ts":"2026-06-06T08:00:01.000Z","msg":"quarantined","vm":"vm-1","request":"r1","part":"5c1e07a2","upstreams_ended":6,"next_test":12.5}
+{"ts":"2026-06-06T08:00:01.001Z","msg":"request","vm":"vm-1","request":"r1","status":503,"reason":"quarantined"}
+{"ts":"2026-06-06T08:00:01.000Z","msg":"request","vm":"vm-2","request":"r2","status":502,"reason":"upstream_failed"}
+{"ts":"2026-06-06T08:00:01.004Z","msg":"upstream ended","vm":"vm-2","request":"r2","upstream":"u1","parts":["5c1e07a2"]}
+`
+	file := filepath.Join(t.TempDir(), "1.log")
+	assert.NilError(t, os.WriteFile(file, []byte(lines), 0o600))
+	for request, want := range map[string]string{
+		"r1": "cause: status 503, quarantined; 6 upstreams had ended under prompts with the part 5c1e07a2",
+		"r2": "cause: status 502, upstream_failed; 1 upstreams ended under it",
+	} {
+		var out, errOut strings.Builder
+		assert.Equal(t, execute(t.Context(), []string{"explain", "--request", request, file}, &out, &errOut), exitOK, errOut.String())
+		assert.Assert(t, strings.Contains(out.String(), want+"\n"), "%s", out.String())
+	}
+}
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -44,13 +44,16 @@
 	EngineEndless StepKind = "engine sends bytes without end"
 )
 
-// soundCall is a sound request and whether it was served.
+// soundCall is a sound request and what its client got.
 type soundCall struct {
-	at     time.Time
-	vm     string
-	served bool
+	at      time.Time
+	vm      string
+	outcome string
 }
 
+// served is the outcome of a request that was answered whole.
+const served = "served"
+
 // fatalRun is the state of one of these runs.
 type fatalRun struct {
 	*System
@@ -150,31 +153,37 @@
 	f.vmOf[id] = m.settings.VM
 	f.mu.Unlock()
 	f.wait.Go(func() {
-		served := f.call(m, header)
+		outcome := f.call(m, header)
 		if !sound {
 			return
 		}
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.sound = append(f.sound, soundCall{at: at, vm: m.settings.VM, served: served})
+		f.sound = append(f.sound, soundCall{at: at, vm: m.settings.VM, outcome: outcome})
 	})
 }
 
-// call sends a request over a new connection and reports whether it was served whole.
-func (f *fatalRun) call(m *vm, header http.Header) bool {
+// call sends a request over a new connection and returns its outcome.
+func (f *fatalRun) call(m *vm, header http.Header) string {
 	req, err := http.NewRequest(http.MethodPost, "http://"+m.frontLink.Address()+"/stream/x", strings.NewReader("body"))
-	if err != nil {
-		return false
-	}
+	assert.Check(f.t, err)
 	req.Host, req.Header, req.Close = standin.Host, header, true
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * routeTimeout}
 	resp, err := client.Do(req)
 	if err != nil {
-		return false
+		return "no response"
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	return err == nil && resp.StatusCode == http.StatusOK && strings.Count(string(body), "\nid: ")+1 == streamEvents
+	switch {
+	case err != nil:
+		return "broken"
+	case resp.StatusCode != http.StatusOK:
+		return strings.TrimSpace(string(body))
+	case strings.Count(string(body), "\nid: ")+1 != streamEvents:
+		return "events are missing"
+	}
+	return served
 }
 
 // violations describes what was violated.
@@ -208,24 +217,24 @@
 // checkSound compares the sound requests before the first fatal one with those after the
 // last fifth end, at VMs that no step disrupts.
 func (f *fatalRun) checkSound(lastFifth time.Time) string {
-	count := func(from, to time.Time) (served, sent int) {
+	count := func(from, to time.Time) (whole, sent int, outcomes map[string]int) {
+		outcomes = map[string]int{}
 		for _, c := range f.sound {
 			if c.at.Before(from) || c.at.After(to) || !f.record.History.UndisruptedFor(c.at, c.at.Add(routeTimeout), c.vm) {
 				continue
 			}
-			if sent++; c.served {
-				served++
-			}
+			outcomes[c.outcome]++
+			sent++
 		}
-		return served, sent
+		return outcomes[served], sent, outcomes
 	}
 	if len(f.sound) == 0 || lastFifth.IsZero() {
 		return ""
 	}
 	begun := f.sound[0].at
-	before, sentBefore := count(begun, begun.Add(fatalStart))
-	after, sentAfter := count(lastFifth.Add(2*touchTime), time.Now())
-	f.t.Logf("sound requests: %d of %d served before, %d of %d after", before, sentBefore, after, sentAfter)
+	before, sentBefore, _ := count(begun, begun.Add(fatalStart))
+	after, sentAfter, outcomes := count(lastFifth.Add(2*touchTime), time.Now())
+	f.t.Logf("sound requests: %d of %d served before, %d of %d after: %v", before, sentBefore, after, sentAfter, outcomes)
 	if sentBefore < minSoundRequests || sentAfter < minSoundRequests {
 		return ""
 	}
