entry: a starting VM is ready once it has heard from a peer

Trace: VM vm0 was stopped and started three times; each time it served for 0.65 to 0.8 s before its first exchange, did not know the part yet, and three engines ended.

Now readiness waits for the first exchange, for 1 s at most, if the settings name a peer.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -64,6 +64,9 @@
 	// were idle for most of the configured timeout.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
+	// maxPeerWait bounds the time for which a starting VM is not ready because it has not
+	// heard from a peer.
+	maxPeerWait = time.Second
 	// maxHeaderBytes limits the size of a request header.
 	maxHeaderBytes = 64 << 10
 )
@@ -117,6 +120,8 @@
 	configurationRevision int64
 	statusLoaded          atomic.Bool
 	stopping              atomic.Bool
+	// heard is set once this VM has heard from a peer, or no longer waits for one.
+	heard atomic.Bool
 }
 
 // New returns an Entry that does not run yet; Run starts it.
@@ -258,7 +263,16 @@
 }
 
 func (e *Entry) ready() bool {
-	return e.configurationLoaded.Load() && e.upstreamsLoaded.Load() && !e.stopping.Load()
+	return e.configurationLoaded.Load() && e.upstreamsLoaded.Load() && !e.stopping.Load() && e.knowsPeers()
+}
+
+// knowsPeers reports whether this VM has heard from a peer, or has waited long enough for
+// one. Before that it does not know which prompts its peers keep from upstreams.
+func (e *Entry) knowsPeers() bool {
+	if !e.heard.Load() && (e.fleet.Heard() || time.Since(e.started) > maxPeerWait) {
+		e.heard.Store(true)
+	}
+	return e.heard.Load()
 }
 
 // ordersChanged applies the operator's rollout orders and configuration. An invalid
--- a/entry/entrytest/fatal_test.go
+++ b/entry/entrytest/fatal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -10,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/savoryshift/savoryshift/platform"
 	"github.com/savoryshift/savoryshift/platform/standin"
 )
 
@@ -196,3 +198,46 @@
 		})
 	}
 }
+
+// Guards against a VM that starts and is ready before it knows which prompts end engines.
+func TestStartingVMSendsFatalRequests(t *testing.T) {
+	d := newFatalDay(t, 10, 2)
+	d.engines.SetFatal(standin.Fatal{Parts: []string{"fatal"}, After: 50 * time.Millisecond})
+	arrivals := func() int {
+		n := 0
+		for _, a := range d.engines.Arrivals() {
+			if a.FatalPart != "" {
+				n++
+			}
+		}
+		return n
+	}
+	for n := range 60 {
+		d.send(d.VMs[n%2], true, "shared", "session")
+		d.send(d.VMs[n%2], false, "shared", "fatal")
+		time.Sleep(40 * time.Millisecond)
+	}
+	d.wait.Wait()
+	assert.Assert(t, len(d.engines.Ends("fatal")) >= 3)
+	before := arrivals()
+	vm := d.Start()
+	for range 20 {
+		d.send(vm, false, "shared", "fatal")
+	}
+	d.wait.Wait()
+	assert.Equal(t, arrivals(), before)
+}
+
+// Guards against a VM that is ready before it has heard from a peer, and against one that is
+// not because its peers are gone.
+func TestStartingVMIsReadyBeforeItHearsFromAPeer(t *testing.T) {
+	s := New(t)
+	silent, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = silent.Close() })
+	s.VMs = append(s.VMs, &VM{Settings: platform.Settings{Peer: silent.Addr().String()}})
+	begun := time.Now()
+	s.Start()
+	took := time.Since(begun)
+	assert.Assert(t, took > 900*time.Millisecond && took < 2500*time.Millisecond, "ready after %v", took)
+}
--- a/fleet/alive.go
+++ b/fleet/alive.go
@@ -69,6 +69,18 @@
 	}
 }
 
+// Heard reports whether this VM has had an exchange with a peer, or knows no address of one.
+func (f *Fleet) Heard() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.peers {
+		if !p.lastExchange.IsZero() {
+			return true
+		}
+	}
+	return len(f.peers) == 0
+}
+
 // OldestPeer returns the largest age of the information about a VM that is alive.
 func (f *Fleet) OldestPeer(now time.Time) time.Duration {
 	f.mu.Lock()
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -98,7 +99,10 @@
 			steps.Go(func() { f.runStep(step) })
 		}
 	})
+	done := make(chan struct{})
+	f.pollReadiness(done)
 	f.load(begun, length, parts)
+	close(done)
 	steps.Wait()
 	f.wait.Wait()
 	s.stopAll()
@@ -141,9 +145,43 @@
 	}
 }
 
+// readyVM returns a VM that is in the balancer's rotation, or any if none is.
+func (f *fatalRun) readyVM() *vm {
+	first := f.rand.IntN(len(f.vms))
+	for i := range f.vms {
+		m := f.vms[(first+i)%len(f.vms)]
+		m.mu.Lock()
+		ready := m.ready
+		m.mu.Unlock()
+		if ready {
+			return m
+		}
+	}
+	return f.vms[first]
+}
+
+// pollReadiness keeps the balancer's rotation until the run ends.
+func (f *fatalRun) pollReadiness(done <-chan struct{}) {
+	for _, m := range f.vms {
+		go func() {
+			for {
+				select {
+				case <-done:
+					return
+				case <-time.After(probePeriod):
+				}
+				ready := m.checkReady()
+				m.mu.Lock()
+				m.ready = ready
+				m.mu.Unlock()
+			}
+		}()
+	}
+}
+
 // send sends a request to a VM that runs, in the background.
 func (f *fatalRun) send(sound bool, shared ...string) {
-	m := f.vms[f.rand.IntN(len(f.vms))]
+	m := f.readyVM()
 	f.sent++
 	id := fmt.Sprintf("fatal-%d", f.sent)
 	header := standin.ClientHeader(id, standin.Key, id)
@@ -188,7 +226,6 @@
 
 // violations describes what was violated.
 func (f *fatalRun) violations(parts []string) []string {
-	history := f.record.History
 	var problems []string
 	var lastFifth time.Time
 	for _, part := range parts {
@@ -199,7 +236,7 @@
 		fifth := ends[fatalEnds-1]
 		lastFifth = later(lastFifth, fifth)
 		for _, a := range f.engines.Arrivals() {
-			if a.FatalPart == part && a.At.Sub(fifth) > touchTime && history.UndisruptedFor(a.At, a.At, f.vmOf[a.Attempt]) {
+			if a.FatalPart == part && a.At.Sub(fifth) > touchTime && f.inTouch(f.vmOf[a.Attempt], a.At) {
 				late++
 			}
 		}
@@ -214,6 +251,15 @@
 	return problems
 }
 
+// inTouch reports whether no fault and no planned stop of a VM was in effect within
+// settleTime before a time. The platform's bounds hold only then.
+func (f *fatalRun) inTouch(vm string, at time.Time) bool {
+	stopped := slices.ContainsFunc(f.record.History, func(i Interval) bool {
+		return i.Kind == VMStop && i.Subject == vm && i.From.Before(at) && i.To.After(at.Add(-settleTime))
+	})
+	return !stopped && f.record.History.UndisruptedFor(at, at, vm)
+}
+
 // checkSound compares the sound requests before the first fatal one with those after the
 // last fifth end, at VMs that no step disrupts.
 func (f *fatalRun) checkSound(lastFifth time.Time) string {
--- a/soak/system.go
+++ b/soak/system.go
@@ -133,6 +133,11 @@
 	const maxSeeds = 3
 	for _, other := range s.vms[:min(i, maxSeeds)] {
 		m.settings.Seeds = append(m.settings.Seeds, other.settings.Peer)
+		if shape.Engines && len(other.settings.Seeds) < maxSeeds {
+			// A VM that was started first finds the others again after a restart.
+			other.settings.Seeds = append(other.settings.Seeds, m.settings.Peer)
+			s.writeSettings(other)
+		}
 	}
 	m.frontLink, m.storeLink = s.newLink(m.settings.Front), s.newLink(strings.TrimPrefix(s.server.URL, "http://"))
 	m.settings.StoreAddress = m.storeLink.Address()
