standin/engine: a message that ends the engine

Faults.FatalText ends the engine before it answers a prompt with the text: the process of savoryctl standin engine exits, tests pass a function. The test of the own interface uses it instead of a handler of its own.

--- a/cmd/savoryctl/standin.go
+++ b/cmd/savoryctl/standin.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -52,9 +53,13 @@
 	if err != nil {
 		return err
 	}
+	options.End = func() { os.Exit(exitEngineEnded) }
 	return serveUntilSignal(c.Listen, engine.New(options))
 }
 
+// exitEngineEnded is the exit code of an engine that a prompt has ended.
+const exitEngineEnded = 70
+
 func (c *engineCommand) options() (engine.Options, error) {
 	o := engine.Options{
 		Hold: c.Hold, Slots: c.Slots, CacheTokens: c.CacheTokens, ChecksFencing: c.ChecksFencing,
--- a/proxy/quarantine_test.go
+++ b/proxy/quarantine_test.go
@@ -41,26 +41,26 @@
 	if !assert.Check(g.t, err) {
 		return
 	}
-	profile := engine.Profile{TokensPerSecond: 1000, Quality: 1}
-	handler := engine.New(engine.Options{Versions: map[string]engine.Profile{"s1": profile}, Slots: 64})
+	profile := engine.Profile{TokensPerSecond: 1000, FirstToken: 20 * time.Millisecond, Quality: 1}
 	server := &http.Server{}
 	var once sync.Once
+	e := engine.New(engine.Options{
+		Versions: map[string]engine.Profile{"s1": profile}, Slots: 64,
+		End: func() { once.Do(func() { g.end(l.Addr().String(), server) }) },
+	})
+	e.SetFaults(engine.Faults{FatalText: g.message})
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
 		}
-		if !bytes.Contains(body, []byte(g.message)) {
-			r.Body = io.NopCloser(bytes.NewReader(body))
-			handler.ServeHTTP(w, r)
-			return
+		if bytes.Contains(body, []byte(g.message)) {
+			g.mu.Lock()
+			g.fatal++
+			g.mu.Unlock()
 		}
-		g.mu.Lock()
-		g.fatal++
-		g.mu.Unlock()
-		time.Sleep(20 * time.Millisecond)
-		once.Do(func() { g.end(l.Addr().String(), server) })
-		panic(http.ErrAbortHandler)
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		e.ServeHTTP(w, r)
 	})
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/standin/engine/completion.go
+++ b/standin/engine/completion.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/savoryshift/savoryshift/errkind"
@@ -30,6 +32,14 @@
 	started      time.Time
 }
 
+// isFatal reports whether the answer to a call would end the engine.
+func (e *Engine) isFatal(j *job) bool {
+	e.mu.Lock()
+	text := e.faults.FatalText
+	e.mu.Unlock()
+	return text != "" && slices.ContainsFunc(j.body.Messages, func(m chatMessage) bool { return strings.Contains(string(m.Content), text) })
+}
+
 // complete serves POST /v1/chat/completions.
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
 	j, ok := e.accept(w, r)
@@ -47,6 +57,13 @@
 		writeError(w, http.StatusConflict, errkind.Conflict, "attempt "+j.run.AttemptID+" is running")
 		return
 	}
+	if e.isFatal(j) {
+		e.runs.end(j.run, RunFailed)
+		if e.opts.End != nil {
+			e.opts.End()
+		}
+		panic(http.ErrAbortHandler)
+	}
 	e.prepare(j)
 	produce := e.writeWhole
 	if j.body.Stream {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -64,6 +64,8 @@
 	// ChecksFencing makes the engine reject orders whose fencing token is below
 	// the highest one seen.
 	ChecksFencing bool
+	// End is called to end the process of the engine; see Faults.FatalText.
+	End func()
 	// LoadLag is the delay of load reports: a report describes the load LoadLag
 	// ago. Default DefaultLoadLag.
 	LoadLag time.Duration
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -25,6 +25,9 @@
 	// CutAfterPart breaks the connection of a stream after the part with this
 	// number; 0 means never. A non-streamed answer is cut off in the middle.
 	CutAfterPart int `json:"cut_after_part"`
+	// FatalText, if not empty, ends the engine before it answers a prompt with a message
+	// that contains the text.
+	FatalText string `json:"fatal_text,omitempty"`
 	// Endless, if not empty, is the response without end to every request, except
 	// below /standin/.
 	Endless endless.Kind `json:"endless,omitempty"`
