quarantine: an answer between two verdicts or a repeated part ends no process

Found by reading the diff, shown by a test: Check looked up the evidence of a part that was accused up to 20 ms ago and had been answered since, and panicked with a nil pointer. The check before a write runs outside the HTTP handlers, so that ends the process and all requests on the VM. A report of a peer that repeats a part did the same.

TestEvidenceThatIsOddOrGoneEndsTheProcess fails with either fault and passes.

--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -22,8 +22,9 @@
 	// ledger space reserved for that entry.
 	ledgerKey   string
 	reservation Reservation
-	// tests is set if the request tests whether a message still ends upstreams.
-	tests bool
+	// tests is set while a call of the request tests whether a message still ends
+	// upstreams.
+	tests atomic.Bool
 	// answered is set once an upstream has answered the prompt.
 	answered atomic.Bool
 }
@@ -116,7 +117,7 @@
 	if err == nil || x.delivered > 0 {
 		return nil
 	}
-	x.req.tests = false
+	x.req.tests.Store(false)
 	return x.server.checkQuarantine(x.req)
 }
 
--- a/proxy/quarantine.go
+++ b/proxy/quarantine.go
@@ -36,17 +36,18 @@
 	return fmt.Sprintf("prompts with a message of this one have ended %d upstreams", e.Upstreams)
 }
 
-// refuseQuarantined returns an error of kind Quarantined if the prompt of a request must not
-// be sent to an upstream. A request that has run tests no message.
+// refuseQuarantined returns an error of kind Quarantined if the prompt of a new request must
+// not be sent to an upstream.
 func (s *Server) refuseQuarantined(m *modelRequest) error {
 	d := s.options.Quarantine.Check(m.chat.parts, time.Now())
-	m.tests = d.Test
+	m.tests.Store(d.Test)
 	return quarantineError(d)
 }
 
-// checkQuarantine is like refuseQuarantined right before a call is written.
+// checkQuarantine is like refuseQuarantined for a further call, and right before a call is
+// written.
 func (s *Server) checkQuarantine(m *modelRequest) error {
-	if m.tests {
+	if m.tests.Load() {
 		return nil
 	}
 	return quarantineError(s.options.Quarantine.Accuses(m.chat.parts, time.Now()))
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -389,3 +389,45 @@
 	assert.Assert(t, tracker.Check(quarantine.HashParts([]string{"shared", "fatal", "own"}), now).Refused)
 	assert.Assert(t, !tracker.Check(quarantine.HashParts([]string{"shared", "own"}), now).Refused)
 }
+
+// Guards against a panic, which ends the process, after an answer to an accused part or after
+// a malformed report: parts that repeat, no parts, ages without sense, unknown accusations.
+func TestEvidenceThatIsOddOrGoneEndsTheProcess(t *testing.T) {
+	for seed := range uint64(40) {
+		r := rand.New(rand.NewPCG(seed, 3))
+		tracker, now := quarantine.New(quarantine.Options{}), time.Unix(1_000_000, 0)
+		part := func() quarantine.Part { return quarantine.HashPart(fmt.Sprint(r.IntN(6))) }
+		parts := func() []quarantine.Part {
+			list := make([]quarantine.Part, r.IntN(5))
+			for i := range list {
+				list[i] = part()
+			}
+			return list
+		}
+		age := func() time.Duration {
+			return []time.Duration{0, -time.Hour, time.Millisecond, time.Second, 1 << 62, -1 << 62}[r.IntN(6)]
+		}
+		for range 5000 {
+			now = now.Add(time.Duration(r.Int64N(int64(30 * time.Millisecond))))
+			switch r.IntN(7) {
+			case 0:
+				tracker.RecordAnswer(parts(), now)
+			case 1, 2:
+				tracker.RecordEnd(fmt.Sprint("u", r.IntN(200)), quarantine.Request(r.IntN(50)), parts(), now)
+			case 3:
+				tracker.Merge(quarantine.Report{
+					Ends:    []quarantine.End{{Upstream: fmt.Sprint("v", r.IntN(200)), Request: quarantine.Request(r.IntN(50)), Parts: parts(), Age: age()}},
+					Answers: []quarantine.Answer{{Part: part(), Age: age()}}, Accused: parts(),
+				}, now)
+			case 4:
+				tracker.Report(age(), r.IntN(2) == 0, now)
+			case 5:
+				tracker.Sweep(now)
+			}
+			tracker.Check(parts(), now)
+			tracker.Accuses(parts(), now)
+			_, entries := tracker.Size()
+			assert.Assert(t, entries >= 0)
+		}
+	}
+}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -106,7 +106,7 @@
 	}
 	t.addUpstream(e.upstream, e.at)
 	parts := make([]Part, 0, len(e.parts))
-	for _, p := range e.parts[:min(len(e.parts), maxParts+1)] {
+	for _, p := range distinct(e.parts) {
 		at, known := t.answered.at[p]
 		if known {
 			// The peer that told of the end may not know of the answer.
@@ -136,6 +136,14 @@
 	return true
 }
 
+// distinct returns at most as many different parts as a prompt has that are tracked. A report
+// of a peer may repeat them.
+func distinct(parts []Part) []Part {
+	list := slices.Clone(parts[:min(len(parts), maxParts+1)])
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
 // addUpstream records that an upstream ended. It keeps the last maxEnds of them.
 func (t *Tracker) addUpstream(name string, at time.Time) {
 	if _, known := t.upstreams[name]; known {
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -80,7 +80,7 @@
 	d := Decision{}
 	for _, p := range parts {
 		a, ok := t.accused[p]
-		if !ok {
+		if !ok || t.suspects[p] == nil { // answered since the verdict
 			continue
 		}
 		if next := t.decideByPart(a, containsAll(parts, a.With), now); !d.Refused || next.Refused && next.RetryAfter > d.RetryAfter {
