gateway, savoryctl explain: log what was accepted for a client and what was sent

A client that got nothing has a line with status 200 in the log: net/http keeps what the handler writes until a flush, and no line tells the two apart. Each connection that the VM closes without a whole response now has a line and a counter with both, and with the error of the last read from the client if the context of the request had ended. explain names it in the cause.

--- a/cmd/savoryctl/explain.go
+++ b/cmd/savoryctl/explain.go
@@ -129,7 +129,7 @@
 // printRequest prints the lines of one request and then the cause of its outcome.
 func (l *logs) printRequest(w io.Writer, id string) error {
 	var cause string
-	var last, lastCall, noUpstream, quarantined logLine
+	var last, lastCall, noUpstream, quarantined, closed logLine
 	ended := 0
 	for _, line := range l.lines {
 		if line.Request != id {
@@ -147,6 +147,8 @@
 			quarantined = line
 		case "upstream ended":
 			ended++
+		case "connection closed":
+			closed = line
 		}
 		last = line
 	}
@@ -157,7 +159,7 @@
 	if cause == "" {
 		cause = "the log ends before the request ended, or the process that served it was killed"
 	}
-	fmt.Fprintf(w, "cause: %s%s%s\n", cause, quarantined.describeQuarantine(), describeEnds(ended))
+	fmt.Fprintf(w, "cause: %s%s%s%s\n", cause, quarantined.describeQuarantine(), describeEnds(ended), closed.describeClose())
 	return nil
 }
 
@@ -224,6 +226,20 @@
 	return fmt.Sprintf("; %v upstreams had ended under prompts with the part %v", l.fields["upstreams_ended"], l.fields["part"])
 }
 
+// describeClose describes what of its response a client can have received whose connection
+// was closed. It returns nothing for a zero line.
+func (l *logLine) describeClose() string {
+	switch {
+	case l.Request == "":
+		return ""
+	case l.fields["header"] != true:
+		return "; its connection was closed without a response"
+	case l.fields["header_sent"] != true:
+		return fmt.Sprintf("; its connection was closed, and nothing was sent of a response with %v events", l.fields["events"])
+	}
+	return fmt.Sprintf("; its connection was closed after %v of %v events were sent", l.fields["events_sent"], l.fields["events"])
+}
+
 // describeEnds describes the ends of upstreams that had not answered the request.
 func describeEnds(n int) string {
 	if n == 0 {
--- a/cmd/savoryctl/explain_test.go
+++ b/cmd/savoryctl/explain_test.go
@@ -75,6 +75,24 @@
 	assert.Assert(t, strings.Contains(out.String(), "the answer may have ended early"), out.String())
 }
 
+// Guards against a closed connection whose explanation does not say how much was sent.
+func TestExplainDoesNotSayWhatWasSent(t *testing.T) {
+	for fields, want := range map[string]string{
+		`"header":false`: "closed without a response",
+		`"header":true,"header_sent":false,"events":1,"events_sent":0`: "nothing was sent of a response with 1 events",
+		`"header":true,"header_sent":true,"events":3,"events_sent":2`:  "closed after 2 of 3 events were sent",
+	} {
+		file := filepath.Join(t.TempDir(), "1.log")
+		text := `{"ts":"2026-06-06T08:00:01.000Z","msg":"connection closed","vm":"vm-1","request":"r1","reason":"upstream_failed",` + fields + `}
+{"ts":"2026-06-06T08:00:02.000Z","msg":"request","vm":"vm-1","request":"r1","status":200,"reason":"upstream_failed"}
+`
+		assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
+		var out, errOut strings.Builder
+		assert.Equal(t, execute(t.Context(), []string{"explain", "--request", "r1", file}, &out, &errOut), exitOK, errOut.String())
+		assert.Assert(t, strings.Contains(out.String(), want), out.String())
+	}
+}
+
 // Guards against failed requests that are missing from the list or grouped under
 // a wrong cause.
 func TestExplainFailed(t *testing.T) {
--- a/gateway/escalation.go
+++ b/gateway/escalation.go
@@ -12,7 +12,7 @@
 // larger model. If so, the call to the larger model becomes the candidate.
 func (t *streamExecution) escalate(c *streamCall, now time.Time) {
 	largest := len(t.route.Models) - 1
-	if !t.req.AnyModel || t.modelRank >= largest || t.escalated || t.wroteHeader || c.responseHeader.Confidence < 0 || !t.mayRetryTwice() {
+	if !t.req.AnyModel || t.modelRank >= largest || t.escalated || t.response.begun() || c.responseHeader.Confidence < 0 || !t.mayRetryTwice() {
 		return
 	}
 	escalation := t.place(t.ctx, t.route.Models[largest], largest)
--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -30,6 +30,8 @@
 	// disconnected before a response; 499 is the code that nginx uses for this
 	// case.
 	statusClientClosedRequest = 499
+	// callerLeft is the logged reason of requests whose client has disconnected.
+	callerLeft = "caller left"
 	// maxSends bounds the number of calls for one request, including calls that
 	// upstreams refused without running them.
 	maxSends = 6
@@ -45,10 +47,10 @@
 // execution is the state of one client request. Only the goroutine that serves
 // the request changes it; calls in other goroutines keep their state in attempt.
 type execution struct {
-	srv   *Server
-	w     http.ResponseWriter
-	ctx   context.Context
-	start time.Time
+	srv      *Server
+	response clientResponse
+	ctx      context.Context
+	start    time.Time
 	// oldProtocol is set if the client speaks HTTP/1.0, which has no chunks.
 	oldProtocol    bool
 	req            *Request
@@ -82,8 +84,7 @@
 	// mayHaveRun is set once a call ran or may have run. The client must then not
 	// be told that the request was not run.
 	mayHaveRun bool
-	// wroteHeader is set once a response header was written to the client.
-	wroteHeader  bool
+	// status is the logged status of the response.
 	status       int
 	reason       string
 	model        string
@@ -110,12 +111,13 @@
 		route = exec.route.Name
 	}
 	exec.srv.opts.Metrics.countRequest(route, exec.status, exec.reason, now.Sub(exec.start))
-	exec.srv.opts.Log.Info("request",
+	exec.srv.opts.Log.Info("request", append([]zap.Field{
 		zap.String("request", exec.req.ID), zap.String("route", route), zap.String("organisation", exec.organisation),
 		zap.Int("status", exec.status), zap.String("reason", exec.reason), zap.String("model", exec.model),
 		zap.String("upstream", exec.lastUpstream), zap.Int("runs", exec.runs), zap.Int("sends", exec.sends),
 		zap.Duration("took", now.Sub(exec.start)), zap.Int64("configuration", exec.configurationVersion()),
-		zap.Int("confidence", exec.confidence), zap.Duration("first_event", exec.timeToFirstEvent), zap.Duration("pause", exec.longestPause))
+		zap.Int("confidence", exec.confidence), zap.Duration("first_event", exec.timeToFirstEvent), zap.Duration("pause", exec.longestPause),
+	}, exec.response.logFields()...)...)
 }
 
 func (exec *execution) configurationVersion() int64 {
@@ -143,7 +145,7 @@
 func (exec *execution) writeError(kind errkind.Kind, after time.Duration) {
 	exec.reason = string(kind)
 	a := errkind.AnswerFor(kind)
-	h := exec.w.Header()
+	h := exec.response.header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if after > 0 {
 		exec.srv.opts.Codec.EncodeRefusal(h, exec.req, after)
@@ -151,26 +153,25 @@
 	body := "savoryshift: " + string(kind) + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	exec.writeHeader(a.Status)
-	_, _ = exec.w.Write([]byte(body))
+	exec.response.whole = exec.response.write([]byte(body)) == nil
 }
 
 // writeHeader sends the response header. During a planned stop it asks the client to
 // close the connection.
 func (exec *execution) writeHeader(status int) {
 	if exec.srv.stopping() {
-		exec.w.Header().Set("Connection", "close")
+		exec.response.header().Set("Connection", "close")
 	}
-	exec.status, exec.wroteHeader = status, true
-	exec.w.WriteHeader(status)
+	exec.status = status
+	exec.response.writeHeader(status)
 }
 
 // giveUp ends a request for which no further call can be made and which has no
 // response to deliver.
 func (exec *execution) giveUp() {
 	if exec.ctx.Err() != nil {
-		exec.reason = "caller left"
 		exec.status = statusClientClosedRequest
-		panic(http.ErrAbortHandler)
+		exec.closeConnection(callerLeft)
 	}
 	switch {
 	case !time.Now().Before(exec.deadline):
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -23,6 +23,7 @@
 		t.startForwarding(c)
 		c.end(placement.Answered)
 		c.logUnframed()
+		t.response.whole = true
 		t.finishUnframed()
 		return true
 	case !t.sequence.accept(event.data, event.id, c.resumed):
@@ -32,7 +33,7 @@
 	t.startForwarding(c)
 	t.recordEventTime(event.at)
 	if err := t.write(event); err != nil {
-		t.abortStream(placement.Neutral, "caller left")
+		t.abortStream(placement.Neutral, callerLeft)
 	}
 	c.recordProgress(time.Now())
 	return false
@@ -46,13 +47,13 @@
 	}
 	c.forwarding = true
 	t.model, t.confidence, t.streamRelease = c.model, c.responseHeader.Confidence, c.choice.Release
-	if t.wroteHeader {
+	if t.response.begun() {
 		return
 	}
-	copyResponseHeader(t.w.Header(), c.response.Header)
+	copyResponseHeader(t.response.header(), c.response.Header)
 	if c.unframed() || t.oldProtocol {
 		t.unframed = true
-		cutoff.Begin(t.execution.ctx, t.w.Header())
+		cutoff.Begin(t.execution.ctx, t.response.header())
 	}
 	t.mediaType = mediaType(c.response.Header)
 	t.writeHeader(c.responseHeader.Status)
@@ -63,14 +64,14 @@
 	if !t.unframed {
 		return
 	}
-	if err := cutoff.End(t.execution.ctx, t.w); err != nil {
-		t.reason = "caller left"
+	if err := t.response.finishUnframed(t.execution.ctx); err != nil {
+		t.reason = callerLeft
 	}
 }
 
 // write writes an event to the client, and flushes it unless another event is at hand.
 func (t *streamExecution) write(event streamEvent) error {
-	if _, err := t.w.Write(event.data); err != nil {
+	if err := t.response.writeEvent(event.data); err != nil {
 		return err
 	}
 	if event.id != "" {
@@ -79,7 +80,7 @@
 	if event.more {
 		return nil
 	}
-	return t.controller.Flush()
+	return t.response.flush()
 }
 
 // recordEventTime updates the time to the first event and the longest pause.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -36,6 +36,10 @@
 	m.set.GetOrCreateCounter(`savoryshift_requests_ended_by_stop_total{route="` + sanitizeLabel(route) + `"}`).Inc()
 }
 
+func (m *Metrics) countClosed(reason string) {
+	m.set.GetOrCreateCounter(`savoryshift_connections_closed_total{reason="` + sanitizeLabel(reason) + `"}`).Inc()
+}
+
 // sanitizeLabel replaces the characters that must be escaped in a label value.
 func sanitizeLabel(text string) string {
 	out := []byte(text)
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -28,7 +28,7 @@
 // that has not run may test an accused part. A stream with events is not in question: an
 // upstream has answered its prompt.
 func (exec *execution) passesQuarantine(now time.Time) bool {
-	if len(exec.parts) == 0 || exec.wroteHeader {
+	if len(exec.parts) == 0 || exec.response.begun() {
 		return true
 	}
 	tracker := exec.srv.opts.Quarantine
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -127,7 +127,7 @@
 func (srv *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	srv.active.Add(1)
 	defer srv.active.Add(-1)
-	exec := &execution{srv: srv, w: w, req: &Request{}, start: time.Now(), ctx: r.Context(), oldProtocol: !r.ProtoAtLeast(1, 1), confidence: -1}
+	exec := &execution{srv: srv, response: newClientResponse(w), req: &Request{}, start: time.Now(), ctx: r.Context(), oldProtocol: !r.ProtoAtLeast(1, 1), confidence: -1}
 	defer exec.logOutcome()
 	req, err := srv.opts.Codec.Decode(r)
 	exec.req = &req
@@ -209,7 +209,7 @@
 		return true
 	}
 	release := exec.boundBody()
-	body, err := io.ReadAll(http.MaxBytesReader(exec.w, r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(exec.response.w, r.Body, limit))
 	release(err == nil)
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -154,7 +154,7 @@
 		expected = time.Duration(c.choice.FirstEvent * float64(time.Second))
 	}
 	lastDelivery := t.start
-	if t.wroteHeader {
+	if t.response.begun() {
 		lastDelivery = t.lastEventAt
 	}
 	leaves := lastDelivery.Add(clientPatience(t.route))
@@ -213,7 +213,7 @@
 		return nil
 	}
 	// Silence is no reason for the session to change its release.
-	changes := t.wroteHeader && next.choice.Release != t.current.choice.Release
+	changes := t.response.begun() && next.choice.Release != t.current.choice.Release
 	late := s.isEarly() && time.Duration((next.choice.FirstEvent-next.choice.Wait)*float64(time.Second)) > maxOverlap
 	if changes || late || !t.chargeRetry() {
 		t.unplace(next)
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -176,7 +176,7 @@
 // may be passed on, from the begin of a planned stop on. The returned function must be
 // called when the body has been read; whole is false if it was not read to its end.
 func (exec *execution) boundBody() (release func(whole bool)) {
-	controller := http.NewResponseController(exec.w)
+	controller := exec.response.controller
 	var mu sync.Mutex
 	var bounded, released bool
 	detach := context.AfterFunc(exec.srv.stop.requested, func() {
@@ -205,7 +205,7 @@
 // what is written to the client afterwards. The returned function detaches the request
 // and logs it if the stop has ended it.
 func (exec *execution) endWithStop(cancel context.CancelFunc) (detach func()) {
-	controller := http.NewResponseController(exec.w)
+	controller := exec.response.controller
 	stop := context.AfterFunc(exec.srv.stop.ended, func() {
 		cancel()
 		_ = controller.SetWriteDeadline(time.Now().Add(lastWriteTime))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -16,8 +16,7 @@
 // Only the goroutine that serves the request uses it.
 type streamExecution struct {
 	*execution
-	ctx        context.Context
-	controller *http.ResponseController
+	ctx context.Context
 	// current is the call whose events are forwarded, or whose response is awaited.
 	current *streamCall
 	// candidate is the call that replaces current once its upstream has accepted it;
@@ -50,14 +49,14 @@
 // serveStream serves a request whose response is a stream of events.
 func (exec *execution) serveStream(ctx context.Context) {
 	t := &streamExecution{
-		execution: exec, ctx: ctx, controller: http.NewResponseController(exec.w), timer: time.NewTimer(0),
+		execution: exec, ctx: ctx, timer: time.NewTimer(0),
 		lastEventID: exec.req.LastEventID, sequence: newEventSequence(exec.req.LastEventID),
 	}
 	defer t.timer.Stop()
 	defer t.dropCalls()
 	// The deadline applies to a client that does not read its stream.
-	_ = t.controller.SetWriteDeadline(exec.deadline.Add(writeGrace))
-	defer func() { _ = t.controller.SetWriteDeadline(time.Time{}) }()
+	_ = t.response.controller.SetWriteDeadline(exec.deadline.Add(writeGrace))
+	defer func() { _ = t.response.controller.SetWriteDeadline(time.Time{}) }()
 	t.modelRank = t.initialRank()
 	t.setCurrent(t.begin(exec.place(ctx, t.modelName(), t.modelRank), t.modelRank))
 	for t.current != nil {
@@ -126,7 +125,7 @@
 	}
 	a := t.placeRetry(t.ctx, t.modelName(), t.modelRank)
 	switch {
-	case a == nil && t.wroteHeader:
+	case a == nil && t.response.begun():
 		a = t.waitForUpstream()
 	case a == nil && t.escalated:
 		a = t.fallBack()
@@ -193,11 +192,8 @@
 // delivered stream is aborted, so that it does not look complete.
 func (t *streamExecution) abandon() {
 	switch {
-	case t.wroteHeader:
-		if t.reason == "" {
-			t.reason = string(errkind.UpstreamFailed)
-		}
-		panic(http.ErrAbortHandler)
+	case t.response.begun():
+		t.closeConnection(string(errkind.UpstreamFailed))
 	case t.failedResult != nil && t.execution.ctx.Err() == nil:
 		t.deliver(t.failedResult)
 	default:
@@ -217,7 +213,7 @@
 		t.accept(c)
 		t.escalate(c, time.Now())
 		return false
-	case result.resultClass == deliverable && !t.wroteHeader:
+	case result.resultClass == deliverable && !t.response.begun():
 		t.deliver(result)
 		return true
 	}
@@ -286,7 +282,7 @@
 	if result.resultClass != failed {
 		return
 	}
-	if result.body != nil && !t.wroteHeader {
+	if result.body != nil && !t.response.begun() {
 		t.failedResult = result
 	}
 	if t.ctx.Err() == nil {
@@ -297,7 +293,7 @@
 // continues reports whether the response of a call can be forwarded to the client. The
 // response to a resumed call must be of the same kind as the one that it continues.
 func (t *streamExecution) continues(c *streamCall) bool {
-	if !t.wroteHeader || c.responseHeader.Status == t.status && mediaType(c.response.Header) == t.mediaType {
+	if !t.response.begun() || c.responseHeader.Status == t.status && mediaType(c.response.Header) == t.mediaType {
 		return true
 	}
 	c.logEvent("no continuation", zap.String("content_type", c.response.Header.Get("Content-Type")))
@@ -346,11 +342,11 @@
 	outcome, reason := placement.Failed, string(errkind.UpstreamTimeout)
 	switch {
 	case t.execution.ctx.Err() != nil:
-		outcome, reason = placement.Neutral, "caller left"
+		outcome, reason = placement.Neutral, callerLeft
 	case t.srv.stop.ended.Err() != nil:
 		outcome, reason = placement.Neutral, endedByStop
 	}
-	if t.wroteHeader {
+	if t.response.begun() {
 		t.abortStream(outcome, reason)
 	}
 	t.recordDropped(t.current)
@@ -364,6 +360,5 @@
 func (t *streamExecution) abortStream(outcome placement.Outcome, reason string) {
 	t.current.end(outcome)
 	t.current.logEvent(reason, zap.String("last_event", t.lastEventID))
-	t.reason = reason
-	panic(http.ErrAbortHandler)
+	t.closeConnection(reason)
 }
--- a/gateway/streamcall.go
+++ b/gateway/streamcall.go
@@ -61,7 +61,7 @@
 	if a == nil {
 		return nil
 	}
-	a.resumed = t.wroteHeader
+	a.resumed = t.response.begun()
 	c := &streamCall{
 		attempt: a, modelRank: modelRank, lastProgress: a.start,
 		result: make(chan *callResult, 1), events: make(chan streamEvent, 1),
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -173,17 +173,18 @@
 
 // deliver sends a buffered response to the client.
 func (exec *execution) deliver(result *callResult) {
-	h := exec.w.Header()
+	h := exec.response.header()
 	copyResponseHeader(h, result.attempt.response.Header)
 	exec.setFraming(h, result)
 	exec.lastUpstream = result.attempt.choice.ID
 	exec.writeHeader(result.attempt.responseHeader.Status)
-	_, err := exec.w.Write(result.body)
+	err := exec.response.write(result.body)
 	if err == nil && result.attempt.unframed() {
-		err = cutoff.End(exec.ctx, exec.w)
+		err = exec.response.finishUnframed(exec.ctx)
 	}
+	exec.response.whole = err == nil
 	if err != nil {
-		exec.reason = "caller left"
+		exec.reason = callerLeft
 	}
 }
 
--- a/internal/cutoff/cutoff.go
+++ b/internal/cutoff/cutoff.go
@@ -55,6 +55,23 @@
 	return nil
 }
 
+// ReadError returns the error with which the last read from the connection of a request
+// ended, nil if it did not fail or is not known.
+func ReadError(ctx context.Context) error {
+	conn, _ := ctx.Value(connectionKey{}).(net.Conn)
+	for conn != nil {
+		if r, ok := conn.(interface{ ReadError() error }); ok {
+			return r.ReadError()
+		}
+		wrapper, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		conn = wrapper.NetConn()
+	}
+	return nil
+}
+
 // setLinger sets the option SO_LINGER on the connection of a request: with 0, a close is a
 // reset, with -1, it is not. An error means that the connection is closed already.
 func setLinger(ctx context.Context, seconds int) {
--- a/internal/idleconn/idleconn.go
+++ b/internal/idleconn/idleconn.go
@@ -180,6 +180,8 @@
 	// its next request after it has got the end of the answer, and the server may read
 	// from it, to notice that the client leaves, before the connection counts as idle.
 	readAhead bool
+	// readError is the error of the last read, nil if it succeeded.
+	readError error
 }
 
 // Read implements net.Conn. It discards bytes that were read while closeIdle closed
@@ -191,7 +193,7 @@
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = false
+	c.reading, c.readError = false, err
 	if c.closed {
 		return 0, net.ErrClosed
 	}
@@ -201,6 +203,13 @@
 	return n, err
 }
 
+// ReadError returns the error of the last read, nil if it succeeded.
+func (c *conn) ReadError() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readError
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
