gateway: accepted events that are not sent, and panics without an answer, failing

What clients see on their socket when a stream ends whose upstream has sent one event, and something more, in one write: the next event is refused, no call is left, the deadline, the end of a stop, a panic; with a length, chunks and no framing.

--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -126,6 +126,9 @@
 
 func (b *budget) RecordRequest(string, time.Time) {}
 func (b *budget) AllowRetry(string, time.Time) bool {
+	if b.left == panicking {
+		panic("retry budget")
+	}
 	if b.left <= 0 {
 		return false
 	}
@@ -141,6 +144,8 @@
 	book     *placement.Balancer
 	rollouts *rollout.Manager
 	budget   *budget
+	// splitter replaces rollouts in the gateway, if it is not nil.
+	splitter gateway.Splitter
 	logs     *observer.ObservedLogs
 	url      string
 	// onLongPrompt, if set, is called after a call with a long prompt was placed and
@@ -163,6 +168,9 @@
 	var core zapcore.Core
 	core, s.logs = observer.New(zap.InfoLevel)
 	o.Codec, o.Balancer, o.Pool, o.Splitter, o.RetryBudget, o.Log = gatewaytest.Codec{}, s.book, exchange.NewPool(), s.rollouts, s.budget, zap.New(core)
+	if s.splitter != nil {
+		o.Splitter = s.splitter
+	}
 	o.Announce = func() {
 		if s.onLongPrompt != nil {
 			s.onLongPrompt()
--- /dev/null
+++ b/gateway/unsent_test.go
@@ -0,0 +1,183 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryshift/savoryshift/gateway"
+	"github.com/savoryshift/savoryshift/internal/knownred"
+	"github.com/savoryshift/savoryshift/rollout"
+)
+
+// observed is what a client saw on its socket.
+type observed struct {
+	status int
+	// at holds the time of arrival of each whole event.
+	at []time.Duration
+	// body is what arrived of the body.
+	body  string
+	whole bool
+	err   error
+}
+
+// observe sends a request and reads its response until the connection ends.
+func (s *system) observe(path string, header ...string) observed {
+	s.t.Helper()
+	conn, err := net.Dial("tcp4", strings.TrimPrefix(s.url, "http://"))
+	assert.NilError(s.t, err)
+	defer conn.Close()
+	begun := time.Now()
+	assert.NilError(s.t, conn.SetReadDeadline(begun.Add(20*time.Second)))
+	fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 4\r\nId: %s\r\nKey: key\r\n%s\r\n\r\nbody", path, newID(), strings.Join(append([]string{"Model: large"}, header...), "\r\n"))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return observed{err: err}
+	}
+	o := observed{status: resp.StatusCode}
+	var body strings.Builder
+	for buf := make([]byte, 4096); ; {
+		n, err := resp.Body.Read(buf)
+		body.Write(buf[:n])
+		for len(o.at) < strings.Count(body.String(), "\n\n") {
+			o.at = append(o.at, time.Since(begun))
+		}
+		if err != nil {
+			o.body, o.whole, o.err = body.String(), err == io.EOF, err
+			return o
+		}
+	}
+}
+
+// inOneWrite returns a script that writes a header and then data as the begin of a body, in
+// one write, and goes on as the function then says.
+func (f framing) inOneWrite(data string, then func(w io.Writer)) script {
+	return func(r *http.Request, w io.Writer) bool {
+		head := "HTTP/" + f.version + " 200 OK\r\nId: " + r.Header.Get("Id") + "\r\nSignature: s\r\nContent-Type: text/event-stream\r\n" + strings.ReplaceAll(f.header, "{length}", "1000000") + "\r\n"
+		body := data
+		if f.chunked {
+			body = fmt.Sprintf("%x\r\n%s\r\n", len(data), data)
+		}
+		_, _ = io.WriteString(w, head+body)
+		if then != nil {
+			then(w)
+		}
+		return false
+	}
+}
+
+const (
+	firstEvent  = "id: 1\ndata: large-1\n\n"
+	secondEvent = "id: 2\ndata: large-2\n\n"
+)
+
+// endsAfterAnEvent lists what can end a stream whose upstream has sent an event, and more, in
+// one write. No further call succeeds.
+var endsAfterAnEvent = map[string]struct {
+	// data is sent in the write, of which sent events can be forwarded.
+	data string
+	sent int
+	// path is that of the route, "/stream/x" if it is empty.
+	path   string
+	budget int
+	second script
+	header string
+	// then happens at the first upstream after the write.
+	then func(s *system, w io.Writer)
+}{
+	"event repeated, no budget":       {data: firstEvent + firstEvent, sent: 1},
+	"event repeated, others refuse":   {data: firstEvent + firstEvent, sent: 1, budget: 100, second: answer(503, "", "Not-Run: 1")},
+	"event repeated, others fail":     {data: firstEvent + firstEvent, sent: 1, budget: 100, second: answer(500, "bad")},
+	"event repeated, not resumable":   {data: firstEvent + firstEvent, sent: 1, path: "/once/x", budget: 100},
+	"event repeated, deadline":        {data: firstEvent + firstEvent, sent: 1, header: "Patience: 700"},
+	"second event repeated":           {data: firstEvent + secondEvent + secondEvent, sent: 2},
+	"event and the begin of the next": {data: firstEvent + "id: 2\ndata: la", sent: 1},
+	"event and a header of the next":  {data: firstEvent + "id: 2\n", sent: 1, path: "/once/x"},
+	"event too long":                  {data: firstEvent + strings.Repeat("\n", 70<<10), sent: 1},
+	"end of a stop": {data: firstEvent + firstEvent, sent: 1, then: func(s *system, _ io.Writer) {
+		s.stopFor(300 * time.Millisecond)
+		time.AfterFunc(300*time.Millisecond, s.server.EndCalls)
+	}},
+	"panic": {data: firstEvent + firstEvent, sent: 1, budget: panicking},
+}
+
+// panicking is a retry budget that panics.
+const panicking = -1
+
+// latestArrival is the time by which an event that the upstream has sent must have arrived.
+const latestArrival = 500 * time.Millisecond
+
+// Guards against a client that gets nothing, or an event late, because an accepted event
+// waits in a buffer while the stream ends.
+func TestAcceptedEventIsNotSent(t *testing.T) {
+	knownred.SkipListed(t, "gateway")
+	for name, f := range framings {
+		if f.newline != "" || strings.Contains(f.header, "Trailer") {
+			continue
+		}
+		for ending, c := range endsAfterAnEvent {
+			t.Run(name+"/"+ending, func(t *testing.T) {
+				t.Parallel()
+				var s *system
+				first := f.inOneWrite(c.data, func(w io.Writer) {
+					if c.then != nil {
+						c.then(s, w)
+					}
+				})
+				second := c.second
+				if second == nil {
+					second = answer(503, "", "Not-Run: 1")
+				}
+				s, _, _ = newPair(t, first, second)
+				s.budget.left = c.budget
+				path := c.path
+				if path == "" {
+					path = "/stream/x"
+				}
+				header := c.header
+				if header == "" {
+					header = "Patience: 2800"
+				}
+				o := s.observe(path, header)
+				assert.Equal(t, o.status, http.StatusOK, "%v", o.err)
+				assert.Equal(t, len(o.at), c.sent, "%q %v", o.body, o.err)
+				assert.Equal(t, o.body, c.data[:c.sent*len(firstEvent)])
+				assert.Assert(t, o.at[0] < latestArrival, "%v", o.at)
+				assert.Assert(t, !o.whole, "a broken stream looks whole")
+				closed := s.logs.FilterMessage("connection closed").All()
+				assert.Equal(t, len(closed), 1)
+				fields := closed[0].ContextMap()
+				assert.Equal(t, fields["events_sent"], int64(c.sent), "%v", fields)
+			})
+		}
+	}
+}
+
+// panickingSplitter panics when the release of a request is recorded.
+type panickingSplitter struct{ *rollout.Manager }
+
+func (panickingSplitter) Served(string, string, string, time.Time) { panic("served") }
+
+// Guards against a request that ends with a panic and gets no answer.
+func TestPanicLeavesNoAnswer(t *testing.T) {
+	knownred.SkipListed(t, "gateway")
+	for _, path := range kindsOfRoute {
+		t.Run(path, func(t *testing.T) {
+			u := startUpstream(t, "a", answerAny)
+			s := newSystem(t, registration(u, "v1"))
+			s.splitter = panickingSplitter{s.rollouts}
+			s.restart(gateway.Options{}).configure()
+			o := s.observe(path)
+			assert.Equal(t, o.status, http.StatusInternalServerError, "%v", o.err)
+			assert.Assert(t, o.whole)
+			assert.Equal(t, s.logs.FilterMessage("handler panicked").Len(), 1)
+		})
+	}
+}
