gateway: a client that has closed only its sending side gets an answer

Such clients saw the connection close with nothing: the end of the request's context was taken for the client's leaving, and the request was given up without a response. The calls are cancelled as before; the answer is 502, which promises nothing.

--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -28,7 +28,7 @@
 	announceThreshold = 0.25
 	// statusClientClosedRequest is the logged status of requests whose client
 	// disconnected before a response; 499 is the code that nginx uses for this
-	// case.
+	// case. The client gets 502, if it still reads.
 	statusClientClosedRequest = 499
 	// callerLeft is the logged reason of requests whose client has disconnected.
 	callerLeft = "caller left"
@@ -139,7 +139,7 @@
 		zap.String("upstream", exec.lastUpstream), zap.Int("runs", exec.runs), zap.Int("sends", exec.sends),
 		zap.Duration("took", now.Sub(exec.start)), zap.Int64("configuration", exec.configurationVersion()),
 		zap.Int("confidence", exec.confidence), zap.Duration("first_event", exec.timeToFirstEvent), zap.Duration("pause", exec.longestPause),
-	}, exec.response.logFields()...)...)
+	}, exec.responseFields()...)...)
 }
 
 func (exec *execution) configurationVersion() int64 {
@@ -191,11 +191,11 @@
 // giveUp ends a request for which no further call can be made and which has no
 // response to deliver.
 func (exec *execution) giveUp() {
-	if exec.ctx.Err() != nil {
-		exec.status = statusClientClosedRequest
-		exec.closeConnection(callerLeft)
-	}
 	switch {
+	case exec.ctx.Err() != nil:
+		// A client that has closed only its sending side still reads.
+		exec.fail(errkind.UpstreamFailed)
+		exec.reason, exec.status = callerLeft, statusClientClosedRequest
 	case !time.Now().Before(exec.deadline):
 		exec.fail(errkind.UpstreamTimeout)
 	case exec.mayHaveRun && exec.srv.stop.ended.Err() != nil:
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -86,15 +86,21 @@
 	}
 }
 
+// responseFields returns the log fields of the response and, if the context of the request
+// has ended, the error of the last read from the client.
+func (exec *execution) responseFields() []zap.Field {
+	fields := exec.response.logFields()
+	if exec.ctx.Err() != nil {
+		fields = append(fields, zap.NamedError("client_read", cutoff.ReadError(exec.ctx)))
+	}
+	return fields
+}
+
 // closeConnection closes the connection of the client although its response is not whole,
 // and logs the reason.
 func (exec *execution) closeConnection(reason string) {
 	exec.reason = reason
-	fields := []zap.Field{zap.String("request", exec.req.ID), zap.String("reason", reason)}
-	if err := exec.ctx.Err(); err != nil {
-		fields = append(fields, zap.NamedError("context", err), zap.NamedError("client_read", cutoff.ReadError(exec.ctx)))
-	}
 	exec.srv.opts.Metrics.countClosed(reason)
-	exec.srv.opts.Log.Info("connection closed", append(fields, exec.response.logFields()...)...)
+	exec.srv.opts.Log.Info("connection closed", append(exec.responseFields(), zap.String("request", exec.req.ID), zap.String("reason", reason))...)
 	panic(http.ErrAbortHandler)
 }
