gateway: a complete response is sent before the handler returns

net/http sent the last bytes of a response after the handler, so that a client that did not get them had a line with status 200 and no reason, and nothing said what was sent. The handler flushes a complete response now and logs the failure. It is still one write (TestBurstTakesAWriteForEachEvent). TestLogDoesNotTellWhatWasSent failed before (bytes_sent 0) and passes; so does go test ./gateway.

--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -175,7 +175,9 @@
 	body := "savoryshift: " + string(kind) + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	exec.writeHeader(a.Status)
-	exec.response.whole = exec.response.write([]byte(body)) == nil
+	if exec.response.write([]byte(body)) == nil {
+		_ = exec.response.finish(exec.ctx, false) // fails if the client has disconnected
+	}
 }
 
 // writeHeader sends the response header. During a planned stop it asks the client to
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -47,8 +47,9 @@
 	t.startForwarding(c)
 	c.end(placement.Answered)
 	c.logUnframed()
-	t.response.whole = true
-	t.finishUnframed()
+	if err := t.response.finish(t.execution.ctx, t.unframed); err != nil {
+		t.reason = callerLeft
+	}
 	return true
 }
 
@@ -106,16 +107,6 @@
 	t.writeHeader(c.responseHeader.Status)
 }
 
-// finishUnframed completes a stream that ends with the connection of the client.
-func (t *streamExecution) finishUnframed() {
-	if !t.unframed {
-		return
-	}
-	if err := t.response.finishUnframed(t.execution.ctx); err != nil {
-		t.reason = callerLeft
-	}
-}
-
 // recordEventTime updates the time to the first event and the longest pause.
 func (t *streamExecution) recordEventTime(now time.Time) {
 	if t.timeToFirstEvent == 0 {
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -69,13 +69,19 @@
 	return nil
 }
 
-// finishUnframed completes a response that ends with the connection.
-func (r *clientResponse) finishUnframed(ctx context.Context) error {
-	if err := cutoff.End(ctx, r.w); err != nil {
-		return err
+// finish sends what is left of a complete response. One that is unframed then ends with its
+// connection, and net/http ends any other one when the handler returns.
+func (r *clientResponse) finish(ctx context.Context, unframed bool) (err error) {
+	switch {
+	case unframed:
+		err = cutoff.End(ctx, r.w)
+	case r.sent != r.accepted:
+		err = r.controller.Flush()
 	}
-	r.sent = r.accepted
-	return nil
+	if err == nil {
+		r.sent, r.whole = r.accepted, true
+	}
+	return err
 }
 
 // logFields returns the log fields that say what the client can have received.
--- a/gateway/unsent_test.go
+++ b/gateway/unsent_test.go
@@ -215,3 +215,22 @@
 		})
 	}
 }
+
+// Guards against a log that does not tell a response that was sent from one that was not.
+func TestLogDoesNotTellWhatWasSent(t *testing.T) {
+	for _, path := range append(kindsOfRoute, "/unknown/x") {
+		t.Run(path, func(t *testing.T) {
+			u := startUpstream(t, "a", answerAny)
+			s := newSystem(t, registration(u, "v1")).configure()
+			o := s.observe(path)
+			assert.Assert(t, o.whole, "%v", o.err)
+			lines := s.logs.FilterMessage("request")
+			for deadline := time.Now().Add(5 * time.Second); lines.Len() == 0 && time.Now().Before(deadline); lines = s.logs.FilterMessage("request") {
+				time.Sleep(time.Millisecond)
+			}
+			fields := lines.All()[0].ContextMap()
+			assert.Equal(t, fields["whole"], true)
+			assert.Equal(t, fields["bytes_sent"], int64(len(o.body)))
+		})
+	}
+}
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -179,10 +179,9 @@
 	exec.lastUpstream = result.attempt.choice.ID
 	exec.writeHeader(result.attempt.responseHeader.Status)
 	err := exec.response.write(result.body)
-	if err == nil && result.attempt.unframed() {
-		err = exec.response.finishUnframed(exec.ctx)
+	if err == nil {
+		err = exec.response.finish(exec.ctx, result.attempt.unframed())
 	}
-	exec.response.whole = err == nil
 	if err != nil {
 		exec.reason = callerLeft
 	}
