idleconn: an idle connection on which bytes have arrived is not closed

Callers saw a kept connection close with no answer to a request that had reached the process in time. Whether the connection was idle was judged by what the server had read; on a slow or busy core a request can wait in the socket for long.

The socket is asked for unread bytes before it is closed. TestRequestThatHasArrivedIsClosedUnread failed before (use of closed network connection).

--- a/internal/idleconn/idleconn.go
+++ b/internal/idleconn/idleconn.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"slices"
 	"sync"
+
+	"github.com/savoryshift/savoryshift/internal/sockopt"
 )
 
 // Closer closes connections that wait for a request. The methods of
@@ -218,12 +220,12 @@
 	return c.Conn.Write(b)
 }
 
-// closeIdle closes the connection if it is idle. It leaves a connection without a first
-// request unless unused is set.
+// closeIdle closes the connection if it is idle and no bytes have arrived on it. It leaves a
+// connection without a first request unless unused is set.
 func (c *conn) closeIdle(unused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle && c.reading && !c.closed && (c.answered || unused) {
+	if c.idle && c.reading && !c.closed && (c.answered || unused) && !sockopt.HasUnread(c.Conn) {
 		c.closed = true
 		_ = c.Conn.Close()
 	}
--- a/internal/idleconn/idleconn_test.go
+++ b/internal/idleconn/idleconn_test.go
@@ -14,6 +14,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/savoryshift/savoryshift/internal/sockopt"
+
 	"github.com/savoryshift/savoryshift/internal/cutoff"
 )
 
@@ -293,3 +295,31 @@
 	assert.NilError(t, server.Close())
 	assert.Assert(t, errors.Is(<-ended, http.ErrServerClosed))
 }
+
+// Guards against the close of an idle connection whose next request has arrived and is not
+// read yet because the process is slow.
+func TestRequestThatHasArrivedIsClosedUnread(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	client, err := net.Dial("tcp4", l.Addr().String())
+	assert.NilError(t, err)
+	defer client.Close()
+	accepted, err := l.Accept()
+	assert.NilError(t, err)
+	defer accepted.Close()
+	closer := New()
+	// The server waits for the request and was not scheduled since it arrived.
+	c := &conn{Conn: accepted, idle: true, answered: true, reading: true}
+	closer.conns[c] = true
+	_, err = client.Write([]byte("x"))
+	assert.NilError(t, err)
+	for deadline := time.Now().Add(5 * time.Second); !sockopt.HasUnread(accepted) && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	closer.CloseIdle()
+	assert.Equal(t, closer.Close(), 1)
+	n, err := c.Read(make([]byte, 1))
+	assert.NilError(t, err)
+	assert.Equal(t, n, 1)
+}
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -48,3 +48,21 @@
 	})
 	return errors.Join(err, optionErr)
 }
+
+// HasUnread reports whether bytes have arrived on a connection that were not read yet. It
+// returns false for connections without a socket.
+func HasUnread(conn net.Conn) bool {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		n, _, _ = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
