entry: a stopping VM leaves idle connections open until its end

Callers with kept connections saw them close under a request in the middle of a planned stop, without an answer: idle connections were closed 2.2 s after the signal, and a request that is on its way then crosses the close. The client of a booking can't know whether it ran.

Idle connections now stay open while the VM serves; their next request is served, or refused with a time to come back, and asks for the close.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -16,10 +16,6 @@
 	// allows it. The load balancer probes readiness once a second and removes a VM after
 	// two failed probes.
 	minDrainTime = 3500 * time.Millisecond
-	// closeIdleAfter is the time after which a stopping VM closes idle keep-alive
-	// connections. By then the load balancer has removed the VM, so the clients
-	// reconnect to other VMs.
-	closeIdleAfter = 2200 * time.Millisecond
 	// exitTime and exitShare are the part of the grace period that is reserved for the
 	// exit of the process: the lesser of the two.
 	exitTime  = 300 * time.Millisecond
@@ -67,15 +63,14 @@
 	return nil
 }
 
-// serveUntilIdle serves until no request is in flight or the calls to upstreams end.
+// serveUntilIdle serves until no request is in flight or the calls to upstreams end. Idle
+// connections stay open until then: a request that crosses their close has no answer, while
+// one that is read is served or refused, and asks its client to close the connection.
 func (e *Entry) serveUntilIdle(times drainTimes) {
 	tick := time.NewTicker(drainPollInterval)
 	defer tick.Stop()
 	for now := times.signal; now.Before(times.end); now = time.Now() {
 		since := now.Sub(times.signal)
-		if since >= closeIdleAfter {
-			e.idle.CloseIdle()
-		}
 		if since >= minDrainTime && e.gateway.Active() == 0 {
 			return
 		}
