gateway: a blank line is not taken for an event at hand

Clients got the first event at the deadline (3.0 s), and a silent upstream was not replaced: an upstream that sends an empty line with a space after an event made the reader's look-ahead say that the next event is at hand, while the reader itself skips the line and waits for the network; the burst waited with it.

The look-ahead skips blank lines as the reader does, and a burst waits 10 ms at most for what is at hand, so that it does not depend on the two agreeing.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -68,15 +68,15 @@
 // buffered reports whether the next event is available without a read from the network.
 func (e *eventReader) buffered() bool {
 	data, _ := e.r.Peek(e.r.Buffered()) // cannot fail for bytes that are buffered
-	for {
+	for begun := false; ; {
 		line, rest, found := bytes.Cut(data, []byte("\n"))
-		if !found {
+		switch {
+		case !found:
 			return false
-		}
-		if next, _, ok := bytes.Cut(rest, []byte("\n")); ok && len(bytes.TrimRight(line, "\r")) > 0 && len(bytes.TrimRight(next, "\r")) == 0 {
+		case begun && len(bytes.TrimRight(line, "\r")) == 0:
 			return true
 		}
-		data = rest
+		begun, data = begun || len(bytes.TrimSpace(line)) > 0, rest
 	}
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -53,12 +53,18 @@
 	return true
 }
 
+// maxAtHandWait bounds the time for which a burst waits for events that are at hand. They
+// need no read from the network.
+const maxAtHandWait = 10 * time.Millisecond
+
 // forwardBurst forwards an event that was accepted, and those at hand after it, with one
 // flush. It returns the first event that cannot be forwarded, if there is one. On return
 // everything that was accepted has been sent, whatever happens to the stream next.
 func (t *streamExecution) forwardBurst(event streamEvent) (rejected *streamEvent, err error) {
 	c := t.current
 	t.startForwarding(c)
+	wait := time.NewTimer(maxAtHandWait)
+	defer wait.Stop()
 	defer func() {
 		if flushErr := t.response.flush(); err == nil {
 			err = flushErr
@@ -78,6 +84,8 @@
 		}
 		select {
 		case event = <-c.events:
+		case <-wait.C:
+			return nil, nil
 		case <-t.ctx.Done():
 			return nil, nil
 		}
--- a/gateway/unsent_test.go
+++ b/gateway/unsent_test.go
@@ -195,6 +195,23 @@
 	}
 }
 
+// Guards against an event that is held back, and a silent upstream that is not replaced,
+// because an empty line with a space was taken for the next event.
+func TestBlankLineHoldsAnEventBack(t *testing.T) {
+	for name, f := range framings {
+		for _, blank := range []string{" \n\n", "\t\r\n\r\n", "\n \n\n"} {
+			t.Run(fmt.Sprintf("%s/%q", name, blank), func(t *testing.T) {
+				t.Parallel()
+				s, _, b := newPair(t, f.inOneWrite(firstEvent+blank, func(io.Writer) { time.Sleep(2800 * time.Millisecond) }), events(3, lastChunk, "Content-Type: text/event-stream"))
+				o := s.observe("/stream/x", "Patience: 2800")
+				assert.Equal(t, o.status, http.StatusOK, "%v", o.err)
+				assert.Assert(t, len(o.at) == 3 && o.at[0] < latestArrival, "%v %q", o.at, o.body)
+				assert.Equal(t, len(b.received()), 1)
+			})
+		}
+	}
+}
+
 // panickingSplitter panics when the release of a request is recorded.
 type panickingSplitter struct{ *rollout.Manager }
 
