gateway: the reset of a broken stream waits until the client has what was sent

A stream without a length and chunks that breaks is reset, and the reset drops what the client has not acknowledged, although the log says that it was sent: a client with a small window got 0 of 40 events, one that loses a segment could miss the header. The close waits up to 150 ms, not beyond the end of a stop, until nothing is unacknowledged.

--- a/gateway/response.go
+++ b/gateway/response.go
@@ -106,6 +106,9 @@
 // and logs the reason.
 func (exec *execution) closeConnection(reason string) {
 	exec.reason = reason
+	if cutoff.Marked(exec.response.header()) {
+		cutoff.AwaitDelivery(exec.ctx, exec.srv.stop.ended.Done())
+	}
 	exec.srv.opts.Metrics.countClosed(reason)
 	exec.srv.opts.Log.Info("connection closed", append(exec.responseFields(), zap.String("request", exec.req.ID), zap.String("reason", reason))...)
 	panic(http.ErrAbortHandler)
--- a/gateway/unsent_test.go
+++ b/gateway/unsent_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -212,6 +213,36 @@
 	}
 }
 
+// Guards against events that were flushed and are dropped by the reset of a broken stream,
+// because its client reads slowly.
+func TestResetDropsEventsThatWereSent(t *testing.T) {
+	const events, eventBytes, delay = 40, 3000, 60 * time.Millisecond
+	var all strings.Builder
+	for i := range events {
+		fmt.Fprintf(&all, "id: %d\ndata: %s\n\n", i+1, strings.Repeat("x", eventBytes))
+	}
+	for name, f := range framings {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, _, _ := newPair(t, f.inOneWrite(all.String()+firstEvent, nil), answer(503, "", "Not-Run: 1"))
+			s.budget.left = 0
+			dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+				return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 2304) })
+			}}
+			conn, err := dialer.Dial("tcp4", strings.TrimPrefix(s.url, "http://"))
+			assert.NilError(t, err)
+			defer conn.Close()
+			fmt.Fprintf(conn, "POST /once/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 4\r\nId: %s\r\nKey: key\r\nModel: large\r\n\r\nbody", newID())
+			time.Sleep(delay)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			body, err := io.ReadAll(resp.Body)
+			assert.Assert(t, err != nil, "a broken stream looks whole")
+			assert.Equal(t, strings.Count(string(body), "\n\n"), events)
+		})
+	}
+}
+
 // panickingSplitter panics when the release of a request is recorded.
 type panickingSplitter struct{ *rollout.Manager }
 
--- a/internal/cutoff/cutoff.go
+++ b/internal/cutoff/cutoff.go
@@ -10,6 +10,9 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
+
+	"github.com/savoryshift/savoryshift/internal/sockopt"
 )
 
 // connectionKey is the context key of the connection of a request.
@@ -58,33 +61,56 @@
 // ReadError returns the error with which the last read from the connection of a request
 // ended, nil if it did not fail or is not known.
 func ReadError(ctx context.Context) error {
-	conn, _ := ctx.Value(connectionKey{}).(net.Conn)
-	for conn != nil {
-		if r, ok := conn.(interface{ ReadError() error }); ok {
-			return r.ReadError()
-		}
-		wrapper, ok := conn.(interface{ NetConn() net.Conn })
-		if !ok {
-			return nil
-		}
-		conn = wrapper.NetConn()
+	if r, ok := find[interface{ ReadError() error }](ctx); ok {
+		return r.ReadError()
 	}
 	return nil
 }
 
+const (
+	// deliveryTime bounds how long AwaitDelivery waits, and deliveryPollInterval is the
+	// interval at which it looks.
+	deliveryTime         = 150 * time.Millisecond
+	deliveryPollInterval = 2 * time.Millisecond
+)
+
+// AwaitDelivery waits until the client has acknowledged what was flushed of a response that
+// was begun with Begin and ends early. The reset that follows drops what is left. It waits
+// for at most deliveryTime, and not beyond the end of done.
+func AwaitDelivery(ctx context.Context, done <-chan struct{}) {
+	conn, ok := find[*net.TCPConn](ctx)
+	if !ok {
+		return
+	}
+	for until := time.Now().Add(deliveryTime); sockopt.HasUnacked(conn) && time.Now().Before(until); {
+		select {
+		case <-done:
+			return
+		case <-time.After(deliveryPollInterval):
+		}
+	}
+}
+
 // setLinger sets the option SO_LINGER on the connection of a request: with 0, a close is a
 // reset, with -1, it is not. An error means that the connection is closed already.
 func setLinger(ctx context.Context, seconds int) {
+	if r, ok := find[resettable](ctx); ok {
+		_ = r.SetLinger(seconds)
+	}
+}
+
+// find returns the connection of a request, or the outermost one below it, that has type T.
+func find[T any](ctx context.Context) (found T, ok bool) {
 	conn, _ := ctx.Value(connectionKey{}).(net.Conn)
 	for conn != nil {
-		if r, ok := conn.(resettable); ok {
-			_ = r.SetLinger(seconds)
-			return
+		if found, ok = conn.(T); ok {
+			return found, true
 		}
-		wrapper, ok := conn.(interface{ NetConn() net.Conn })
-		if !ok {
-			return
+		wrapper, wraps := conn.(interface{ NetConn() net.Conn })
+		if !wraps {
+			return found, false
 		}
 		conn = wrapper.NetConn()
 	}
+	return found, false
 }
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -49,6 +49,22 @@
 	return errors.Join(err, optionErr)
 }
 
+// HasUnacked reports whether bytes that were written to a connection are not acknowledged
+// yet. It returns false for connections without a socket.
+func HasUnacked(conn net.Conn) bool {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return err == nil && n > 0
+}
+
 // HasUnread reports whether bytes have arrived on a connection that were not read yet. It
 // returns false for connections without a socket.
 func HasUnread(conn net.Conn) bool {
