gateway: a refusal does not wait for a body that does not come

A client whose request is refused before its body has arrived (no route, no key) got no answer while it sent nothing more, because net/http reads the rest of the body before it sends the response.

--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -64,6 +64,9 @@
 	deadline      time.Time
 	releaseFilter rollout.Filter
 
+	// bodyLeft is set until the body of the request has been read to its end.
+	bodyLeft bool
+
 	// parts are the parts of the prompt that other requests may share, and quarantined is
 	// the last decision about them.
 	parts       []quarantine.Part
@@ -174,6 +177,10 @@
 	}
 	body := "savoryshift: " + string(kind) + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if exec.bodyLeft {
+		// net/http reads the rest of the body before it sends the response.
+		_ = exec.response.controller.SetReadDeadline(time.Now().Add(unreadBodyTime))
+	}
 	exec.writeHeader(a.Status)
 	if exec.response.write([]byte(body)) == nil {
 		_ = exec.response.finish(exec.ctx, false) // fails if the client has disconnected
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -127,7 +127,7 @@
 func (srv *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	srv.active.Add(1)
 	defer srv.active.Add(-1)
-	exec := &execution{srv: srv, response: newClientResponse(w), req: &Request{}, start: time.Now(), ctx: r.Context(), oldProtocol: !r.ProtoAtLeast(1, 1), confidence: -1}
+	exec := &execution{srv: srv, response: newClientResponse(w), req: &Request{}, start: time.Now(), ctx: r.Context(), oldProtocol: !r.ProtoAtLeast(1, 1), bodyLeft: r.ContentLength != 0, confidence: -1}
 	defer exec.finish()
 	req, err := srv.opts.Codec.Decode(r)
 	exec.req = &req
@@ -220,7 +220,7 @@
 	case err != nil:
 		exec.reject(errkind.BadRequest)
 	}
-	exec.req.Body = body
+	exec.req.Body, exec.bodyLeft = body, err != nil
 	return err == nil
 }
 
--- a/gateway/unsent_test.go
+++ b/gateway/unsent_test.go
@@ -282,3 +282,27 @@
 		})
 	}
 }
+
+// Guards against a request that is refused before its body has arrived, and has no answer
+// and no end while its client sends nothing more.
+func TestRefusalWaitsForAStalledBody(t *testing.T) {
+	s := newSystem(t, registration(startUpstream(t, "a", answerAny), "v1")).configure()
+	for path, status := range map[string]int{"/unknown/x": http.StatusNotFound, "/safe/x": http.StatusUnauthorized} {
+		t.Run(path, func(t *testing.T) {
+			conn, err := net.Dial("tcp4", strings.TrimPrefix(s.url, "http://"))
+			assert.NilError(t, err)
+			defer conn.Close()
+			assert.NilError(t, conn.SetReadDeadline(time.Now().Add(2*time.Second)))
+			fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nId: %s\r\nKey: none\r\n\r\n", path, newID())
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, status)
+			_, err = io.ReadAll(resp.Body)
+			assert.NilError(t, err)
+			for deadline := time.Now().Add(2 * time.Second); s.server.Active() > 0 && time.Now().Before(deadline); {
+				time.Sleep(time.Millisecond)
+			}
+			assert.Equal(t, s.server.Active(), 0)
+		})
+	}
+}
