gateway: a call that panics fails alone

A panic in the goroutine of a call, for instance on an unexpected response header, ended the process, and with it all requests without an answer; only the handler recovered. TestPanicOfACallEndsTheProcess: the test process itself ended before (panic: response); now the call has failed, is logged, and the request goes on at another upstream or gets 502. A panic while events are read breaks that stream's call (by reading; no test brings it about).

--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -145,8 +145,9 @@
 	book     *placement.Balancer
 	rollouts *rollout.Manager
 	budget   *budget
-	// splitter replaces rollouts in the gateway, if it is not nil.
+	// splitter replaces rollouts in the gateway, and codec the usual one, if they are not nil.
 	splitter gateway.Splitter
+	codec    gateway.Codec
 	logs     *observer.ObservedLogs
 	// writes counts the writes to connections of clients.
 	writes atomic.Int64
@@ -171,6 +172,9 @@
 	var core zapcore.Core
 	core, s.logs = observer.New(zap.InfoLevel)
 	o.Codec, o.Balancer, o.Pool, o.Splitter, o.RetryBudget, o.Log = gatewaytest.Codec{}, s.book, exchange.NewPool(), s.rollouts, s.budget, zap.New(core)
+	if s.codec != nil {
+		o.Codec = s.codec
+	}
 	if s.splitter != nil {
 		o.Splitter = s.splitter
 	}
--- a/gateway/streamcall.go
+++ b/gateway/streamcall.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/savoryshift/savoryshift/placement"
 )
 
 var (
@@ -14,6 +16,8 @@
 	// errOutOfSequence is the cause of the end of a stream whose next event does not
 	// follow the last one that was forwarded.
 	errOutOfSequence = errors.New("the event does not follow the last one")
+	// errPanicked is the cause of the end of a stream whose call has panicked.
+	errPanicked = errors.New("the call panicked")
 	// errNoWholeEvent is the cause of the end of a response without a length and without
 	// chunks before its first event.
 	errNoWholeEvent = errors.New("the connection ended before the first event of a body without a length")
@@ -77,14 +81,41 @@
 // run makes the call, sends its result and then the events of its response. Calling end
 // stops it.
 func (c *streamCall) run(lastEventID string, enginePriority int) {
-	result := &callResult{attempt: c.attempt, resultClass: c.send(lastEventID, enginePriority)}
-	stream := result.resultClass == deliverable && c.responseHeader.Status < http.StatusMultipleChoices
-	if c.response != nil && result.resultClass != notRun && !stream {
-		c.readBody(result)
-	}
-	c.result <- result
-	if stream {
+	stream := false
+	result := &callResult{attempt: c.attempt, resultClass: failed}
+	defer func() {
+		panicked := c.logPanic(recover())
+		switch {
+		case !stream && panicked:
+			c.finish(placement.Neutral)
+			fallthrough
+		case !stream:
+			c.result <- result
+		case panicked:
+			c.sendEvent(streamEvent{err: errPanicked})
+		}
+	}()
+	class := c.send(lastEventID, enginePriority)
+	if class == deliverable && c.responseHeader.Status < http.StatusMultipleChoices {
+		result.resultClass = class
+		stream = true
+		c.result <- result
 		c.readEvents()
+		return
+	}
+	if c.response != nil && class != notRun {
+		class = c.readBody(result, class)
+	}
+	result.resultClass = class
+}
+
+// sendEvent sends an event unless the call has ended. It reports whether it has done so.
+func (c *streamCall) sendEvent(event streamEvent) bool {
+	select {
+	case c.events <- event:
+		return true
+	case <-c.ctx.Done():
+		return false
 	}
 }
 
@@ -117,12 +148,7 @@
 		default:
 			c.call.RecordBytes(event.at)
 		}
-		select {
-		case c.events <- event:
-		case <-c.ctx.Done():
-			return
-		}
-		if err != nil {
+		if !c.sendEvent(event) || err != nil {
 			return
 		}
 	}
--- a/gateway/unsent_test.go
+++ b/gateway/unsent_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/savoryshift/savoryshift/gateway"
+	"github.com/savoryshift/savoryshift/gateway/gatewaytest"
 	"github.com/savoryshift/savoryshift/rollout"
 )
 
@@ -306,3 +307,29 @@
 		})
 	}
 }
+
+// panickingCodec panics when it decodes the responses of one upstream.
+type panickingCodec struct{ gatewaytest.Codec }
+
+func (c panickingCodec) DecodeResponse(resp *http.Response) gateway.ResponseHeader {
+	if resp.Header.Get("Panics") != "" {
+		panic("response")
+	}
+	return c.Codec.DecodeResponse(resp)
+}
+
+// Guards against a process that ends with all its requests because a call has panicked.
+func TestPanicOfACallEndsTheProcess(t *testing.T) {
+	for path, status := range map[string]int{"/safe/x": http.StatusOK, "/unsafe/x": http.StatusBadGateway, "/stream/x": http.StatusOK} {
+		t.Run(path, func(t *testing.T) {
+			s, a, _ := newPair(t, answer(http.StatusOK, "odd", "Panics: 1"), answerAny)
+			s.codec = panickingCodec{}
+			s.restart(gateway.Options{}).configure()
+			o := s.observe(path)
+			assert.Equal(t, o.status, status, "%v", o.err)
+			assert.Assert(t, o.whole)
+			assert.Equal(t, s.logs.FilterMessage("call panicked").Len(), len(a.received()))
+			assert.Equal(t, len(s.book.Loads()), 0)
+		})
+	}
+}
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -136,31 +136,37 @@
 // sends the result.
 func (a *attempt) sendAsync(results chan<- *callResult) {
 	go func() {
-		result := &callResult{attempt: a}
-		result.resultClass = a.send(a.exec.req.LastEventID, -1)
-		if a.response != nil && result.resultClass != notRun {
-			a.readBody(result)
+		result := &callResult{attempt: a, resultClass: failed}
+		defer func() {
+			if a.logPanic(recover()) {
+				a.finish(placement.Neutral)
+			}
+			results <- result
+		}()
+		class := a.send(a.exec.req.LastEventID, -1)
+		if a.response != nil && class != notRun {
+			class = a.readBody(result, class)
 		}
-		results <- result
+		result.resultClass = class
 	}()
 }
 
-// readBody reads the response body to its end, sets the body and the class of
-// result, and finishes the call.
-func (a *attempt) readBody(result *callResult) {
+// readBody reads the response body to its end, sets the body of result, and finishes the
+// call. It returns the class of a response whose header has the given class.
+func (a *attempt) readBody(result *callResult, class resultClass) resultClass {
 	body, err := a.exec.srv.buffers.ReadAll(a.response, maxBufferedResponse)
 	switch {
 	case err != nil || !a.response.Complete():
 		a.reportBreak()
 		a.finish(placement.Failed)
 		a.logEvent("broken answer", zap.Error(err), zap.String("framing", string(a.response.Framing())))
-		result.resultClass = failed
+		return failed
 	case a.responseHeader.Status >= 500:
 		result.body = body
 		a.finish(placement.Failed)
 		a.logEvent("failure")
 	default:
-		if result.resultClass == deliverable {
+		if class == deliverable {
 			result.body = body
 		}
 		if a.responseHeader.Status < http.StatusMultipleChoices {
@@ -169,6 +175,7 @@
 		a.finish(placement.Answered)
 		a.logUnframed()
 	}
+	return class
 }
 
 // deliver sends a buffered response to the client.
