gateway: a failure of an upstream is delivered to a client that has half closed

The failure that an upstream had answered to a booking became 502 if the client had closed its sending side. It is delivered as to any other client. TestHalfClosedClientGetsNoAnswer, 'unsafe, failed': 502 before, 500 now. A stream that has begun is still broken when its client half closes.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -194,7 +194,7 @@
 	switch {
 	case t.response.begun():
 		t.closeConnection(string(errkind.UpstreamFailed))
-	case t.failedResult != nil && t.execution.ctx.Err() == nil:
+	case t.failedResult != nil:
 		t.deliver(t.failedResult)
 	default:
 		t.giveUp()
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -52,7 +52,7 @@
 			break
 		}
 	}
-	if failedResult != nil && exec.ctx.Err() == nil {
+	if failedResult != nil {
 		exec.deliver(failedResult)
 		return
 	}
