--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -17,10 +17,6 @@
 )
 
 const (
-	// dialTimeout bounds the time to open a connection. It is many times the
-	// round-trip time between zones, and shorter than the time until a lost SYN
-	// is first retransmitted (1 s), so that another upstream is tried instead.
-	dialTimeout = 250 * time.Millisecond
 	// keepAliveIdle, keepAliveInterval and keepAliveCount configure TCP keep-alive,
 	// in whole seconds. With unackedTimeout the kernel drops a connection whose first
 	// probe is unanswered for keepAliveInterval. The host of a sound upstream may pause
@@ -78,17 +74,6 @@
 	return &Pool{dial: dialTCP, now: time.Now, seed: maphash.MakeSeed(), idle: map[string][]*connection{}, open: map[string]int{}}
 }
 
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-		},
-		Control: sockopt.LimitUnacked(unackedTimeout),
-	}
-	return d.DialContext(ctx, "tcp4", address)
-}
-
 // connection is a connection to an upstream. It carries one request at a time.
 type connection struct {
 	net.Conn
