daemon: settings are acknowledged once requests are routed by them

A withdrawn version could still be chosen until then.

The control loop acknowledges a revision after it has rebuilt the view with it.

TestSettingsAreAcknowledgedBeforeTheyRoute failed before and passes in 3 of 3 runs. go test ./daemon ./daemon/daemontest passes.

--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -251,10 +251,13 @@
 	}
 	c.snapshot.Store(s)
 	c.onApplied(old, s)
-	c.node.Applied(head.Revision)
 	c.logger.Info("configuration in force", zap.Int64("revision", head.Revision))
 }
 
+// acknowledge tells the other daemons that the settings are in force here. They are once
+// requests are routed by them.
+func (c *configuration) acknowledge(s *tree.Snapshot) { c.node.Applied(s.Revision()) }
+
 // refreshHalts updates the set of halt marks that Halted reads.
 func (c *configuration) refreshHalts() {
 	marks := c.node.Halts()
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -116,6 +116,7 @@
 	ratingUp := now.Sub(time.Unix(0, c.ratingFailedAt.Load())) > ratingBackoff
 	if c.pacer.due(now, c.tick, s, ratingUp, &c.tables.Upstreams) {
 		c.routing.rebuild(s, c.states(), ratingUp)
+		c.config.acknowledge(s)
 	}
 }
 
