internal/faultlink: a reset is passed on as a reset

Only the links of tests are affected.

The link now resets the other side too. TestLinkPassesResetsOn failed before (EOF) and passes 5 times in a row.

--- a/internal/faultlink/faultlink.go
+++ b/internal/faultlink/faultlink.go
@@ -1,8 +1,10 @@
 package faultlink
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -162,6 +164,12 @@
 				return
 			}
 		}
+		if errors.Is(err, syscall.ECONNRESET) {
+			// A receiver of an HTTP response without framing takes a close for its end.
+			_ = to.SetLinger(0)
+			_ = to.Close()
+			return
+		}
 		if err != nil {
 			_ = to.CloseWrite()
 			return
--- a/internal/faultlink/faultlink_test.go
+++ b/internal/faultlink/faultlink_test.go
@@ -1,8 +1,10 @@
 package faultlink
 
 import (
+	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -92,3 +94,28 @@
 		assert.Assert(t, exchange(c, time.Second) != nil)
 	})
 }
+
+// Guards against a link that shows a reset as an orderly close, which ends a response
+// without framing.
+func TestLinkPassesResetsOn(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	link, err := New(listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(link.Close)
+	c, err := net.Dial("tcp4", link.Address())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	server, err := listener.Accept()
+	assert.NilError(t, err)
+	_, err = server.Write([]byte("x"))
+	assert.NilError(t, err)
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Second)))
+	_, err = io.ReadFull(c, make([]byte, 1))
+	assert.NilError(t, err)
+	assert.NilError(t, server.(*net.TCPConn).SetLinger(0))
+	assert.NilError(t, server.Close())
+	_, err = c.Read(make([]byte, 1))
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+}
