--- a/soak/plan.go
+++ b/soak/plan.go
@@ -199,7 +199,7 @@
 	r := rand.New(rand.NewPCG(seed, 0))
 	switch {
 	case seed >= firstUnsentSeed:
-		return newUnsentPlan(r, s)
+		return newUnsentPlan(seed, r, s)
 	case seed >= firstFatalSeed:
 		return newFatalPlan(r, s)
 	case seed >= firstAnswerSeed:
@@ -303,15 +303,19 @@
 }
 
 // newUnsentPlan returns streams that break off right after whole events, while the
-// configuration changes again and again, upstreams leave and pause, and VMs stop as planned.
-func newUnsentPlan(r *rand.Rand, s Shape) []Step {
-	return newSeries(r, s, []series{
+// configuration changes again and again, upstreams leave and VMs stop as planned. Upstreams
+// pause in the plans of odd seeds.
+func newUnsentPlan(seed uint64, r *rand.Rand, s Shape) []Step {
+	all := []series{
 		{kinds: []StepKind{UpstreamPart}, interval: meanStepInterval, low: minStepDuration, high: minPause},
 		{kinds: []StepKind{Configure, VMReload}, interval: meanStepInterval / 2, low: minStepDuration, high: maxStepDuration},
 		{kinds: []StepKind{VMStop}, interval: 2 * meanStepInterval, low: minStepDuration, high: maxStepDuration},
-		{kinds: []StepKind{UpstreamPauseHead, UpstreamPauseBody}, interval: 2 * meanStepInterval, low: minPause, high: maxPause},
 		{kinds: []StepKind{UpstreamDrain, UpstreamLeave}, interval: 3 * meanStepInterval, low: leaveDuration, high: maxLong},
-	})
+	}
+	if seed%2 == 1 {
+		all = append(all, series{kinds: []StepKind{UpstreamPauseHead, UpstreamPauseBody}, interval: 2 * meanStepInterval, low: minPause, high: maxPause})
+	}
+	return newSeries(r, s, all)
 }
 
 // series describes steps that follow each other at random intervals.
