proxy: a response counts as answered once it was sent, and the log names one that was not

Callers whose connection broke, or that a stop cut, were counted as answered: net/http kept up to 4 KiB of a whole response in a buffer until the handler had returned, and nobody saw that write fail. No line said what had been sent.

The response is now sent by the outermost function of the handler, after the limits of the request are released as before, and counts once that has succeeded. Otherwise the connection is closed with a line that has what was accepted and what was sent, and with the counter proxy.unfinished.

--- a/proxy/chat.go
+++ b/proxy/chat.go
@@ -58,10 +58,10 @@
 
 // readBody reads the request body within the limit on its size and that of
 // limitBodyTime.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+func readBody(w *callerResponse, r *http.Request, limit int64) ([]byte, error) {
 	control := http.NewResponseController(w)
 	stopped := context.AfterFunc(r.Context(), func() { _ = control.SetReadDeadline(time.Now()) })
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	data, err := io.ReadAll(http.MaxBytesReader(w.ResponseWriter, r.Body, limit))
 	if stopped() && err == nil {
 		_ = control.SetReadDeadline(time.Time{})
 	}
--- a/proxy/errors.go
+++ b/proxy/errors.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -58,15 +57,17 @@
 }
 
 // writeError sends the status and the body that belong to the kind of err.
-func writeError(w http.ResponseWriter, err error, requestID string) {
-	body := errorBody(err, requestID)
+func writeError(w *callerResponse, r *request, err error) {
+	body := errorBody(err, r.id)
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	if body.Error.Retry {
 		header.Set("Retry-After", strconv.FormatInt(max(1, body.Error.RetryAfterMs/1000), 10))
 	}
-	w.WriteHeader(errkind.AnswerFor(body.Error.Code).Status)
-	// The status line is already sent; a write error means that the caller has
-	// disconnected.
-	_ = json.NewEncoder(w).Encode(body)
+	data, marshalErr := json.Marshal(body)
+	if marshalErr != nil {
+		return // the members of ErrorBody can be encoded
+	}
+	// A response that was not sent to its end is logged by finish.
+	_ = w.writeWhole(r.Context(), r.Method, errkind.AnswerFor(body.Error.Code).Status, append(data, '\n'))
 }
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -29,7 +29,7 @@
 }
 
 // chatCompletions handles POST /v1/chat/completions.
-func (s *Server) chatCompletions(w http.ResponseWriter, r *request) error {
+func (s *Server) chatCompletions(w *callerResponse, r *request) error {
 	m, err := s.prepareModelRequest(w, r)
 	if err != nil {
 		return err
@@ -77,7 +77,7 @@
 
 // prepareModelRequest validates a model request against the settings snapshot
 // and selects its versions.
-func (s *Server) prepareModelRequest(w http.ResponseWriter, r *request) (*modelRequest, error) {
+func (s *Server) prepareModelRequest(w *callerResponse, r *request) (*modelRequest, error) {
 	data, err := readBody(w, r.Request, s.options.Bounds.BodyBytes)
 	if err != nil {
 		return nil, err
--- a/proxy/models.go
+++ b/proxy/models.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+
+	"github.com/savoryshift/savoryshift/errkind"
 )
 
 type modelList struct {
@@ -20,7 +22,7 @@
 
 // listModels handles GET /v1/models. It lists the model services of the
 // organisation and the models that they allow.
-func (s *Server) listModels(w http.ResponseWriter, r *request) error {
+func (s *Server) listModels(w *callerResponse, r *request) error {
 	var names []string
 	for _, service := range r.snapshot.ModelServices(r.organisation) {
 		names = append(names, service)
@@ -38,8 +40,10 @@
 		list.Data = append(list.Data, modelItem{ID: name, Object: "model", OwnedBy: "savoryshift"})
 	}
 	w.Header().Set("Content-Type", "application/json")
-	// A write error means that the caller has disconnected.
-	_ = json.NewEncoder(w).Encode(list)
-	s.counters.answered.Add(1)
+	data, err := json.Marshal(list)
+	if err != nil {
+		return errkind.Wrap(errkind.Internal, err)
+	}
+	w.answers = w.writeWhole(r.Context(), r.Method, http.StatusOK, append(data, '\n')) == nil
 	return nil
 }
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -36,6 +36,7 @@
 	retriesRefused expvar.Int
 	callersLeft    expvar.Int
 	repeated       expvar.Int
+	unfinished     expvar.Int
 	ratingErrors   expvar.Int
 	cancelsFailed  expvar.Int
 	secondCalls    expvar.Int
@@ -83,6 +84,7 @@
 	m.Set("ratings_dropped", &s.counters.ratingsDropped)
 	m.Set("callers_left", &s.counters.callersLeft)
 	m.Set("repeated", &s.counters.repeated)
+	m.Set("unfinished", &s.counters.unfinished)
 	m.Set("plans", &s.counters.plans)
 	m.Set("errors", &s.counters.errors)
 	m.Set("in_flight", expvar.Func(func() any { return s.inFlight.Load() }))
@@ -100,16 +102,17 @@
 
 // handler handles one authenticated request. A returned error is sent as the
 // response; a handler that has started its response returns nil.
-type handler func(w http.ResponseWriter, r *request) error
+type handler func(w *callerResponse, r *request) error
 
 // admit counts and authenticates a request and enforces the limit on concurrent
 // requests before it calls h.
 func (s *Server) admit(h handler) http.HandlerFunc {
-	return func(w http.ResponseWriter, hr *http.Request) {
+	return func(hw http.ResponseWriter, hr *http.Request) {
 		s.counters.requests.Add(1)
+		w, r := &callerResponse{ResponseWriter: hw}, &request{Request: hr, id: newRequestID(), arrival: time.Now()}
+		defer s.finish(w, r)
 		inFlight := s.inFlight.Add(1)
 		defer s.inFlight.Add(-1)
-		r := &request{Request: hr, id: newRequestID(), arrival: time.Now()}
 		s.stop.add(r.id)
 		defer s.stop.remove(r.id)
 		w.Header().Set(HeaderRequestID, r.id)
@@ -120,7 +123,7 @@
 		}
 		if err = s.stopError(hr.Context(), r.id, err); err != nil {
 			s.counters.errors.Add(string(errkind.Of(err)), 1)
-			writeError(w, err, r.id)
+			writeError(w, r, err)
 			return
 		}
 	}
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/savoryshift/savoryshift/errkind"
-	"github.com/savoryshift/savoryshift/internal/cutoff"
 	"github.com/savoryshift/savoryshift/tree"
 	"github.com/savoryshift/savoryshift/upstream"
 )
@@ -29,7 +28,7 @@
 }
 
 // plainService handles a request under the path prefix of a plain service.
-func (s *Server) plainService(w http.ResponseWriter, r *request) error {
+func (s *Server) plainService(w *callerResponse, r *request) error {
 	q, err := s.prepareServiceRequest(w, r)
 	if err != nil {
 		return err
@@ -51,13 +50,13 @@
 	if err != nil {
 		return err
 	}
-	s.writeResult(ctx, w, result, false)
+	s.writeResult(ctx, w, q.Method, result, false)
 	return nil
 }
 
 // prepareServiceRequest validates a request to a plain service and credits the
 // retry budget of its organisation.
-func (s *Server) prepareServiceRequest(w http.ResponseWriter, r *request) (*serviceRequest, error) {
+func (s *Server) prepareServiceRequest(w *callerResponse, r *request) (*serviceRequest, error) {
 	service, ok := r.snapshot.ServiceForPath(r.URL.Path)
 	if !ok {
 		return nil, errkind.New(errkind.NotFound, "no service has the path %q", r.URL.Path)
@@ -119,7 +118,7 @@
 // callAtMostOnce runs a non-idempotent call at most once per idempotency key.
 // Only the attempt that wins the claim sends the call; a repeat receives the
 // stored outcome.
-func (s *Server) callAtMostOnce(ctx context.Context, w http.ResponseWriter, q *serviceRequest) error {
+func (s *Server) callAtMostOnce(ctx context.Context, w *callerResponse, q *serviceRequest) error {
 	key, err := idempotencyKey(q.Request)
 	if err != nil {
 		return err
@@ -139,7 +138,7 @@
 	usage := Usage{Organisation: q.organisation, RequestKey: idempotentLedgerKey(q.service, key, q.body), Service: q.service}
 	if stored != nil {
 		usage.Time = stored.At
-		return s.replayOutcome(ctx, w, stored, reservation, usage)
+		return s.replayOutcome(ctx, w, q.Method, stored, reservation, usage)
 	}
 	result, at, err := s.dispatchClaimed(ctx, q, claim)
 	if err != nil {
@@ -149,7 +148,7 @@
 	if err := bill(ctx, reservation, usage); err != nil {
 		return errkind.WithRan(err, errkind.RanYes)
 	}
-	s.writeResult(ctx, w, result, false)
+	s.writeResult(ctx, w, q.Method, result, false)
 	return nil
 }
 
@@ -284,7 +283,7 @@
 // replayOutcome responds with the stored outcome of an earlier call. It records
 // the usage again, because the daemon that ran the call may have stopped before
 // it did; the ledger counts a key once.
-func (s *Server) replayOutcome(ctx context.Context, w http.ResponseWriter, o *StoredOutcome, reservation Reservation, usage Usage) error {
+func (s *Server) replayOutcome(ctx context.Context, w *callerResponse, method string, o *StoredOutcome, reservation Reservation, usage Usage) error {
 	s.counters.repeated.Add(1)
 	if err := bill(ctx, reservation, usage); err != nil {
 		return errkind.WithRan(err, errkind.RanYes)
@@ -292,28 +291,18 @@
 	if o.Truncated {
 		return errkind.WithRan(errkind.Wrap(errkind.OutcomeUnknown, errOutcomeTooLarge), errkind.RanYes)
 	}
-	s.writeResult(ctx, w, upstream.ServiceResult{Status: o.Status, Header: o.Header, Body: o.Body}, true)
+	s.writeResult(ctx, w, method, upstream.ServiceResult{Status: o.Status, Header: o.Header, Body: o.Body}, true)
 	return nil
 }
 
 // writeResult sends the response of a service. One that may have ended early is sent
 // without a length or chunks too: the caller is told no more than is known.
-func (s *Server) writeResult(ctx context.Context, w http.ResponseWriter, r upstream.ServiceResult, repeated bool) {
+func (s *Server) writeResult(ctx context.Context, w *callerResponse, method string, r upstream.ServiceResult, repeated bool) {
 	header := w.Header()
 	id := header.Get(HeaderRequestID)
 	maps.Copy(header, r.Header)
 	header.Set(HeaderRequestID, id)
 	header.Set(HeaderRepeated, strconv.FormatBool(repeated))
-	unframed := cutoff.Marked(header)
-	if unframed {
-		cutoff.Begin(ctx, header)
-	}
-	w.WriteHeader(r.Status)
-	_, err := w.Write(r.Body)
-	if err == nil && unframed {
-		err = cutoff.End(ctx, w)
-	}
-	if err == nil {
-		s.counters.answered.Add(1)
-	}
+	// A response that is not sent to its end is logged by finish.
+	w.answers = w.writeWhole(ctx, method, r.Status, r.Body) == nil
 }
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -16,13 +16,13 @@
 
 // eventWriter writes server-sent events to a caller.
 type eventWriter struct {
-	w       http.ResponseWriter
+	w       *callerResponse
 	control *http.ResponseController
 	buf     bytes.Buffer
 	started bool
 }
 
-func newEventWriter(w http.ResponseWriter, deadline time.Time) *eventWriter {
+func newEventWriter(w *callerResponse, deadline time.Time) *eventWriter {
 	e := &eventWriter{w: w, control: http.NewResponseController(w)}
 	// If the server does not support write deadlines, its own timeout applies.
 	_ = e.control.SetWriteDeadline(deadline.Add(writeGrace))
@@ -57,7 +57,7 @@
 // response is held back until the usage is recorded in the ledger, so that a
 // caller that received the complete response is billed, and any other caller
 // can detect that its response is incomplete.
-func (s *Server) respond(ctx context.Context, w http.ResponseWriter, req *modelRequest, plan Plan) (reply, error) {
+func (s *Server) respond(ctx context.Context, w *callerResponse, req *modelRequest, plan Plan) (reply, error) {
 	x := &execution{server: s, req: req, events: newEventWriter(w, req.route.Deadline)}
 	resp, err := x.run(ctx, plan)
 	if err != nil {
@@ -73,18 +73,18 @@
 	}
 	switch {
 	case x.streaming:
-		err = x.events.writeEvent(doneEvent)
+		err = w.end(x.events.writeEvent(doneEvent))
 	case req.chat.stream:
 		err = s.writeAsEvents(x.events, req, resp)
 	default:
 		w.Header().Set("Content-Type", "application/json")
-		_, err = w.Write(resp.result.Body)
+		err = w.writeWhole(ctx, req.request.Method, http.StatusOK, resp.result.Body)
 	}
 	if err != nil {
 		s.counters.callersLeft.Add(1)
 		return resp, nil
 	}
-	s.counters.answered.Add(1)
+	w.answers = true
 	s.sampleRating(req, resp)
 	return resp, nil
 }
@@ -115,8 +115,8 @@
 	err = errkind.WithRan(err, errkind.RanYes)
 	data, marshalErr := json.Marshal(errorBody(err, x.req.route.RequestID))
 	if marshalErr == nil {
-		// A write error means that the caller has disconnected.
-		_ = x.events.writeEvent(data)
+		// A response that was not sent to its end is logged by finish.
+		_ = x.events.w.end(x.events.writeEvent(data))
 	}
 	return nil
 }
@@ -133,7 +133,7 @@
 			return err
 		}
 	}
-	return events.writeEvent(doneEvent)
+	return events.w.end(events.writeEvent(doneEvent))
 }
 
 // completion holds the members of a complete response that chunks are made
--- /dev/null
+++ b/proxy/unsent_test.go
@@ -0,0 +1,115 @@
+package proxy_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/savoryshift/savoryshift/proxy"
+)
+
+// kindsOfRequest are requests of each kind, as sent on a socket.
+var kindsOfRequest = map[string]string{
+	"booking": rawRequest("POST", "/desk/bookings", `{"beacon":"b1"}`),
+	"read":    rawRequest("GET", "/desk/bookings/b1", ""),
+	"models":  rawRequest("GET", "/v1/models", ""),
+	"whole":   rawRequest("POST", "/v1/chat/completions", `{"model":"brief","max_tokens":8,"messages":[{"role":"user","content":"hello"}]}`),
+	"stream":  rawRequest("POST", "/v1/chat/completions", `{"model":"brief","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"hello"}]}`),
+}
+
+func rawRequest(method, path, body string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nIdempotency-Key: k\r\nContent-Length: %d\r\n\r\n%s", method, path, callerKey, len(body), body)
+}
+
+// exchange sends a request to a server on a connection of its own, and closes the sending
+// side of it if halfClose is set. It returns what arrives.
+func (w *fixture) exchange(s *proxy.Server, request string, halfClose bool, wrap ...func(net.Conn) net.Conn) (reply, error) {
+	server := &http.Server{Handler: s, ErrorLog: log.New(io.Discard, "", 0)}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(w.t, err)
+	go func() { _ = server.Serve(wrappingListener{listener, wrap}) }()
+	w.t.Cleanup(func() { _ = server.Close() })
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	assert.NilError(w.t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, request)
+	assert.NilError(w.t, err)
+	if halfClose {
+		assert.NilError(w.t, conn.(*net.TCPConn).CloseWrite())
+	}
+	assert.NilError(w.t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return reply{}, err
+	}
+	defer resp.Body.Close()
+	return w.read(resp), nil
+}
+
+// wrappingListener wraps the connections that it accepts.
+type wrappingListener struct {
+	net.Listener
+	wrap []func(net.Conn) net.Conn
+}
+
+func (l wrappingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	for _, wrap := range l.wrap {
+		if err == nil {
+			conn = wrap(conn)
+		}
+	}
+	return conn, err
+}
+
+// failingConn is a connection whose first writes succeed.
+type failingConn struct {
+	net.Conn
+	writes int
+}
+
+func (c *failingConn) Write(data []byte) (int, error) {
+	if c.writes--; c.writes < 0 {
+		_ = c.Conn.Close()
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(data)
+}
+
+// Guards against a response that counts as answered although it was not sent, and of which
+// the log says nothing.
+func TestUnsentResponseCountsAsAnswered(t *testing.T) {
+	for name, request := range kindsOfRequest {
+		t.Run(name, func(t *testing.T) {
+			w := newFixture(t)
+			core, lines := observer.New(zap.InfoLevel)
+			o := w.options(w.router())
+			o.Log = zap.New(core)
+			s := proxy.New(o)
+			_, err := w.exchange(s, request, false, func(c net.Conn) net.Conn { return &failingConn{Conn: c} })
+			assert.Assert(t, err != nil)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if s.Vars().Get("unfinished").String() == "0" {
+					return poll.Continue("no connection was closed")
+				}
+				return poll.Success()
+			})
+			assert.Equal(t, s.Vars().Get("answered").String(), "0")
+			assert.Equal(t, s.Vars().Get("unfinished").String(), "1")
+			logged := lines.FilterMessage("connection closed without a whole response").All()
+			assert.Equal(t, len(logged), 1)
+			assert.Equal(t, logged[0].ContextMap()["bytes_sent"], int64(0))
+			assert.Assert(t, logged[0].ContextMap()["bytes"].(int64) > 0)
+		})
+	}
+}
