proxy: a request whose handler panics is answered

Callers saw a closed connection and no answer, also where nothing had been written: net/http closes the connection of a handler that panics. The caller gets 500 now, without header fields of an upstream, and "ran: unknown", which promises nothing. A response that has begun is closed, so that it looks broken, with a line of the log.

A panic on a goroutine of a call still ends the process.

--- a/proxy/response.go
+++ b/proxy/response.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"strconv"
 
 	"go.uber.org/zap"
 
+	"github.com/savoryshift/savoryshift/errkind"
 	"github.com/savoryshift/savoryshift/internal/cutoff"
 )
 
@@ -96,11 +98,21 @@
 	return method != http.MethodHead && status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// finish sends the response. It logs and counts a response that was not sent to its end. Its connection is closed. The limits of
+// finish sends the response. It answers a request whose handler has panicked, and logs and
+// counts a response that was not sent to its end. Its connection is closed. The limits of
 // the request are released before, so that the caller's next request finds them free.
 func (s *Server) finish(w *callerResponse, r *request) {
 	cause := recover()
-	if cause == nil && w.send(r.Context()) {
+	if cause != nil && cause != http.ErrAbortHandler {
+		s.options.Log.Error("handler panicked", zap.String("request", r.id), zap.Any("cause", cause), zap.Stack("stack"))
+		s.counters.errors.Add(string(errkind.Internal), 1)
+		if !w.accepted.header {
+			// The header may hold fields of an upstream's response.
+			maps.DeleteFunc(w.Header(), func(name string, _ []string) bool { return name != "Connection" && name != HeaderRequestID })
+			writeError(w, r, errkind.New(errkind.Internal, "the request failed by a fault of this daemon"))
+		}
+	}
+	if w.send(r.Context()) {
 		if w.answers {
 			s.counters.answered.Add(1)
 		}
@@ -110,8 +122,5 @@
 	s.options.Log.Info("connection closed without a whole response", zap.String("request", r.id), zap.Bool("panicked", cause != nil),
 		zap.Bool("header", w.accepted.header), zap.Bool("header_sent", w.sent.header),
 		zap.Int64("bytes", w.accepted.bytes), zap.Int64("bytes_sent", w.sent.bytes), zap.NamedError("client_read", cutoff.ReadError(r.Context())))
-	if cause == nil {
-		cause = http.ErrAbortHandler
-	}
-	panic(cause)
+	panic(http.ErrAbortHandler)
 }
--- a/proxy/unsent_test.go
+++ b/proxy/unsent_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,6 +18,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/savoryshift/savoryshift/errkind"
 	"github.com/savoryshift/savoryshift/proxy"
 )
 
@@ -53,7 +57,13 @@
 		return reply{}, err
 	}
 	defer resp.Body.Close()
-	return w.read(resp), nil
+	data, err := io.ReadAll(resp.Body)
+	r := reply{status: resp.StatusCode, header: resp.Header, body: string(data)}
+	var e proxy.ErrorBody
+	if resp.StatusCode >= 400 && json.Unmarshal(data, &e) == nil {
+		r.err = e.Error
+	}
+	return r, err
 }
 
 // wrappingListener wraps the connections that it accepts.
@@ -113,3 +123,66 @@
 		})
 	}
 }
+
+// panicking is a dependency of the server whose methods panic.
+type panicking struct{ proxy.Biller }
+
+func (panicking) Reserve() (proxy.Reservation, error) { panic("reserve") }
+
+// Guards against a request that ends with a panic and gets no answer.
+func TestPanicLeavesNoAnswer(t *testing.T) {
+	for name, request := range kindsOfRequest {
+		t.Run(name, func(t *testing.T) {
+			w := newFixture(t)
+			o := w.options(w.router())
+			o.Biller = panicking{}
+			if name == "read" || name == "models" {
+				o.Snapshot = nil
+			}
+			r, err := w.exchange(proxy.New(o), request, false)
+			assert.NilError(t, err)
+			wantKind(t, r, errkind.Internal)
+			assert.Equal(t, r.err.Ran, errkind.RanUnknown)
+			assert.Equal(t, w.executions("k"), 0)
+		})
+	}
+}
+
+// panickingReservation panics when usage is recorded.
+type panickingReservation struct{ proxy.Reservation }
+
+func (panickingReservation) Add(context.Context, proxy.Usage) error { panic("add") }
+
+type panickingAtTheEnd struct{ proxy.Biller }
+
+func (b panickingAtTheEnd) Reserve() (proxy.Reservation, error) {
+	r, err := b.Biller.Reserve()
+	return panickingReservation{r}, err
+}
+
+// Guards against a panic at the end of a request that leaves no answer, promises that
+// nothing ran, or ends a stream as if it were whole.
+func TestPanicAfterTheUpstreamHasAnswered(t *testing.T) {
+	for _, name := range []string{"booking", "whole", "stream"} {
+		t.Run(name, func(t *testing.T) {
+			w := newFixture(t)
+			core, lines := observer.New(zap.InfoLevel)
+			o := w.options(w.router())
+			o.Biller, o.Log = panickingAtTheEnd{o.Biller}, zap.New(core)
+			s := proxy.New(o)
+			if name == "stream" {
+				r, err := w.exchange(s, kindsOfRequest[name], false)
+				assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+				assert.Assert(t, strings.Contains(r.body, "data: ") && !strings.Contains(r.body, "[DONE]"), r.body)
+				assert.Equal(t, lines.FilterMessage("connection closed without a whole response").Len(), 1)
+			} else {
+				r, err := w.exchange(s, kindsOfRequest[name], false)
+				assert.NilError(t, err)
+				wantKind(t, r, errkind.Internal)
+				assert.Equal(t, r.err.Ran, errkind.RanUnknown)
+			}
+			assert.Equal(t, lines.FilterMessage("handler panicked").Len(), 1)
+			assert.Equal(t, s.Vars().Get("answered").String(), "0")
+		})
+	}
+}
