proxy: a response that can't be sent as a stream is refused before it is billed

Callers of a stream whose response is rated first were billed and got nothing if the response of the upstream couldn't be made into events, for instance because its "id" is a number: the error was taken for a caller that had left. The events are made before the response is billed now, and the caller gets 502 with "ran: yes". TestResponseThatIsNoStream failed before (connection closed, billed 1) and passes (502, billed 0); so does go test ./proxy.

--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -68,6 +68,12 @@
 			return resp, errkind.WithRan(err, errkind.RanYes)
 		}
 	}
+	var chunks [][]byte
+	if !x.streaming && req.chat.stream {
+		if chunks, err = toChunks(resp.result.Body, req.chat.includeUsage); err != nil {
+			return resp, errkind.WithRan(err, errkind.RanYes)
+		}
+	}
 	if err := bill(ctx, req.reservation, req.usage(resp)); err != nil {
 		return resp, x.reportError(errkind.WithRan(err, errkind.RanYes))
 	}
@@ -75,7 +81,7 @@
 	case x.streaming:
 		err = w.end(x.events.writeEvent(doneEvent))
 	case req.chat.stream:
-		err = s.writeAsEvents(x.events, req, resp)
+		err = x.events.writeAll(chunks)
 	default:
 		w.Header().Set("Content-Type", "application/json")
 		err = w.writeWhole(ctx, req.request.Method, http.StatusOK, resp.result.Body)
@@ -121,19 +127,14 @@
 	return nil
 }
 
-// writeAsEvents delivers a complete response as a stream with one content
-// chunk.
-func (s *Server) writeAsEvents(events *eventWriter, m *modelRequest, resp reply) error {
-	chunks, err := toChunks(resp.result.Body, m.chat.includeUsage)
-	if err != nil {
-		return err
-	}
+// writeAll delivers a complete response as a stream of the chunks.
+func (e *eventWriter) writeAll(chunks [][]byte) error {
 	for _, chunk := range chunks {
-		if err := events.writeEvent(chunk); err != nil {
+		if err := e.writeEvent(chunk); err != nil {
 			return err
 		}
 	}
-	return events.w.end(events.writeEvent(doneEvent))
+	return e.w.end(e.writeEvent(doneEvent))
 }
 
 // completion holds the members of a complete response that chunks are made
--- a/proxy/unsent_test.go
+++ b/proxy/unsent_test.go
@@ -9,6 +9,8 @@
 	"log"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -186,3 +188,36 @@
 		})
 	}
 }
+
+// oddEngine answers with a completion whose identifier is a number.
+type oddEngine struct{ next http.Handler }
+
+func (e oddEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	recorded := httptest.NewRecorder()
+	e.next.ServeHTTP(recorded, r)
+	var fields map[string]any
+	if json.Unmarshal(recorded.Body.Bytes(), &fields) == nil && fields["choices"] != nil {
+		fields["id"] = 7
+	}
+	data, _ := json.Marshal(fields)
+	for name, values := range recorded.Header() {
+		w.Header()[name] = values
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	w.WriteHeader(recorded.Code)
+	_, _ = w.Write(data)
+}
+
+// Guards against a stream that is billed and has neither events nor an error, because the
+// response of its upstream can't be sent as events.
+func TestResponseThatIsNoStream(t *testing.T) {
+	w := newFixture(t)
+	engine := w.net.Serve(t, "10.0.0.9:80", oddEngine{w.engines["e1"]})
+	rated := step("e1", "s1")
+	rated.URL, rated.Rated = engine, true
+	r, err := w.exchange(proxy.New(w.options(w.router(rated))), kindsOfRequest["stream"], false)
+	t.Logf("%d %q %v, billed %d", r.status, r.body, err, len(w.biller.Usage()))
+	assert.NilError(t, err)
+	wantKind(t, r, errkind.UpstreamInvalidAnswer)
+	assert.Equal(t, len(w.biller.Usage()), 0)
+}
