daemon: a planned stop leaves idle connections open while callers send requests

Callers with kept connections saw them close under a request right after the readiness delay, without an answer: waitClosed closed idle connections from its first look on, and a request that is on its way crosses the close. The caller of a booking can't know whether it ran.

Idle connections now stay open while a request runs and until none has run for 1 s, for at most 10 s without one. Their next request is served or refused, and asks for the close. A request that crosses the close after a quiet second still has no answer. By these bounds, not measured, a stop takes 1 s longer beside idle connections, and up to 10 s while callers go on to send requests on them; it never exceeds the drain timeout.

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -17,13 +17,18 @@
 // answered: the billing of a stream takes up to a second.
 const answerTimeout = 2 * time.Second
 
-// drainPollInterval is the interval at which a stopping daemon closes the connections
-// that have become idle.
-const drainPollInterval = 10 * time.Millisecond
+const (
+	// drainPollInterval is the interval at which a stopping daemon looks at the connections.
+	drainPollInterval = 10 * time.Millisecond
+	// quietTime is how long no request has run when a stopping daemon closes the idle
+	// connections, and maxIdleTime how long it keeps them at most while none runs.
+	quietTime   = time.Second
+	maxIdleTime = 10 * time.Second
+)
 
 // callerHandler serves callers. While the daemon leaves the load balancer, it asks
-// callers to close their connections: one that is idle at the end of the readiness
-// delay is closed without an answer to a request that is on its way.
+// callers to close their connections: one that is idle at the end of the stop is closed
+// without an answer to a request that is on its way.
 func (d *Daemon) callerHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.draining.Load() {
@@ -93,21 +98,33 @@
 		zap.Duration("deadline", longest), zap.Duration("stop", stop))
 }
 
-// waitClosed closes the connections of callers as they become idle. It reports whether
-// by the given time all were closed, or no request has run for the time in which the
-// header of a request must arrive. http.Server.Shutdown is not used, because from its
-// start the server drops every request that it has read, without an answer.
+// waitClosed closes the idle connections of callers once none is in use: a request that
+// crosses the close of its connection has no answer, while one that is read is served or
+// refused, and asks its caller to close the connection. It reports whether by the given
+// time all were closed, or no request has run for the time in which the header of a request
+// must arrive. http.Server.Shutdown is not used, because from its start the server drops
+// every request that it has read, without an answer.
 func (d *Daemon) waitClosed(until time.Time) bool {
 	tick := time.NewTicker(drainPollInterval)
 	defer tick.Stop()
-	lastRun := time.Now()
-	for now := lastRun; now.Before(until); now = <-tick.C {
-		d.callerConns.CloseIdle()
+	start := time.Now()
+	lastRun, lastUse, open := start, start, 0
+	headerTime := d.opts.Settings.Bounds.HeaderReadTimeoutMs.Duration()
+	quiet := min(quietTime, headerTime/2)
+	for now := start; now.Before(until); now = <-tick.C {
 		connections, active := d.callerConns.Open()
 		if active > 0 {
 			lastRun = now
 		}
-		if connections == 0 || now.Sub(lastRun) > d.opts.Settings.Bounds.HeaderReadTimeoutMs.Duration() {
+		// A request that began and ended since the last look has closed its connection.
+		if active > 0 || connections < open {
+			lastUse = now
+		}
+		open = connections
+		if now.Sub(lastUse) >= quiet || active == 0 && now.Sub(start) >= maxIdleTime {
+			d.callerConns.CloseIdle()
+		}
+		if connections == 0 || now.Sub(lastRun) > headerTime {
 			return true
 		}
 	}
--- a/daemon/callers_test.go
+++ b/daemon/callers_test.go
@@ -5,11 +5,13 @@
 	"context"
 	"crypto/tls"
 	"encoding/base64"
+	"errors"
 	"expvar"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -19,6 +21,7 @@
 	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
+	"github.com/savoryshift/savoryshift/internal/faultlink"
 	"github.com/savoryshift/savoryshift/settings"
 	"github.com/savoryshift/savoryshift/tree"
 )
@@ -84,6 +87,55 @@
 	assert.Assert(t, answered > 0)
 }
 
+// Guards against a request that crosses the close of its kept connection in a planned stop,
+// so that its caller does not know whether it ran.
+func TestRequestCrossesTheCloseOfItsKeptConnection(t *testing.T) {
+	const connections, delay, readiness = 120, 10 * time.Millisecond, 100 * time.Millisecond
+	s := loopbackSettings()
+	s.Periods.ReadinessDelayMs = settings.Milliseconds(readiness.Milliseconds())
+	d, stop, done := startDaemon(t, s)
+	link, err := faultlink.New(d.opts.Callers.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(link.Close)
+	link.SetFault(faultlink.Fault{Delay: delay})
+	conns := make([]*keptConn, connections)
+	for i := range conns {
+		conn, err := net.Dial("tcp4", link.Address())
+		assert.NilError(t, err)
+		conns[i] = &keptConn{conn, bufio.NewReader(conn)}
+		assert.Assert(t, conns[i].get(0))
+	}
+	stop()
+	ends := time.Now().Add(readiness)
+	var sent, answered atomic.Int32
+	var group sync.WaitGroup
+	for i, c := range conns {
+		group.Go(func() {
+			defer c.conn.Close()
+			time.Sleep(time.Until(ends) + time.Duration(i-connections/2)*time.Millisecond)
+			if c.closed() {
+				return
+			}
+			sent.Add(1)
+			if c.get(0) {
+				answered.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	assert.NilError(t, <-done)
+	t.Logf("%d connections, %d requests sent, %d answered", connections, sent.Load(), answered.Load())
+	assert.Equal(t, answered.Load(), sent.Load())
+	assert.Assert(t, sent.Load() > 0)
+}
+
+// closed reports whether the caller has seen the close of the connection.
+func (c *keptConn) closed() bool {
+	_ = c.conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, err := c.reader.Peek(1)
+	return !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // Guards against a stopping daemon that closes a connection from which a part of a
 // request was read, and against one that waits for idle connections.
 func TestHalfReadRequestAtTheEndOfTheReadinessDelay(t *testing.T) {
