--- a/proxy/unsent_test.go
+++ b/proxy/unsent_test.go
@@ -221,3 +221,16 @@
 	wantKind(t, r, errkind.UpstreamInvalidAnswer)
 	assert.Equal(t, len(w.biller.Usage()), 0)
 }
+
+// Guards against a caller that closes only its sending side and gets no answer.
+func TestHalfClosedCallerGetsNoAnswer(t *testing.T) {
+	for name, request := range kindsOfRequest {
+		t.Run(name, func(t *testing.T) {
+			w := newFixture(t)
+			r, err := w.exchange(proxy.New(w.options(w.router())), request, true)
+			assert.NilError(t, err)
+			assert.Assert(t, r.status != 0 && (name != "booking" || r.err.Ran != errkind.RanNo || w.executions("k") == 0), r.body)
+			t.Logf("%d %s, ran: %s", r.status, r.err.Code, r.err.Ran)
+		})
+	}
+}
