proxy: a panic of a call ends its request and not the process

A panic on the goroutine of a call ended the process, so that all its callers saw their connections close without an answer. It is the error of that call now, with a line of the log; the caller gets 500, "ran: unknown", or the error event of a stream that has begun. TestPanicInACall ended the test binary before (panic: started); 6 of 6 pass now, as do go test ./proxy ./daemon.

--- a/proxy/dispatch.go
+++ b/proxy/dispatch.go
@@ -7,14 +7,16 @@
 	"time"
 
 	"github.com/google/uuid"
+	"go.uber.org/zap"
 
 	"github.com/savoryshift/savoryshift/errkind"
 	"github.com/savoryshift/savoryshift/upstream"
 )
 
 // callUnary gets a complete, non-streamed response from the target.
-func (s *Server) callUnary(ctx context.Context, m *modelRequest, target Target, priority int) (reply, error) {
-	resp := reply{target: target}
+func (s *Server) callUnary(ctx context.Context, m *modelRequest, target Target, priority int) (resp reply, err error) {
+	defer s.recoverCall(m, &err)
+	resp.target = target
 	call, err := s.newCall(m, target, priority, false)
 	if err != nil {
 		return resp, err
@@ -27,6 +29,15 @@
 	return resp, err
 }
 
+// recoverCall makes a panic of a call its error. Calls have goroutines of their own, whose
+// panics would end the process.
+func (s *Server) recoverCall(m *modelRequest, err *error) {
+	if cause := recover(); cause != nil {
+		s.options.Log.Error("call panicked", zap.String("request", m.route.RequestID), zap.Any("cause", cause), zap.Stack("stack"))
+		*err = errkind.New(errkind.Internal, "a call failed by a fault of this daemon")
+	}
+}
+
 // cancelTimeout bounds the request that cancels a call on its engine.
 const cancelTimeout = time.Second
 
--- a/proxy/live.go
+++ b/proxy/live.go
@@ -20,8 +20,10 @@
 }
 
 // streamCall makes one call of a race, starting after part number from.
-func (r *streamRace) streamCall(ctx context.Context, c *racingCall, from int) (reply, error) {
-	x, resp := r.x, reply{target: c.target}
+func (r *streamRace) streamCall(ctx context.Context, c *racingCall, from int) (resp reply, err error) {
+	x := r.x
+	defer x.server.recoverCall(x.req, &err)
+	resp.target = c.target
 	call, err := x.server.newCall(x.req, c.target, r.priority, true)
 	if err != nil {
 		return resp, err
--- a/proxy/unsent_test.go
+++ b/proxy/unsent_test.go
@@ -234,3 +234,26 @@
 		})
 	}
 }
+
+// panickingRouter panics when a call begins.
+type panickingRouter struct{ proxy.Router }
+
+func (panickingRouter) Started(proxy.RouteRequest, proxy.Target) { panic("started") }
+
+// Guards against a panic on the goroutine of a call that ends the process and so cuts the
+// requests of all callers.
+func TestPanicInACall(t *testing.T) {
+	patient := step("e1", "s1")
+	patient.Patience = time.Second
+	for name, steps := range map[string][]proxy.Step{"one call": {step("e1", "s1")}, "patience": {patient}, "two calls": {step("e1", "s1"), step("e2", "s1")}} {
+		for _, kind := range []string{"whole", "stream"} {
+			t.Run(name+"/"+kind, func(t *testing.T) {
+				w := newFixture(t)
+				r, err := w.exchange(proxy.New(w.options(panickingRouter{w.router(steps...)})), kindsOfRequest[kind], false)
+				assert.NilError(t, err)
+				wantKind(t, r, errkind.Internal)
+				assert.Equal(t, r.err.Ran, errkind.RanUnknown)
+			})
+		}
+	}
+}
