--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -16,13 +16,13 @@
 
 // eventWriter writes server-sent events to a caller.
 type eventWriter struct {
-	w       http.ResponseWriter
+	w       *callerResponse
 	control *http.ResponseController
 	buf     bytes.Buffer
 	started bool
 }
 
-func newEventWriter(w http.ResponseWriter, deadline time.Time) *eventWriter {
+func newEventWriter(w *callerResponse, deadline time.Time) *eventWriter {
 	e := &eventWriter{w: w, control: http.NewResponseController(w)}
 	// If the server does not support write deadlines, its own timeout applies.
 	_ = e.control.SetWriteDeadline(deadline.Add(writeGrace))
@@ -57,7 +57,7 @@
 // response is held back until the usage is recorded in the ledger, so that a
 // caller that received the complete response is billed, and any other caller
 // can detect that its response is incomplete.
-func (s *Server) respond(ctx context.Context, w http.ResponseWriter, req *modelRequest, plan Plan) (reply, error) {
+func (s *Server) respond(ctx context.Context, w *callerResponse, req *modelRequest, plan Plan) (reply, error) {
 	x := &execution{server: s, req: req, events: newEventWriter(w, req.route.Deadline)}
 	resp, err := x.run(ctx, plan)
 	if err != nil {
@@ -68,23 +68,29 @@
 			return resp, errkind.WithRan(err, errkind.RanYes)
 		}
 	}
+	var chunks [][]byte
+	if !x.streaming && req.chat.stream {
+		if chunks, err = toChunks(resp.result.Body, req.chat.includeUsage); err != nil {
+			return resp, errkind.WithRan(err, errkind.RanYes)
+		}
+	}
 	if err := bill(ctx, req.reservation, req.usage(resp)); err != nil {
 		return resp, x.reportError(errkind.WithRan(err, errkind.RanYes))
 	}
 	switch {
 	case x.streaming:
-		err = x.events.writeEvent(doneEvent)
+		err = w.end(x.events.writeEvent(doneEvent))
 	case req.chat.stream:
-		err = s.writeAsEvents(x.events, req, resp)
+		err = x.events.writeAll(chunks)
 	default:
 		w.Header().Set("Content-Type", "application/json")
-		_, err = w.Write(resp.result.Body)
+		err = w.writeWhole(ctx, req.request.Method, http.StatusOK, resp.result.Body)
 	}
 	if err != nil {
 		s.counters.callersLeft.Add(1)
 		return resp, nil
 	}
-	s.counters.answered.Add(1)
+	w.answers = true
 	s.sampleRating(req, resp)
 	return resp, nil
 }
@@ -115,25 +121,20 @@
 	err = errkind.WithRan(err, errkind.RanYes)
 	data, marshalErr := json.Marshal(errorBody(err, x.req.route.RequestID))
 	if marshalErr == nil {
-		// A write error means that the caller has disconnected.
-		_ = x.events.writeEvent(data)
+		// A response that was not sent to its end is logged by finish.
+		_ = x.events.w.end(x.events.writeEvent(data))
 	}
 	return nil
 }
 
-// writeAsEvents delivers a complete response as a stream with one content
-// chunk.
-func (s *Server) writeAsEvents(events *eventWriter, m *modelRequest, resp reply) error {
-	chunks, err := toChunks(resp.result.Body, m.chat.includeUsage)
-	if err != nil {
-		return err
-	}
+// writeAll delivers a complete response as a stream of the chunks.
+func (e *eventWriter) writeAll(chunks [][]byte) error {
 	for _, chunk := range chunks {
-		if err := events.writeEvent(chunk); err != nil {
+		if err := e.writeEvent(chunk); err != nil {
 			return err
 		}
 	}
-	return events.writeEvent(doneEvent)
+	return e.w.end(e.writeEvent(doneEvent))
 }
 
 // completion holds the members of a complete response that chunks are made
