gateway: a response whose write fails has the line of a closed connection

The line and the counter of connections that are closed without a whole response left out responses whose last write failed, and a write that the end of a stop had made fail counted as a client that had left. No decision changes.

--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -182,8 +182,12 @@
 		_ = exec.response.controller.SetReadDeadline(time.Now().Add(unreadBodyTime))
 	}
 	exec.writeHeader(a.Status)
-	if exec.response.write([]byte(body)) == nil {
-		_ = exec.response.finish(exec.ctx, false) // fails if the client has disconnected
+	err := exec.response.write([]byte(body))
+	if err == nil {
+		err = exec.response.finish(exec.ctx, false)
+	}
+	if err != nil {
+		exec.logClosed(exec.writeFailure())
 	}
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -25,7 +25,7 @@
 	rejected, err := t.forwardBurst(event)
 	switch {
 	case err != nil:
-		t.abortStream(placement.Neutral, callerLeft)
+		t.abortStream(placement.Neutral, t.writeFailure())
 	case rejected == nil:
 		return false
 	case rejected.continues():
@@ -48,7 +48,7 @@
 	c.end(placement.Answered)
 	c.logUnframed()
 	if err := t.response.finish(t.execution.ctx, t.unframed); err != nil {
-		t.reason = callerLeft
+		t.logClosed(t.writeFailure())
 	}
 	return true
 }
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -105,11 +105,24 @@
 // closeConnection closes the connection of the client although its response is not whole,
 // and logs the reason.
 func (exec *execution) closeConnection(reason string) {
-	exec.reason = reason
 	if cutoff.Marked(exec.response.header()) {
 		cutoff.AwaitDelivery(exec.ctx, exec.srv.stop.ended.Done())
 	}
+	exec.logClosed(reason)
+	panic(http.ErrAbortHandler)
+}
+
+// logClosed logs and counts a connection that ends without a whole response.
+func (exec *execution) logClosed(reason string) {
+	exec.reason = reason
 	exec.srv.opts.Metrics.countClosed(reason)
 	exec.srv.opts.Log.Info("connection closed", append(exec.responseFields(), zap.String("request", exec.req.ID), zap.String("reason", reason))...)
-	panic(http.ErrAbortHandler)
+}
+
+// writeFailure returns the reason of a failed write to the client.
+func (exec *execution) writeFailure() string {
+	if exec.srv.stop.ended.Err() != nil {
+		return endedByStop
+	}
+	return callerLeft
 }
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -190,7 +190,7 @@
 		err = exec.response.finish(exec.ctx, result.attempt.unframed())
 	}
 	if err != nil {
-		exec.reason = callerLeft
+		exec.logClosed(exec.writeFailure())
 	}
 }
 
