idleconn: the test of crossing requests sends and closes first by turns

TestRequestsThatCrossTheClose asserts that some requests are answered and some are closed unread, so that both sides of the race are seen. All requests were sent before the close, within 0.08 ms; now that bytes that have arrived keep the connection open, one run on a busy machine saw 400 of 400 answered and failed. Half of the closes come first now.

--- a/internal/idleconn/idleconn_test.go
+++ b/internal/idleconn/idleconn_test.go
@@ -42,11 +42,18 @@
 		assert.Assert(t, exchangeOnce(conn, reader))
 		before := handled.Load()
 		done := make(chan struct{})
+		// Half of the requests are sent first, half of the closes.
+		wait := time.Duration(i%40) * 2 * time.Microsecond
+		closeAfter, sendAfter := wait, time.Duration(0)
+		if i%2 == 0 {
+			closeAfter, sendAfter = 0, wait
+		}
 		go func() {
 			defer close(done)
-			time.Sleep(time.Duration(i%40) * 2 * time.Microsecond)
+			time.Sleep(closeAfter)
 			closer.CloseIdle()
 		}()
+		time.Sleep(sendAfter)
 		ok := exchangeOnce(conn, reader)
 		<-done
 		ran := handled.Load() - before
