--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -150,15 +150,6 @@
 	}
 }
 
-// logPanic logs the cause of a panic in the goroutine of a call, in which only this call must
-// fail. It reports whether there was one.
-func (a *attempt) logPanic(cause any) bool {
-	if cause != nil {
-		a.exec.srv.opts.Log.Error("call panicked", zap.String("request", a.exec.req.ID), zap.String("upstream", a.choice.ID), zap.Any("cause", cause), zap.Stack("stack"))
-	}
-	return cause != nil
-}
-
 // finish ends the call and records its outcome. If the response body is not
 // fully read, the connection is closed, which cancels the work at the upstream.
 // finish may be called more than once.
--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -99,35 +98,6 @@
 	timeToFirstEvent, longestPause time.Duration
 }
 
-// finish answers a request whose handler has panicked, and logs and counts the outcome. It
-// panics with http.ErrAbortHandler if the connection must be closed.
-func (exec *execution) finish() {
-	cause := recover()
-	defer exec.logOutcome()
-	switch {
-	case cause == http.ErrAbortHandler:
-		panic(cause)
-	case cause != nil:
-		exec.handlePanic(cause)
-	}
-}
-
-// handlePanic answers a request whose handler has panicked, or closes its connection if a
-// part of the response has been accepted.
-func (exec *execution) handlePanic(cause any) {
-	exec.srv.opts.Log.Error("handler panicked", zap.String("request", exec.req.ID), zap.Any("cause", cause), zap.Stack("stack"))
-	switch {
-	case exec.response.whole:
-		exec.reason = string(errkind.Internal)
-	case exec.response.begun():
-		exec.closeConnection(string(errkind.Internal))
-	default:
-		// The header may hold fields of an upstream's response.
-		clear(exec.response.header())
-		exec.fail(errkind.Internal)
-	}
-}
-
 // logOutcome logs and counts the outcome of the request.
 func (exec *execution) logOutcome() {
 	now := time.Now()
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -15,21 +15,19 @@
 // bytes in its send buffer, also if it has been closed. Without the option, a request
 // that was given up could reach its destination many seconds later, when a cut ends.
 func LimitUnacked(timeout time.Duration) func(network, address string, raw syscall.RawConn) error {
-	return func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, timeout) }
+	return func(_, _ string, raw syscall.RawConn) error {
+		var optionErr error
+		err := raw.Control(func(fd uintptr) { optionErr = setUserTimeout(int(fd), timeout) })
+		return errors.Join(err, optionErr)
+	}
 }
 
 // SetUnacked replaces the bound of LimitUnacked on an open connection. Connections
 // without a socket are left as they are.
 func SetUnacked(conn net.Conn, timeout time.Duration) error {
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return nil
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return err
-	}
-	return setUserTimeout(raw, timeout)
+	var optionErr error
+	err := control(conn, func(fd int) { optionErr = setUserTimeout(fd, timeout) })
+	return errors.Join(err, optionErr)
 }
 
 // ResetOnClose makes the close of a connection a reset, which drops the bytes in its send
@@ -41,44 +39,36 @@
 	}
 }
 
-func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
-	var optionErr error
-	err := raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
-	})
-	return errors.Join(err, optionErr)
+func setUserTimeout(fd int, timeout time.Duration) error {
+	return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 }
 
 // HasUnacked reports whether bytes that were written to a connection are not acknowledged
 // yet. It returns false for connections without a socket.
 func HasUnacked(conn net.Conn) bool {
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
 	n := 0
-	err = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	err := control(conn, func(fd int) { n, _ = unix.IoctlGetInt(fd, unix.SIOCOUTQ) })
 	return err == nil && n > 0
 }
 
 // HasUnread reports whether bytes have arrived on a connection that were not read yet. It
 // returns false for connections without a socket.
 func HasUnread(conn net.Conn) bool {
+	n := 0
+	err := control(conn, func(fd int) { n, _, _ = unix.Recvfrom(fd, make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT) })
+	return err == nil && n > 0
+}
+
+// control calls do with the file descriptor of a connection. It does nothing for connections
+// without a socket.
+func control(conn net.Conn, do func(fd int)) error {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
-		return false
+		return nil
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return false
+		return err
 	}
-	n := 0
-	err = raw.Control(func(fd uintptr) {
-		n, _, _ = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
-	return err == nil && n > 0
+	return raw.Control(func(fd uintptr) { do(int(fd)) })
 }
