proxy: the engines of a test come back at ports that no connection takes

Its engines listen at ports below the ephemeral ones now, which the test process reserves, as in the tests of real processes. The checks are the same.

--- a/proxy/quarantine_test.go
+++ b/proxy/quarantine_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/savoryshift/savoryshift/e2e"
 	"github.com/savoryshift/savoryshift/errkind"
 	"github.com/savoryshift/savoryshift/proxy"
 	"github.com/savoryshift/savoryshift/proxy/proxytest"
@@ -121,7 +122,7 @@
 			w := newFixture(t)
 			g := &fatalEngines{t: t, message: "fatal text", restart: 400 * time.Millisecond}
 			for range 10 {
-				g.start("127.0.0.1:0")
+				g.start(e2e.FreePort(g.t))
 			}
 			var urls []string
 			var trackers []*quarantine.Tracker
