--- a/entry/entrytest/overlap_test.go
+++ b/entry/entrytest/overlap_test.go
@@ -13,20 +13,6 @@
 	"github.com/savoryshift/savoryshift/platform/standin"
 )
 
-// largeConfiguration returns a configuration with a number of further routes.
-func largeConfiguration(version, further int, bookings string) map[string]any {
-	c := standin.Configuration(version, bookings)
-	routes := c["Routes"].([]any)
-	for i := range further {
-		routes = append(routes, map[string]any{
-			"Name": fmt.Sprintf("further-%d", i), "Host": standin.Host, "Prefix": fmt.Sprintf("/further-%d/", i), "Kind": "safe",
-			"TimeoutMs": 4000, "GoalMs": 2000, "GapTargetMs": 1000, "Service": "desk", "MaxAttempts": 2,
-		})
-	}
-	c["Routes"] = routes
-	return c
-}
-
 // overlap makes changes of several kinds in series until ctx ends.
 type overlap struct {
 	s   *System
@@ -67,7 +53,7 @@
 	desk := o.s.Upstream("d0", "desk", "v1", someService)
 	o.s.Upstream("e0", "desk2", "v1", someService)
 	o.repeat(120*time.Millisecond, func(i int) {
-		o.s.Store.Put("op", "config", largeConfiguration(i+2, i%3*300, []string{"desk", "desk2"}[i/4%2]))
+		o.s.Store.Put("op", "config", standin.LargeConfiguration(i+2, i%3*300, []string{"desk", "desk2"}[i/4%2]))
 	})
 	o.repeat(600*time.Millisecond, func(i int) {
 		leaving := desk
