entry/entrytest: the test of kept connections stops its VM after their first answers

The test stopped its VM after 0.5 s; a first request that is answered later is asked to close its connection, and the test's client used it again. It now waits for all first answers, and checks that none asks for the close.

--- a/entry/entrytest/kept_test.go
+++ b/entry/entrytest/kept_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -26,24 +27,32 @@
 	t.Cleanup(link.Close)
 	link.SetFault(faultlink.Fault{Delay: delay})
 	traffic := &stopTraffic{vm: vm, signal: time.Now()}
+	var answered sync.WaitGroup
+	answered.Add(clients)
+	stopped := make(chan struct{})
 	for c := range clients {
 		traffic.wg.Go(func() {
 			conn, err := net.Dial("tcp4", link.Address())
-			if err != nil {
-				t.Error(err)
+			if !assert.Check(t, err) {
+				answered.Done()
 				return
 			}
 			defer conn.Close()
 			reader := bufio.NewReader(conn)
 			// Each client sends one request before the stop and one in it, at its own time.
-			at := 500*time.Millisecond + first + time.Duration(c)*(last-first)/clients
-			traffic.exchange(traffic.next("/book/x", 400*time.Millisecond), conn, reader)
-			time.Sleep(time.Until(traffic.signal.Add(at + rand.N(5*time.Millisecond))))
+			before := traffic.next("/book/x", 4*time.Second)
+			traffic.exchange(before, conn, reader)
+			assert.Check(t, before.Header.Get("Connection") != "close")
+			answered.Done()
+			<-stopped
+			time.Sleep(time.Until(traffic.signal.Add(first + time.Duration(c)*(last-first)/clients + rand.N(5*time.Millisecond))))
 			traffic.exchange(traffic.next("/book/x", 400*time.Millisecond), conn, reader)
 		})
 	}
-	time.Sleep(500 * time.Millisecond)
+	answered.Wait()
+	traffic.signal = time.Now()
 	vm.Stop()
+	close(stopped)
 	traffic.wg.Wait()
 	assert.NilError(t, vm.Wait())
 	runs, refused := u.Runs(), 0
