gateway: the test of long events waits until the first one is held

Nothing that callers see is wrong.

Cause: the test takes 300 ms for enough until the first event holds its share of the memory. If its bytes come later, two events grow at the same time, and the one that finds the memory full may be the first one.

Now the test waits until the memory is held. What it requires of both requests is as before.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -91,11 +91,12 @@
 // Guards against events without end from many upstreams at once, each of which has a bound,
 // that together use up the memory of the VM.
 func TestLongEventsShareTheMemory(t *testing.T) {
-	const line = "data: "
+	// The bytes that follow the last full read buffer are not held yet.
+	const line, size, readBuffer = "data: ", 400 << 10, 4 << 10
 	release := make(chan struct{})
 	hold := startUpstream(t, "hold", func(r *http.Request, w io.Writer) bool {
 		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
-		chunk(w, line+strings.Repeat("x", 400<<10))
+		chunk(w, line+strings.Repeat("x", size))
 		<-release
 		chunk(w, "\n\n")
 		fmt.Fprint(w, lastChunk)
@@ -105,10 +106,12 @@
 	s.restart(gateway.Options{MaxBuffered: 1 << 20}).configure()
 	first := make(chan reply)
 	go func() { first <- s.call("/stream/x", "Id: first") }()
-	time.Sleep(300 * time.Millisecond)
+	for begun := time.Now(); s.server.BufferedBytes() < 2*(size-readBuffer); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Since(begun) < 10*time.Second, "%d bytes are held", s.server.BufferedBytes())
+	}
 	second := s.call("/stream/x", "Id: second")
 	assert.Assert(t, !second.complete || second.status != http.StatusOK, "%d", second.status)
 	close(release)
 	got := <-first
-	assert.Assert(t, got.complete && got.status == http.StatusOK && len(got.body) > 400<<10, "%d, %d bytes", got.status, len(got.body))
+	assert.Assert(t, got.complete && got.status == http.StatusOK && len(got.body) > size, "%d, %d bytes", got.status, len(got.body))
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -124,6 +124,10 @@
 // Active returns the number of requests in progress.
 func (srv *Server) Active() int { return int(srv.active.Load()) }
 
+// BufferedBytes returns the memory, in bytes, that long bodies and events of responses use
+// while they are read.
+func (srv *Server) BufferedBytes() int64 { return srv.buffers.Used() }
+
 // Received returns the number of requests since the start.
 func (srv *Server) Received() int64 { return srv.received.Load() }
 
