proxy: a panic of a rating or of background work ends that work alone

A panic in a rating, in the cancellation of an abandoned call or in the examination of an ended upstream ended the process, and so cut the requests of all its callers.

Cause: they run on goroutines of their own, which recover nothing.

Evidence: TestPanicOfARatingEndsTheProcess ends the test process before ("panic: rate") and passes now, in all four cases, also under the detector. Cancellations and examinations have no test of their own: they run through the same function as sampled ratings.

Why it works: a rating that panics counts as failed, like one that returns an error; the rest runs through inBackground, which logs the panic.

--- a/proxy/dispatch.go
+++ b/proxy/dispatch.go
@@ -47,12 +47,24 @@
 	if err == nil || ctx.Err() == nil {
 		return
 	}
-	go func() {
+	s.inBackground(call.RequestID, func() {
 		limited, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
 		if s.options.Upstream.Cancel(limited, call.URL, call.AttemptID) != nil {
 			s.counters.cancelsFailed.Add(1)
 		}
+	})
+}
+
+// inBackground runs work that no response waits for. A panic ends only the work.
+func (s *Server) inBackground(requestID string, work func()) {
+	go func() {
+		defer func() {
+			if cause := recover(); cause != nil {
+				s.options.Log.Error("background work panicked", zap.String("request", requestID), zap.Any("cause", cause), zap.Stack("stack"))
+			}
+		}()
+		work()
 	}()
 }
 
--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/savoryshift/savoryshift/errkind"
 	"github.com/savoryshift/savoryshift/upstream"
 )
@@ -319,9 +321,16 @@
 	return x.server.rate(ctx, x.req, resp)
 }
 
-// rate asks the rating service about a response. If the rating fails, the
+// rate asks the rating service about a response. If the rating fails or panics, the
 // response counts as not good, so that a better version is called.
-func (s *Server) rate(ctx context.Context, m *modelRequest, resp reply) bool {
+func (s *Server) rate(ctx context.Context, m *modelRequest, resp reply) (good bool) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.options.Log.Error("rating panicked", zap.String("request", m.route.RequestID), zap.Any("cause", cause), zap.Stack("stack"))
+			s.counters.ratingErrors.Add(1)
+			good = false
+		}
+	}()
 	start := time.Now()
 	good, err := s.options.Rater.Rate(ctx, RatingRequest{
 		RequestID: m.route.RequestID,
--- a/proxy/quarantine.go
+++ b/proxy/quarantine.go
@@ -69,7 +69,7 @@
 		m.answered.Store(true)
 		s.options.Quarantine.RecordAnswer(m.chat.parts, at)
 	case ctx.Err() == nil && errkind.Of(err) == errkind.UpstreamFailed && errkind.RanOf(err) != errkind.RanNo && !reported(err):
-		go s.examineEnd(m, target, at)
+		s.inBackground(m.route.RequestID, func() { s.examineEnd(m, target, at) })
 	}
 }
 
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -189,10 +189,10 @@
 		s.counters.ratingsDropped.Add(1)
 		return
 	}
-	go func() {
+	s.inBackground(m.route.RequestID, func() {
 		defer func() { <-s.ratingSlots }()
 		ctx, cancel := context.WithTimeout(context.Background(), sampledRatingTimeout)
 		defer cancel()
 		s.rate(ctx, m, resp)
-	}()
+	})
 }
--- a/proxy/unsent_test.go
+++ b/proxy/unsent_test.go
@@ -235,6 +235,40 @@
 	}
 }
 
+// panickingRater is a rating service whose calls panic. Its router asks for samples.
+type panickingRater struct{ proxy.Router }
+
+func (panickingRater) Rate(context.Context, proxy.RatingRequest) (bool, error) { panic("rate") }
+
+func (panickingRater) SampleRating(proxy.RouteRequest, proxy.Target) bool { return true }
+
+// Guards against a panic of a rating that ends the process, or its request.
+func TestPanicOfARatingEndsTheProcess(t *testing.T) {
+	rated := step("e1", "s1")
+	rated.Rated = true
+	second := step("e2", "l1")
+	for name, steps := range map[string][]proxy.Step{"sampled": {step("e1", "s1")}, "two calls": {rated, second}} {
+		for _, kind := range []string{"whole", "stream"} {
+			t.Run(name+"/"+kind, func(t *testing.T) {
+				w := newFixture(t)
+				o := w.options(nil)
+				rater := panickingRater{w.router(steps...)}
+				o.Rater, o.Router = rater, rater
+				s := proxy.New(o)
+				r, err := w.exchange(s, kindsOfRequest[kind], false)
+				assert.NilError(t, err)
+				assert.Equal(t, r.status, http.StatusOK, r.body)
+				poll.WaitOn(t, func(poll.LogT) poll.Result {
+					if s.Vars().Get("rating_errors").String() == "0" {
+						return poll.Continue("no rating has failed")
+					}
+					return poll.Success()
+				})
+			})
+		}
+	}
+}
+
 // panickingRouter panics when a call begins.
 type panickingRouter struct{ proxy.Router }
 
