gateway: a paused call is kept until its replacement has not broken off at once

Cause: a call that has been silent for 0.9 s is ended at the first event of a replacement. When that one breaks off right after the event, and so does the next one, no attempt is left. The class: the first event of a call is taken for the proof that it will go on.

TestPausedCallIsEndedForReplacementsThatBreak: 3 of 3 streams that could be whole are broken without the fix.

Why it works: the silent call, unless its upstream shows a sign of a failure, is kept for the rest of the time in which both may run (0.3 s), and goes on if the replacement breaks off and either it has sent something meanwhile or no other call can be made. Events that the client has from another call are skipped; a call that ends before the last one of these is broken, and one of another release is not returned to. The silence counts against the upstream at once, as before, and the call counts as a run once.

--- a/gateway/escalation.go
+++ b/gateway/escalation.go
@@ -28,6 +28,7 @@
 		t.unplace(escalation)
 		return
 	}
+	t.dropReserve()
 	t.candidate, t.escalating, t.escalated = t.begin(escalation, largest), true, true
 	t.timer.Reset(maxEscalationOverlap)
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -14,11 +14,15 @@
 	if !event.continues() {
 		return t.handleStreamEnd(event)
 	}
+	if t.isRepeated(c, event) {
+		c.recordProgress(event.at)
+		return false
+	}
 	if c.resumed && !c.forwarding && isComment(event.data) {
 		// A comment does not show that the response continues the stream.
 		return false
 	}
-	if !t.sequence.accept(event.data, event.id, c.resumed) {
+	if !t.sequence.accept(event.data, event.id, c.continuesStream()) {
 		return t.handleBrokenStream(errOutOfSequence)
 	}
 	t.dropCandidate()
@@ -41,7 +45,7 @@
 	switch {
 	case event.err != nil:
 		return t.handleBrokenStream(event.err)
-	case c.resumed && !c.forwarding:
+	case c.resumed && !c.forwarding, c.rejoined && !c.caughtUp:
 		return t.handleBrokenStream(errNoEvents)
 	}
 	t.startForwarding(c)
@@ -62,6 +66,7 @@
 // everything that was accepted has been sent, whatever happens to the stream next.
 func (t *streamExecution) forwardBurst(event streamEvent) (rejected *streamEvent, err error) {
 	c := t.current
+	c.caughtUp = true
 	t.startForwarding(c)
 	wait := time.NewTimer(maxAtHandWait)
 	defer wait.Stop()
@@ -89,7 +94,7 @@
 		case <-t.ctx.Done():
 			return nil, nil
 		}
-		if !event.continues() || !t.sequence.accept(event.data, event.id, c.resumed) {
+		if !event.continues() || !t.sequence.accept(event.data, event.id, c.continuesStream()) {
 			return &event, nil
 		}
 	}
--- /dev/null
+++ b/gateway/reserve.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/savoryshift/savoryshift/placement"
+)
+
+// reserve is a silent call that was replaced although its upstream shows no sign of a
+// failure. Until the overlap with its replacement is over, it is kept in case that one
+// breaks off.
+type reserve struct {
+	call  *streamCall
+	timer *time.Timer
+}
+
+func newReserve() reserve {
+	timer := time.NewTimer(0)
+	timer.Stop()
+	return reserve{timer: timer}
+}
+
+// hasNews reports whether there is a call in reserve that goes on.
+func (r *reserve) hasNews() bool { return r.call != nil && r.call.hasNews() }
+
+// mayReturnTo reports whether the current call could continue the stream again after the
+// candidate has delivered events of it.
+func (t *streamExecution) mayReturnTo(c *streamCall, now time.Time) bool {
+	return t.route.Resumable && c.choice.Release == t.candidate.choice.Release && c.call.FailureSign(now) == "" && t.overlapLeft(now) > 0
+}
+
+// overlapLeft returns the time for which the current call and the candidate may still run
+// together.
+func (t *streamExecution) overlapLeft(now time.Time) time.Duration {
+	return maxOverlap - now.Sub(t.candidate.start)
+}
+
+// keepReserve keeps a call that the candidate replaces, until the overlap is over.
+func (t *streamExecution) keepReserve(c *streamCall, now time.Time) {
+	c.call.RecordSilence(now)
+	t.reserve.call = c
+	t.reserve.timer.Reset(t.overlapLeft(now))
+}
+
+// dropReserve ends the call that is kept in reserve, if there is one.
+func (t *streamExecution) dropReserve() {
+	if t.reserve.call != nil {
+		t.reserve.timer.Stop()
+		t.reserve.call.end(placement.Neutral)
+		t.reserve.call = nil
+	}
+}
+
+// mayRejoin reports whether a call is kept in reserve and its events can be compared with
+// those that the client has received since.
+func (t *streamExecution) mayRejoin() bool { return t.reserve.call != nil && t.sequence.numbered }
+
+// returnToReserve returns the call that is kept in reserve if it can go on with the stream.
+func (t *streamExecution) returnToReserve() *streamCall {
+	if !t.mayRejoin() {
+		return nil
+	}
+	c := t.reserve.call
+	t.reserve.timer.Stop()
+	t.reserve.call = nil
+	c.rejoined, c.caughtUp = true, false
+	c.logEvent("returned to", zap.String("last_event", t.lastEventID), zap.Bool("news", c.hasNews()))
+	return c
+}
+
+// isRepeated reports whether the client has received an event of a rejoined call from
+// another one.
+func (t *streamExecution) isRepeated(c *streamCall, event streamEvent) bool {
+	if !c.rejoined || c.caughtUp {
+		return false
+	}
+	n, err := strconv.ParseInt(event.id, 10, 64)
+	if err != nil || n > t.sequence.last {
+		return event.id == "" && isComment(event.data)
+	}
+	c.caughtUp = n == t.sequence.last
+	return true
+}
--- /dev/null
+++ b/gateway/reserve_test.go
@@ -0,0 +1,66 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryshift/savoryshift/placement"
+)
+
+// breaking returns a script that streams the next event, begins another one and closes the
+// connection.
+func breaking() script {
+	return func(r *http.Request, w io.Writer) bool {
+		last := 0
+		_, _ = fmt.Sscanf(r.Header.Get("Last"), "%d", &last)
+		return events(last+1, "14\r\nid: 9\n")(r, w)
+	}
+}
+
+// newTrio starts a system whose first call goes to the first upstream. The other two break
+// every stream off.
+func newTrio(t *testing.T, first script, othersRelease string) (s *system, all []*upstream) {
+	t.Helper()
+	all = []*upstream{startUpstream(t, "a", first), startUpstream(t, "b", breaking()), startUpstream(t, "c", breaking())}
+	s = newSystem(t, registration(all[0], "v1"), registration(all[1], othersRelease), registration(all[2], othersRelease)).configure()
+	busy := placement.Load{Calls: 1, PrefillSeconds: 1}
+	s.book.SetPeer("p", map[string]placement.Load{"b": busy, "c": busy}, time.Now())
+	return s, all
+}
+
+// Guards against a stream that is lost although its paused upstream goes on: its call was
+// ended at the first event of a replacement that broke off, like the one after it.
+func TestPausedCallIsEndedForReplacementsThatBreak(t *testing.T) {
+	for name, c := range map[string]struct {
+		first    script
+		release  string
+		received int
+		complete bool
+	}{
+		"before the first event":     {hesitating(2100*time.Millisecond, events(6, lastChunk)), "v1", 6, true},
+		"in the stream":              {pausing(2, 6, 1800*time.Millisecond), "v1", 6, true},
+		"others sent the last event": {pausing(2, 4, 1800*time.Millisecond), "v1", 4, true},
+		"others sent more events":    {pausing(2, 3, 1800*time.Millisecond), "v1", 4, false},
+		"others of another release":  {hesitating(2100*time.Millisecond, events(6, lastChunk)), "v2", 2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, all := newTrio(t, c.first, c.release)
+			r := s.call("/stream/x", "Model: large")
+			assert.Equal(t, r.complete, c.complete, "%q", r.body)
+			var want []string
+			for id := 1; id <= c.received; id++ {
+				want = append(want, fmt.Sprint(id))
+			}
+			assert.DeepEqual(t, eventIDs(r.body), want)
+			for _, u := range all {
+				assert.Equal(t, len(u.received()), 1, u.id)
+			}
+		})
+	}
+}
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -100,7 +100,7 @@
 func (t *streamExecution) mayRetryAfter(c *streamCall) bool {
 	runs := t.runs
 	for _, call := range []*streamCall{t.current, c} {
-		if !call.responded {
+		if call.isUncounted() {
 			runs++
 		}
 	}
@@ -143,6 +143,7 @@
 		return c.timeout
 	}
 	c.logEvent("silent", append(t.stateFields(s), zap.String("candidate", next.choice.ID), zap.Float64("candidate_predicted", next.choice.FirstEvent))...)
+	t.dropReserve()
 	t.candidate = t.begin(next, t.modelRank)
 	return maxOverlap
 }
@@ -193,7 +194,7 @@
 	}
 	left := t.route.MaxAttempts - t.runs
 	for _, c := range []*streamCall{t.current, t.candidate} {
-		if c != nil && !c.responded {
+		if c != nil && c.isUncounted() {
 			left--
 		}
 	}
@@ -243,15 +244,19 @@
 
 // replaceCurrent ends the current call and makes the candidate the current one.
 func (t *streamExecution) replaceCurrent() {
-	old, outcome, fields := t.current, placement.Silent, t.overlapFields()
-	if t.escalating {
-		outcome = placement.Answered
-	}
+	old, now, fields := t.current, time.Now(), t.overlapFields()
 	if !old.responded {
 		t.recordDropped(old)
 		t.anyCallFailed = true
 	}
-	old.end(outcome)
+	switch {
+	case t.escalating:
+		old.end(placement.Answered)
+	case t.mayReturnTo(old, now):
+		t.keepReserve(old, now)
+	default:
+		old.end(placement.Silent)
+	}
 	t.recordServed(t.candidate.attempt)
 	if !t.escalating {
 		t.exclude(old.choice.ID)
@@ -290,15 +295,24 @@
 // recordDropped counts a call that is cancelled before its result is known, and that
 // may therefore have run.
 func (t *streamExecution) recordDropped(c *streamCall) {
-	if !c.responded {
+	if c.isUncounted() {
 		t.runs++
-		t.mayHaveRun = true
+		t.mayHaveRun, c.counted = true, true
 	}
 }
 
+// recordResponse counts a call by its result class, which tells whether it has run.
+func (t *streamExecution) recordResponse(c *streamCall, class resultClass) {
+	if c.counted {
+		c.counted = false
+		t.runs--
+	}
+	t.recordResult(c.attempt, class)
+}
+
 // dropCalls cancels the calls that are left when the request ends.
 func (t *streamExecution) dropCalls() {
-	for _, c := range []*streamCall{t.current, t.candidate} {
+	for _, c := range []*streamCall{t.current, t.candidate, t.reserve.call} {
 		if c != nil {
 			c.end(placement.Neutral)
 		}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -25,6 +25,8 @@
 	// escalating is set while candidate is a call to a larger model. The events of
 	// current are held back until then.
 	escalating bool
+	// reserve is the call that a candidate has replaced, while it is kept.
+	reserve reserve
 	// escalated is set once a larger model has been called.
 	escalated bool
 	// timer fires when current must be checked for silence, or when current and
@@ -50,7 +52,7 @@
 func (exec *execution) serveStream(ctx context.Context) {
 	t := &streamExecution{
 		execution: exec, ctx: ctx, timer: time.NewTimer(0),
-		lastEventID: exec.req.LastEventID, sequence: newEventSequence(exec.req.LastEventID),
+		lastEventID: exec.req.LastEventID, sequence: newEventSequence(exec.req.LastEventID), reserve: newReserve(),
 	}
 	defer t.timer.Stop()
 	defer t.dropCalls()
@@ -81,6 +83,8 @@
 		return t.handleCandidateEvent(event)
 	case <-t.timer.C:
 		t.timer.Reset(t.checkCalls(time.Now()))
+	case <-t.reserve.timer.C:
+		t.dropReserve()
 	case <-t.ctx.Done():
 		t.handleContextEnd()
 		return true
@@ -106,14 +110,19 @@
 	}
 }
 
-// advance replaces the current call, which has ended, by the candidate or by a new
-// call.
+// advance replaces the current call, which has ended, by the candidate, by a new call or
+// by the one in reserve.
 func (t *streamExecution) advance() {
 	next := t.candidate
 	t.candidate, t.escalating = nil, false
+	if next == nil && t.reserve.hasNews() {
+		next = t.returnToReserve()
+	}
+	if next == nil {
+		next = t.begin(t.nextAttempt(), t.modelRank)
+	}
 	if next == nil {
-		a := t.nextAttempt()
-		next = t.begin(a, t.modelRank)
+		next = t.returnToReserve()
 	}
 	t.setCurrent(next)
 }
@@ -125,6 +134,8 @@
 	}
 	a := t.placeRetry(t.ctx, t.modelName(), t.modelRank)
 	switch {
+	case a == nil && t.mayRejoin():
+		// It goes on sooner than an upstream that is not there yet.
 	case a == nil && t.response.begun():
 		a = t.waitForUpstream()
 	case a == nil && t.escalated:
@@ -206,7 +217,7 @@
 func (t *streamExecution) handleResult(result *callResult) bool {
 	c := t.current
 	c.responded = true
-	t.recordResult(c.attempt, result.resultClass)
+	t.recordResponse(c, result.resultClass)
 	switch {
 	case result.resultClass == deliverable && c.responseHeader.Status < http.StatusMultipleChoices && t.continues(c):
 		t.dropCandidate()
--- a/gateway/streamcall.go
+++ b/gateway/streamcall.go
@@ -51,6 +51,11 @@
 	// is a stream that can be forwarded, and forwarding when the client has received a
 	// part of it.
 	responded, accepted, forwarding bool
+	// counted is set if the call was counted as run before its result was received.
+	counted bool
+	// rejoined is set if the call goes on with a stream of which the client has received
+	// events from another call since, caughtUp when it has sent the last one of these.
+	rejoined, caughtUp bool
 	// timeout is the time without progress after which the call counts as silent.
 	timeout      time.Duration
 	lastProgress time.Time
@@ -177,6 +182,12 @@
 	c.accepted, c.timeout, c.lastProgress = true, pauseTimeout, now
 }
 
+// isUncounted reports whether the call is not counted as run yet.
+func (c *streamCall) isUncounted() bool { return !c.responded && !c.counted }
+
+// continuesStream reports whether the client has received events from another call.
+func (c *streamCall) continuesStream() bool { return c.resumed || c.rejoined }
+
 // recordProgress records that the client received an event of the call.
 func (c *streamCall) recordProgress(now time.Time) {
 	c.longestPause = max(c.longestPause, now.Sub(c.lastProgress))
--- a/placement/call.go
+++ b/placement/call.go
@@ -201,12 +201,26 @@
 		z := c.b.zone(c.upstream.AvailabilityZone)
 		z.lastFailureAt, z.unconnectableAt = now, now
 	case Silent:
-		c.upstream.health.recordFailure(now)
-		c.upstream.health.recordSilence(now)
-		c.b.zone(c.upstream.AvailabilityZone).lastFailureAt = now
+		c.recordSilence(now)
+	}
+}
+
+// RecordSilence records that the upstream was silent for a long time, for a call that may
+// still go on.
+func (c *Call) RecordSilence(now time.Time) {
+	c.b.mu.Lock()
+	defer c.b.mu.Unlock()
+	if !c.ended {
+		c.recordSilence(now)
 	}
 }
 
+func (c *Call) recordSilence(now time.Time) {
+	c.upstream.health.recordFailure(now)
+	c.upstream.health.recordSilence(now)
+	c.b.zone(c.upstream.AvailabilityZone).lastFailureAt = now
+}
+
 func (b *Balancer) zone(name string) *zone {
 	z := b.zones[name]
 	if z == nil {
