--- a/cmd/savoryctl/explain.go
+++ b/cmd/savoryctl/explain.go
@@ -130,7 +130,7 @@
 func (l *logs) printRequest(w io.Writer, id string) error {
 	var cause string
 	var last, lastCall, noUpstream, quarantined, closed logLine
-	ended := 0
+	ended, panicked := 0, false
 	for _, line := range l.lines {
 		if line.Request != id {
 			continue
@@ -149,7 +149,10 @@
 			ended++
 		case "connection closed":
 			closed = line
+		case unfinishedMessage:
+			cause = line.describeUnfinished()
 		}
+		panicked = panicked || isPanic(line.Message)
 		last = line
 	}
 	if last.Request == "" {
@@ -157,9 +160,9 @@
 			"look for lines \"started\" shortly after it", id)
 	}
 	if cause == "" {
-		cause = "the log ends before the request ended, or the process that served it was killed"
+		cause = "no line tells how the request ended: the log ends before, the process was killed, or its own interface answered it"
 	}
-	fmt.Fprintf(w, "cause: %s%s%s%s\n", cause, quarantined.describeQuarantine(), describeEnds(ended), closed.describeClose())
+	fmt.Fprintf(w, "cause: %s%s%s%s%s\n", cause, quarantined.describeQuarantine(), describeEnds(ended), closed.describeClose(), describePanic(panicked))
 	return nil
 }
 
@@ -240,6 +243,34 @@
 	return fmt.Sprintf("; its connection was closed after %v of %v events were sent", l.fields["events_sent"], l.fields["events"])
 }
 
+// unfinishedMessage is the message of a daemon whose response did not reach its caller whole.
+const unfinishedMessage = "connection closed without a whole response"
+
+// describeUnfinished describes the line of a response that did not reach its caller whole.
+func (l *logLine) describeUnfinished() string {
+	if l.fields["header"] != true {
+		return "its connection was closed without a response"
+	}
+	return fmt.Sprintf("its connection was closed after %v of %v bytes of the body were sent", l.fields["bytes_sent"], l.fields["bytes"])
+}
+
+// isPanic reports whether a message says that a request, or work for it, has panicked.
+func isPanic(message string) bool {
+	switch message {
+	case "handler panicked", "call panicked", "rating panicked", "background work panicked":
+		return true
+	}
+	return false
+}
+
+// describePanic describes a fault of the process that served the request.
+func describePanic(panicked bool) string {
+	if !panicked {
+		return ""
+	}
+	return "; a fault of the process that served it is logged with its stack"
+}
+
 // describeEnds describes the ends of upstreams that had not answered the request.
 func describeEnds(n int) string {
 	if n == 0 {
@@ -275,6 +306,9 @@
 			key := fmt.Sprintf("%d %s", line.Status, cause)
 			groups[key] = append(groups[key], line.Request)
 		}
+		if line.Message == unfinishedMessage {
+			groups[unfinishedMessage] = append(groups[unfinishedMessage], line.Request)
+		}
 	}
 	for _, key := range slices.Sorted(maps.Keys(groups)) {
 		fmt.Fprintf(w, "%s: %d\n", key, len(groups[key]))
--- a/cmd/savoryctl/explain_test.go
+++ b/cmd/savoryctl/explain_test.go
@@ -145,3 +145,24 @@
 		assert.Assert(t, strings.Contains(out.String(), want+"\n"), "%s", out.String())
 	}
 }
+
+// Guards against a response of a daemon that did not reach its caller, or a panic, of which
+// neither the explanation nor the list of failures says anything.
+func TestExplainUnfinishedResponse(t *testing.T) {
+	const panicLine = `{"ts":"2026-06-06T08:00:00.500Z","msg":"call panicked","vm":"vm-1","request":"r1","cause":"x"}` + "\n"
+	const closedLine = `{"ts":"2026-06-06T08:00:01.000Z","msg":"connection closed without a whole response","vm":"vm-1","request":"r1",`
+	for text, want := range map[string]string{
+		closedLine + `"header":false,"bytes":0,"bytes_sent":0}`:                                "cause: its connection was closed without a response\n",
+		panicLine + closedLine + `"header":true,"bytes":70,"bytes_sent":7}`:                    "cause: its connection was closed after 7 of 70 bytes of the body were sent; a fault of the process",
+		panicLine + closedLine + `"header":true,"header_sent":false,"bytes":0,"bytes_sent":0}`: "0 of 0 bytes of the body were sent; a fault of the process",
+	} {
+		file := filepath.Join(t.TempDir(), "1.log")
+		assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
+		var out, errOut strings.Builder
+		assert.Equal(t, execute(t.Context(), []string{"explain", "--request", "r1", file}, &out, &errOut), exitOK, errOut.String())
+		assert.Assert(t, strings.Contains(out.String(), want), out.String())
+		out.Reset()
+		assert.Equal(t, execute(t.Context(), []string{"explain", "--failed", file}, &out, &errOut), exitOK, errOut.String())
+		assert.Assert(t, strings.Contains(out.String(), "connection closed without a whole response: 1\n  r1\n"), out.String())
+	}
+}
