gateway: a call in reserve ends in time also while its client does not read

A replaced call that is kept in reserve worked on for 1.87 s instead of 0.3 s while the request waited for its client to read, or for an upstream.

Cause: its time-out was an event of the request's loop, which such a wait holds up.

A timer of its own ends the call; the request returns to it only if it has stopped that timer first, and looks for an upstream again otherwise.

--- a/gateway/candidate_test.go
+++ b/gateway/candidate_test.go
@@ -227,17 +227,20 @@
 	}
 }
 
+// longEvents is a script that streams 16 MB of events.
+func longEvents(r *http.Request, w io.Writer) bool {
+	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+	for i := 1; i <= 64; i++ {
+		chunk(w, fmt.Sprintf("id: %d\ndata: %s\n\n", i, strings.Repeat("x", 256<<10)))
+	}
+	fmt.Fprint(w, lastChunk)
+	return true
+}
+
 // Guards against a client that does not read and holds its stream past the timeout.
 func TestClientThatDoesNotReadHoldsItsStream(t *testing.T) {
 	t.Parallel()
-	a := startUpstream(t, "a", func(r *http.Request, w io.Writer) bool {
-		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
-		for i := 1; i <= 64; i++ {
-			chunk(w, fmt.Sprintf("id: %d\ndata: %s\n\n", i, strings.Repeat("x", 256<<10)))
-		}
-		fmt.Fprint(w, lastChunk)
-		return true
-	})
+	a := startUpstream(t, "a", longEvents)
 	s := newSystem(t, registration(a, "v1")).configure()
 	conn, err := net.Dial("tcp4", strings.TrimPrefix(s.url, "http://"))
 	assert.NilError(t, err)
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -13,19 +13,11 @@
 // failure. Until the overlap with its replacement is over, it is kept in case that one
 // breaks off.
 type reserve struct {
-	call  *streamCall
-	timer *time.Timer
+	call *streamCall
+	// expiry ends the call, also while the request waits for its client.
+	expiry *time.Timer
 }
 
-func newReserve() reserve {
-	timer := time.NewTimer(0)
-	timer.Stop()
-	return reserve{timer: timer}
-}
-
-// hasNews reports whether there is a call in reserve that goes on.
-func (r *reserve) hasNews() bool { return r.call != nil && r.call.hasNews() }
-
 // mayReturnTo reports whether the current call could continue the stream again after the
 // candidate has delivered events of it.
 func (t *streamExecution) mayReturnTo(c *streamCall, now time.Time) bool {
@@ -41,14 +33,13 @@
 // keepReserve keeps a call that the candidate replaces, until the overlap is over.
 func (t *streamExecution) keepReserve(c *streamCall, now time.Time) {
 	c.call.RecordSilence(now)
-	t.reserve.call = c
-	t.reserve.timer.Reset(t.overlapLeft(now))
+	t.reserve = reserve{call: c, expiry: time.AfterFunc(t.overlapLeft(now), func() { c.end(placement.Neutral) })}
 }
 
 // dropReserve ends the call that is kept in reserve, if there is one.
 func (t *streamExecution) dropReserve() {
 	if t.reserve.call != nil {
-		t.reserve.timer.Stop()
+		t.reserve.expiry.Stop()
 		t.reserve.call.end(placement.Neutral)
 		t.reserve.call = nil
 	}
@@ -58,14 +49,13 @@
 // those that the client has received since.
 func (t *streamExecution) mayRejoin() bool { return t.reserve.call != nil && t.sequence.numbered }
 
-// returnToReserve returns the call that is kept in reserve if it can go on with the stream.
+// returnToReserve takes the call that is kept in reserve. It returns nil if it has expired.
 func (t *streamExecution) returnToReserve() *streamCall {
-	if !t.mayRejoin() {
-		return nil
-	}
 	c := t.reserve.call
-	t.reserve.timer.Stop()
 	t.reserve.call = nil
+	if !t.reserve.expiry.Stop() {
+		return nil
+	}
 	c.rejoined, c.caughtUp = true, false
 	c.logEvent("returned to", zap.String("last_event", t.lastEventID), zap.Bool("news", c.hasNews()))
 	return c
--- a/gateway/reserve_test.go
+++ b/gateway/reserve_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -64,3 +66,25 @@
 		})
 	}
 }
+
+// Guards against two upstreams that work on a stream for longer than is allowed, because
+// its client does not read.
+func TestSlowClientKeepsAReplacedCall(t *testing.T) {
+	t.Parallel()
+	var a *upstream
+	began, ended := make(chan time.Time, 1), make(chan time.Time, 1)
+	s, a, _ := newPair(t, func(_ *http.Request, w io.Writer) bool {
+		a.hang(w)
+		ended <- time.Now()
+		return false
+	}, func(r *http.Request, w io.Writer) bool {
+		began <- time.Now()
+		return longEvents(r, w)
+	})
+	conn, err := net.Dial("tcp4", strings.TrimPrefix(s.url, "http://"))
+	assert.NilError(t, err)
+	defer conn.Close()
+	fmt.Fprint(conn, "POST /twice/x HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: key\r\nModel: large\r\nContent-Length: 0\r\n\r\n")
+	overlap := (<-ended).Sub(<-began)
+	assert.Assert(t, overlap < maxTwoCalls, "%v", overlap)
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -52,7 +52,7 @@
 func (exec *execution) serveStream(ctx context.Context) {
 	t := &streamExecution{
 		execution: exec, ctx: ctx, timer: time.NewTimer(0),
-		lastEventID: exec.req.LastEventID, sequence: newEventSequence(exec.req.LastEventID), reserve: newReserve(),
+		lastEventID: exec.req.LastEventID, sequence: newEventSequence(exec.req.LastEventID),
 	}
 	defer t.timer.Stop()
 	defer t.dropCalls()
@@ -83,8 +83,6 @@
 		return t.handleCandidateEvent(event)
 	case <-t.timer.C:
 		t.timer.Reset(t.checkCalls(time.Now()))
-	case <-t.reserve.timer.C:
-		t.dropReserve()
 	case <-t.ctx.Done():
 		t.handleContextEnd()
 		return true
@@ -115,18 +113,33 @@
 func (t *streamExecution) advance() {
 	next := t.candidate
 	t.candidate, t.escalating = nil, false
-	if next == nil && t.reserve.hasNews() {
-		next = t.returnToReserve()
-	}
-	if next == nil {
-		next = t.begin(t.nextAttempt(), t.modelRank)
-	}
 	if next == nil {
-		next = t.returnToReserve()
+		next = t.nextCall()
 	}
 	t.setCurrent(next)
 }
 
+// nextCall returns the call that goes on with the stream, or nil if there is none: the one
+// in reserve if it has sent something, otherwise a new one, otherwise the one in reserve.
+func (t *streamExecution) nextCall() *streamCall {
+	if t.mayRejoin() && t.reserve.call.hasNews() {
+		if c := t.returnToReserve(); c != nil {
+			return c
+		}
+	}
+	for {
+		if a := t.nextAttempt(); a != nil {
+			return t.begin(a, t.modelRank)
+		}
+		if !t.mayRejoin() {
+			return nil
+		}
+		if c := t.returnToReserve(); c != nil {
+			return c
+		}
+	}
+}
+
 // nextAttempt returns the next call of the request, or nil if none may be made.
 func (t *streamExecution) nextAttempt() *attempt {
 	if t.ctx.Err() != nil || t.mayHaveRun && !t.route.Idempotent() {
@@ -135,7 +148,7 @@
 	a := t.placeRetry(t.ctx, t.modelName(), t.modelRank)
 	switch {
 	case a == nil && t.mayRejoin():
-		// It goes on sooner than an upstream that is not there yet.
+		// The call in reserve goes on without a wait.
 	case a == nil && t.response.begun():
 		a = t.waitForUpstream()
 	case a == nil && t.escalated:
