gateway: a paused call goes on before another one is made

Cause: after the replacement had broken off, a third call was made and the paused one kept beside it for what was left of the 0.3 s. The third upstream was silent for 1.4 s itself: the paused call, which went on after 1.2 s, had been ended, and then the third one broke off.

--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -45,13 +45,15 @@
 	}
 }
 
-// mayRejoin reports whether a call is kept in reserve and its events can be compared with
-// those that the client has received since.
-func (t *streamExecution) mayRejoin() bool { return t.reserve.call != nil && t.sequence.numbered }
-
-// returnToReserve takes the call that is kept in reserve. It returns nil if it has expired.
+// returnToReserve takes the call that is kept in reserve. It returns nil if there is none,
+// if it has expired, or if its events cannot be compared with those that the client has
+// received since.
 func (t *streamExecution) returnToReserve() *streamCall {
 	c := t.reserve.call
+	if c == nil || !t.sequence.numbered {
+		t.dropReserve()
+		return nil
+	}
 	t.reserve.call = nil
 	if !t.reserve.expiry.Stop() {
 		return nil
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -108,8 +108,8 @@
 	}
 }
 
-// advance replaces the current call, which has ended, by the candidate, by a new call or
-// by the one in reserve.
+// advance replaces the current call, which has ended, by the candidate, by the one in
+// reserve or by a new call.
 func (t *streamExecution) advance() {
 	next := t.candidate
 	t.candidate, t.escalating = nil, false
@@ -117,27 +117,19 @@
 		next = t.nextCall()
 	}
 	t.setCurrent(next)
+	if next != nil && next.rejoined {
+		t.timer.Reset(newsPollInterval)
+	}
 }
 
-// nextCall returns the call that goes on with the stream, or nil if there is none: the one
-// in reserve if it has sent something, otherwise a new one, otherwise the one in reserve.
+// nextCall returns the call that goes on with the stream, or nil if there is none. The one
+// in reserve goes first: its upstream may be sound, and new calls are left for the case
+// that it is not.
 func (t *streamExecution) nextCall() *streamCall {
-	if t.mayRejoin() && t.reserve.call.hasNews() {
-		if c := t.returnToReserve(); c != nil {
-			return c
-		}
-	}
-	for {
-		if a := t.nextAttempt(); a != nil {
-			return t.begin(a, t.modelRank)
-		}
-		if !t.mayRejoin() {
-			return nil
-		}
-		if c := t.returnToReserve(); c != nil {
-			return c
-		}
+	if c := t.returnToReserve(); c != nil {
+		return c
 	}
+	return t.begin(t.nextAttempt(), t.modelRank)
 }
 
 // nextAttempt returns the next call of the request, or nil if none may be made.
@@ -147,8 +139,6 @@
 	}
 	a := t.placeRetry(t.ctx, t.modelName(), t.modelRank)
 	switch {
-	case a == nil && t.mayRejoin():
-		// The call in reserve goes on without a wait.
 	case a == nil && t.response.begun():
 		a = t.waitForUpstream()
 	case a == nil && t.escalated:
