gateway: a paused call is returned to only if no other call can be made

- A stream stood still for 3.1 s at a lost upstream, and was lost with a time-out of 3 s, although its second upstream was sound again after 0.1 s: the paused call was returned to although calls were left.
- A call whose response had another status and media type than the client had received, or another release than the events since, went on with the stream.
- A returned call that was a continuation itself ended a whole stream as broken.
- A call that was silent and then failed counted as two failures of its upstream.
- The timer of the call in reserve outlived the request.

Why it works: the call in reserve comes after nextAttempt has found nothing, so that it changes only what would have been lost; mayContinue compares release, status, media type and IDs.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -45,7 +45,7 @@
 	switch {
 	case event.err != nil:
 		return t.handleBrokenStream(event.err)
-	case c.resumed && !c.forwarding, c.rejoined && !c.caughtUp:
+	case c.resumed && !c.rejoined && !c.forwarding, c.rejoined && !c.caughtUp:
 		return t.handleBrokenStream(errNoEvents)
 	}
 	t.startForwarding(c)
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -10,8 +10,8 @@
 )
 
 // reserve is a silent call that was replaced although its upstream shows no sign of a
-// failure. Until the overlap with its replacement is over, it is kept in case that one
-// breaks off.
+// failure. Until the overlap with its replacement is over, it is kept in case that the
+// stream breaks off and no other call can be made.
 type reserve struct {
 	call *streamCall
 	// expiry ends the call, also while the request waits for its client.
@@ -46,23 +46,25 @@
 }
 
 // returnToReserve takes the call that is kept in reserve. It returns nil if there is none,
-// if it has expired, or if its events cannot be compared with those that the client has
-// received since.
+// if it has expired, or if it cannot continue what the client has received since.
 func (t *streamExecution) returnToReserve() *streamCall {
 	c := t.reserve.call
-	if c == nil || !t.sequence.numbered {
+	if c == nil || !t.mayContinue(c) || !t.reserve.expiry.Stop() {
 		t.dropReserve()
 		return nil
 	}
 	t.reserve.call = nil
-	if !t.reserve.expiry.Stop() {
-		return nil
-	}
 	c.rejoined, c.caughtUp = true, false
 	c.logEvent("returned to", zap.String("last_event", t.lastEventID), zap.Bool("news", c.hasNews()))
 	return c
 }
 
+// mayContinue reports whether the call in reserve produces the same stream as the calls
+// since, as far as is known, and its events can be compared with theirs.
+func (t *streamExecution) mayContinue(c *streamCall) bool {
+	return t.sequence.numbered && c.choice.Release == t.streamRelease && (!c.accepted || t.continues(c))
+}
+
 // isRepeated reports whether the client has received an event of a rejoined call from
 // another one.
 func (t *streamExecution) isRepeated(c *streamCall, event streamEvent) bool {
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -312,7 +312,8 @@
 
 // dropCalls cancels the calls that are left when the request ends.
 func (t *streamExecution) dropCalls() {
-	for _, c := range []*streamCall{t.current, t.candidate, t.reserve.call} {
+	t.dropReserve()
+	for _, c := range []*streamCall{t.current, t.candidate} {
 		if c != nil {
 			c.end(placement.Neutral)
 		}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -108,28 +108,18 @@
 	}
 }
 
-// advance replaces the current call, which has ended, by the candidate, by the one in
-// reserve or by a new call.
+// advance replaces the current call, which has ended, by the candidate, by a new call or, if
+// none can be made, by the one in reserve.
 func (t *streamExecution) advance() {
 	next := t.candidate
 	t.candidate, t.escalating = nil, false
 	if next == nil {
-		next = t.nextCall()
+		next = t.begin(t.nextAttempt(), t.modelRank)
 	}
-	t.setCurrent(next)
-	if next != nil && next.rejoined {
-		t.timer.Reset(newsPollInterval)
-	}
-}
-
-// nextCall returns the call that goes on with the stream, or nil if there is none. The one
-// in reserve goes first: its upstream may be sound, and new calls are left for the case
-// that it is not.
-func (t *streamExecution) nextCall() *streamCall {
-	if c := t.returnToReserve(); c != nil {
-		return c
+	if next == nil {
+		next = t.returnToReserve()
 	}
-	return t.begin(t.nextAttempt(), t.modelRank)
+	t.setCurrent(next)
 }
 
 // nextAttempt returns the next call of the request, or nil if none may be made.
--- a/placement/call.go
+++ b/placement/call.go
@@ -15,7 +15,9 @@
 	runningWeight       float64
 	startedAt           time.Time
 	hasFirstEvent       bool
-	ended               bool
+	// silent is set if a silence of the call was recorded as a failure.
+	silent bool
+	ended  bool
 }
 
 // Start records a call that is about to be sent to the chosen upstream. It
@@ -193,7 +195,9 @@
 			c.upstream.slowness.observe(now.Sub(c.startedAt).Seconds(), c.predictedFirstEvent)
 		}
 	case Failed:
-		c.upstream.health.recordFailure(now)
+		if !c.silent {
+			c.upstream.health.recordFailure(now)
+		}
 	case Unreachable:
 		c.upstream.health.recordFailure(now)
 		c.upstream.health.recordUnreachable(now)
@@ -216,6 +220,7 @@
 }
 
 func (c *Call) recordSilence(now time.Time) {
+	c.silent = true
 	c.upstream.health.recordFailure(now)
 	c.upstream.health.recordSilence(now)
 	c.b.zone(c.upstream.AvailabilityZone).lastFailureAt = now
