soak: the settings file of a VM is replaced in one step

Cause: the soak truncates and then writes the file. A VM that starts in between reads a part of it, ends with an error that names the file, and nothing in the soak starts it again. A running VM keeps its settings when a file is bad.

--- a/soak/system.go
+++ b/soak/system.go
@@ -153,10 +153,13 @@
 	return l
 }
 
+// writeSettings replaces the settings file of a VM, which may be starting.
 func (s *System) writeSettings(m *vm) {
 	data, err := standin.SettingsFile(m.settings)
 	assert.NilError(s.t, err)
-	assert.NilError(s.t, os.WriteFile(m.settingsPath, data, 0o600))
+	next := m.settingsPath + ".next"
+	assert.NilError(s.t, os.WriteFile(next, data, 0o600))
+	assert.NilError(s.t, os.Rename(next, m.settingsPath))
 }
 
 // launch starts the process of a VM. The caller holds m.mu unless m is not shared yet.
