--- a/review/_kit/client.go
+++ b/review/_kit/client.go
@@ -55,15 +55,15 @@
 func (c *channel) send(q request) answer {
 	_ = c.SetDeadline(time.Now().Add(q.patience))
 	var text bytes.Buffer
-	fmt.Fprintf(&text, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Credential: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n",
-		q.path, hostName, q.id, key, q.patience.Milliseconds(), len(q.body))
+	fmt.Fprintf(&text, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n",
+		q.path, hostName, headers.Attempt, q.id, headers.Credential, key, headers.Deadline, q.patience.Milliseconds(), len(q.body))
 	if len(q.parts) > 0 {
 		tokens := 0
 		var parts []string
 		for _, p := range q.parts {
 			parts, tokens = append(parts, p+":100"), tokens+100
 		}
-		fmt.Fprintf(&text, "X-Model: *\r\nX-Token-Count: %d,80\r\nX-Prompt-Prefix: %s\r\n", tokens, strings.Join(parts, ","))
+		fmt.Fprintf(&text, "%s: *\r\n%s: %d,80\r\n%s: %s\r\n", headers.Model, headers.Tokens, tokens, headers.Prefix, strings.Join(parts, ","))
 	}
 	text.WriteString("\r\n")
 	text.Write(q.body)
--- a/review/_kit/host.go
+++ b/review/_kit/host.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -89,27 +88,12 @@
 	for _, other := range h.machines[:min(2, n)] {
 		seeds = append(seeds, other.control)
 	}
-	data, err := json.MarshalIndent(map[string]any{
-		"Node": m.name, "Role": "entry", "MachineClass": "front", "Serves": []string{"front", "control"}, "Ip": ip, "Zone": zone, "Region": "region",
-		"Zones":  map[string]string{"z0": "region", "z1": "region", "z2": "region"},
-		"Listen": map[string]string{"Front": m.front, "Ready": m.ready, "Control": m.control}, "Seeds": seeds, "Bootstrap": true, "LossCounts": false,
-		"Limits":  map[string]any{"CpuShare": 0.4, "Cores": 1, "MemoryMb": memoryMb, "MaxFds": m.descriptors, "LinkMbps": 1000.0, "DiskMb": 0},
-		"DataDir": nil, "Discovery": "platform", "Entry": "vip", "HeartbeatMs": 1200,
-		"Contracts":      []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform", "rollout"},
-		"FaultTolerance": map[string]int{"Machines": 2, "Zones": 1, "Regions": 0},
-		"Bounds": map[string]any{
-			"SeedLagS": 3, "ReuseAfterS": 2, "TouchMs": 3000, "AckMs": 4000, "CatchUpS": 4, "DrainMs": 2000, "GraceS": 8, "LostMs": 200, "ConfigMs": 2000,
-			"BackMs": 250, "OuterMs": 5000, "StrictRevoke": false, "RevokeMs": 5000, "BudgetRatio": 0.9, "BudgetWindowS": 10, "BudgetSlack": 58,
-			"ExposeShare": 0.15, "ExposeSlack": 30, "RollbackMs": 5000, "RecoverS": 12, "PassMs": 120, "AgainS": 10, "SessionS": 5,
-		},
-		"Platform": map[string]any{"Address": h.address, "form": "table", "WritesPerS": 400, "ReadsPerS": 2000, "TxMs": 3.0, "PartWritesS": 300, "RowBytes": 65536, "Across": true, "HistoryS": 20},
-	}, "", "  ")
-	if err != nil {
-		return nil, err
-	}
 	m.path = filepath.Join(h.dir, m.name+".json")
 	h.machines = append(h.machines, m)
-	return m, os.WriteFile(m.path, data, 0o600)
+	return m, settings{
+		Name: m.name, IP: ip, Zone: zone, Front: m.front, Ready: m.ready, Control: m.control, Store: h.address, Seeds: seeds, MemoryMb: memoryMb,
+		Descriptors: m.descriptors,
+	}.write(m.path)
 }
 
 // start starts the process of the machine with the command of the deploy file and the
@@ -233,29 +217,7 @@
 
 // configure writes the first configuration: streams under /brief/ to the service "model",
 // bookings under /book/ to the service "desk".
-func (h *host) configure() {
-	h.store.Put("op", "config", map[string]any{
-		"Version": 7,
-		"Routes": []any{
-			map[string]any{
-				"Name": "brief", "Host": hostName, "Prefix": "/brief/", "Kind": "stream", "TimeoutMs": 25000, "GoalMs": 4000, "GapTargetMs": 1000, "Priority": 0,
-				"Sizes": []string{"small", "large"}, "Service": "model", "MaxAttempts": 3, "Public": false, "Sticky": true, "Resumable": true,
-			},
-			map[string]any{
-				"Name": "book", "Host": hostName, "Prefix": "/book/", "Kind": "unsafe", "TimeoutMs": 800, "GoalMs": 150, "Priority": 2, "Service": "desk",
-				"MaxAttempts": 1, "Public": false,
-			},
-		},
-		"Services": []any{
-			map[string]any{"Name": "model", "HealthPath": "/healthz", "MaxConns": 370, "Engine": map[string]any{"Slots": 64, "Models": []any{
-				map[string]any{"Name": "small", "Cost": 0.017}, map[string]any{"Name": "large", "Cost": 0.25},
-			}}},
-			map[string]any{"Name": "desk", "HealthPath": "/healthz", "MaxConns": 110},
-		},
-		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": maxBody, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-		"Tenants": []any{map[string]any{"Name": "tenant-1", "ApiKeys": []string{key}}},
-	})
-}
+func (h *host) configure() { h.store.PutValue("op", "config", configJSON) }
 
 // maxBody is MaxBodyBytes.
 const maxBody = 4194304
--- a/review/_kit/servers.go
+++ b/review/_kit/servers.go
@@ -101,13 +101,13 @@
 }
 
 func (s *servers) serve(w http.ResponseWriter, r *http.Request, id string, crash func()) {
-	request := r.Header.Get("X-Attempt-Id")
-	w.Header().Set("X-Attempt-Id", request)
-	if r.Header.Get("X-Expect-Instance") != id {
+	request := r.Header.Get(headers.Attempt)
+	w.Header().Set(headers.Attempt, request)
+	if r.Header.Get(headers.ExpectInstance) != id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	crashing := s.crashPart != "" && strings.Contains(r.Header.Get("X-Prompt-Prefix"), s.crashPart+":")
+	crashing := s.crashPart != "" && strings.Contains(r.Header.Get(headers.Prefix), s.crashPart+":")
 	whole := 0
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, arrival{id, request, crashing, time.Now()})
@@ -119,7 +119,7 @@
 		s.h.rec.line("request %s reaches server %s and runs", request, id)
 	}
 	_, _ = io.Copy(io.Discard, r.Body) // the server then notices that the channel closes
-	w.Header().Set("X-Response-Stamp", "stamp-"+id)
+	w.Header().Set(headers.Stamp, "stamp-"+id)
 	if s.events == 0 {
 		if sleep(r, s.every) {
 			_, _ = io.WriteString(w, "done by "+id) // fails when the channel is closed
@@ -127,8 +127,8 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("X-Confidence", "100")
-	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 for a new stream
+	w.Header().Set(headers.Confidence, "100")
+	from, _ := strconv.Atoi(r.Header.Get(headers.LastEvent)) // 0 for a new stream
 	if from == 0 && !sleep(r, s.first) {
 		return
 	}
