review: two scripts say when they cannot run

Cause: with few descriptors of its own, or without /proc, a script would have passed. Change: exit code 2 then; wording of the report.

--- a/review/_kit/limits.go
+++ b/review/_kit/limits.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -58,8 +60,12 @@
 // descriptors: users hold channels to a machine, on some of which requests are in progress,
 // when another machine starts. With the trouble, 1.7 times as many users have come.
 func descriptors(h *host, trouble bool) (int, error) {
-	const kept = 30
+	const kept, needed = 30, 6000
 	n := 2450
+	var own syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &own); err != nil || own.Cur < needed {
+		return notRun, fmt.Errorf("the users need %d descriptors, this process may have %d", needed, own.Cur)
+	}
 	h.configure()
 	desk, err := startServers(&servers{h: h, service: "desk", every: 5 * time.Millisecond, quiet: true}, 3)
 	if err != nil {
@@ -192,6 +198,9 @@
 	}
 	wait.Wait()
 	close(stop)
+	if peak.Load() == 0 {
+		return notRun, errors.New("the memory of the process is not known here")
+	}
 	h.rec.line("%d clients; the process used up to %d MB of its %d MB", n, peak.Load()>>10, memoryMb)
 	return verdict(h, int(lost.Load()))
 }
