placement: the operator evacuates an availability zone

Cause: the row op/evacuate/ZONE, by which the operator takes a zone out of service, was read by nothing, so that calls went on going there. Change: platform.DecodeEvacuations reads the rows, placement.Balancer.SetEvacuated takes the zones: their upstreams are not chosen, not as a last resort either, and calls placed before are not written. Upstreams in such zones do not count as capacity of a release. EvacMs of the settings bounds the age of copies. With it, a VM that was suspended makes no calls until the store or a peer has confirmed its copy of the orders, or the store is known to be unavailable. Requests without another upstream get 503 with a Retry-After of about a second. Without such rows and without EvacMs nothing changes.

The suspension is tested on the copy and in the gateway, not with a stopped process.

--- a/entry/ages.go
+++ b/entry/ages.go
@@ -28,10 +28,13 @@
 	confirm, most time.Duration
 }
 
-// copyAgesFor returns the ages with which a configuration is in force, and a draining
-// upstream known, within the bounds of the platform.
+// copyAgesFor returns the ages with which a configuration and an evacuation are in force,
+// and a draining upstream is known, within the bounds of the platform.
 func copyAgesFor(b platform.Bounds) copyAges {
 	within := maxKnownWithin
+	if b.Evacuation > 0 {
+		within = min(within, b.Evacuation)
+	}
 	for _, bound := range []time.Duration{b.Configuration, b.Drain} {
 		if bound <= 0 {
 			bound = defaultKnownWithin
--- a/entry/ages_test.go
+++ b/entry/ages_test.go
@@ -25,3 +25,13 @@
 		assert.Equal(t, ages.most, c.most)
 	}
 }
+
+// Guards against copies that are confirmed too rarely for an evacuation to be in force in
+// time, and against deployments without evacuations that read the store more often.
+func TestCopyAgesFollowTheBoundOfEvacuations(t *testing.T) {
+	b := platform.Bounds{Configuration: time.Minute, Drain: time.Minute}
+	b.Evacuation = 2 * time.Second
+	assert.Equal(t, copyAgesFor(b).most, 1400*time.Millisecond)
+	b.Evacuation = time.Minute
+	assert.Equal(t, copyAgesFor(b).most, 3500*time.Millisecond)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -120,6 +121,10 @@
 	streamed atomic.Pointer[map[string]bool]
 	// registered holds the upstreams that are registered until the quarantine knows them.
 	registered atomic.Pointer[[]placement.Upstream]
+	// oddEvacuations holds the malformed rows of evacuations.
+	oddEvacuations ignoredRows
+	// releasesMu serialises setReleases, so that older counts do not replace newer ones.
+	releasesMu sync.Mutex
 	// nextFindings is the time from which findings of the quarantine may be written again.
 	// Only the periodic tasks use it.
 	nextFindings time.Time
@@ -147,7 +152,7 @@
 	})
 	e.quarantine = e.newQuarantine()
 	e.gateway = gateway.New(gateway.Options{
-		Codec: platform.Codec{}, Balancer: e.balancer, Pool: e.pool, Splitter: e.rollouts, RetryBudget: e.budget, Log: opts.Log, Metrics: e.metrics, Quarantine: e.quarantine, Announce: e.fleet.Announce,
+		Codec: platform.Codec{}, Balancer: e.balancer, Pool: e.pool, Splitter: e.rollouts, RetryBudget: e.budget, Log: opts.Log, Metrics: e.metrics, Quarantine: e.quarantine, Announce: e.fleet.Announce, Outdated: e.ordersOutdated,
 		MaxBuffered: int64(bufferedShare * float64(s.MemoryBytes)), MaxRequestBodies: int64(requestBodyShare * float64(s.MemoryBytes)),
 	})
 	e.tables = map[string]*table{}
@@ -272,7 +277,7 @@
 }
 
 func (e *Entry) ready() bool {
-	return e.configurationLoaded.Load() && e.upstreamsLoaded.Load() && !e.stopping.Load() && e.knowsPeers()
+	return e.configurationLoaded.Load() && e.upstreamsLoaded.Load() && !e.stopping.Load() && e.knowsPeers() && !e.ordersOutdated(time.Now())
 }
 
 // knowsPeers reports whether this VM has heard from a peer and has read the findings of the
@@ -285,9 +290,11 @@
 	return e.heard.Load()
 }
 
-// ordersChanged applies the operator's rollout orders and configuration. An invalid
+// ordersChanged applies the operator's evacuations, rollout orders and configuration. The
+// evacuations come first, because the VM may be ready once it has a configuration. An invalid
 // configuration leaves the previous one in force.
 func (e *Entry) ordersChanged(c mirror.Change) {
+	e.applyEvacuations(c)
 	orders, problems := platform.DecodeOrders(c.Rows)
 	e.setIgnored(tableOrders, problems, zap.ErrorLevel, "rollout order ignored")
 	for _, o := range orders {
@@ -315,17 +322,8 @@
 	list, problems := platform.DecodeUpstreams(c.Rows)
 	e.setIgnored(tableUpstreams, problems, zap.WarnLevel, "registration ignored")
 	e.balancer.SetUpstreams(list, c.ConfirmedAt, c.At)
-	releases := map[string]map[string]int{}
-	for _, u := range list {
-		if releases[u.Service] == nil {
-			releases[u.Service] = map[string]int{}
-		}
-		releases[u.Service][u.Release]++
-	}
-	for service, r := range releases {
-		e.rollouts.SetReleases(service, r)
-	}
 	e.registered.Store(&list)
+	e.setReleases()
 	e.upstreamsLoaded.Store(true)
 	e.log.Info("upstreams changed", zap.Int("upstreams", len(list)), zap.Int("ignored", len(problems)), zap.Int64("revision", c.Revision))
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -49,6 +49,8 @@
 		ends, _ := e.quarantine.Size()
 		return float64(ends)
 	})
+	gauge("savoryshift_evacuated_zones", func() float64 { return float64(e.balancer.Evacuated()) })
+	gauge("savoryshift_evacuations_malformed", func() float64 { return float64(e.oddEvacuations.count.Load()) })
 	for name, t := range e.tables {
 		gauge(`savoryshift_table_revision{table="`+name+`"}`, func() float64 {
 			c, _ := t.Copy()
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -81,6 +81,8 @@
 	switch {
 	case !a.exec.srv.opts.Balancer.Usable(a.choice.Instance(), now):
 		return errUnregistered
+	case a.exec.srv.outdated(now):
+		return errOutdated
 	case !a.exec.route.Idempotent() && !a.exec.mayCall(now):
 		return errOutlastsStop
 	case !a.test && a.exec.srv.opts.Quarantine.Accuses(a.exec.parts, now).Refused:
@@ -98,7 +100,7 @@
 	if class == failed {
 		a.reportBreak()
 	}
-	withdrawn := errors.Is(err, errUnregistered) || errors.Is(err, errOutlastsStop) || errors.Is(err, errQuarantined)
+	withdrawn := errors.Is(err, errUnregistered) || errors.Is(err, errOutdated) || errors.Is(err, errOutlastsStop) || errors.Is(err, errQuarantined)
 	if errors.Is(a.ctx.Err(), context.Canceled) || withdrawn {
 		outcome = placement.Neutral
 	}
--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -211,7 +211,7 @@
 	c := exec.srv.opts.Balancer.ExclusionCounts(&placement.Query{Service: exec.service.Name, Exclude: exec.excluded, Allow: exec.releaseFilter.Accept, Now: time.Now()})
 	exec.srv.opts.Log.Info("no upstream",
 		zap.String("request", exec.req.ID), zap.String("service", exec.service.Name), zap.Int("registered", c.Registered),
-		zap.Int("tried", c.Tried), zap.Int("leaving", c.Leaving), zap.Int("lapsed", c.Lapsed), zap.Int("other_release", c.OtherRelease),
+		zap.Int("tried", c.Tried), zap.Int("leaving", c.Leaving), zap.Int("lapsed", c.Lapsed), zap.Int("other_release", c.OtherRelease), zap.Int("evacuated", c.Evacuated), zap.Bool("outdated", exec.srv.outdated(time.Now())),
 		zap.Int("paused", c.Paused), zap.Int("unreachable", c.Unreachable), zap.Int("failing", c.Failing), zap.Duration("list_age", c.ListAge),
 		zap.Int("runs", exec.runs), zap.Int("most_runs", exec.route.MaxAttempts),
 	)
@@ -277,7 +277,7 @@
 // call is cancelled with ctx. It returns nil if no call can be placed.
 func (exec *execution) place(ctx context.Context, model string, rank int) *attempt {
 	now := time.Now()
-	if exec.callsExhausted() || ctx.Err() != nil || exec.ctx.Err() != nil || !exec.mayCall(now) {
+	if exec.callsExhausted() || ctx.Err() != nil || exec.ctx.Err() != nil || !exec.mayCall(now) || exec.srv.outdated(now) {
 		return nil
 	}
 	q := &placement.Query{
@@ -358,6 +358,10 @@
 // written.
 var errUnregistered = errors.New("upstream accepts no new calls")
 
+// errOutdated is returned for a call that was placed before this VM was suspended for so
+// long that an evacuation may be in force that it does not know.
+var errOutdated = errors.New("the orders of the operator are outdated")
+
 // errOutlastsStop is returned for a call of a request that may run only once, if a planned
 // stop began before the request was written and may end before the call does.
 var errOutlastsStop = errors.New("the call may outlast the planned stop")
--- a/gateway/retryafter.go
+++ b/gateway/retryafter.go
@@ -11,6 +11,9 @@
 	// noUpstreamRetryAfter is about the time until a lapsed registration is
 	// renewed or another instance is started.
 	noUpstreamRetryAfter = 400 * time.Millisecond
+	// evacuatedRetryAfter replaces it while all upstreams that may serve the request are in
+	// evacuated zones: about the time until a zone that is taken back is known everywhere.
+	evacuatedRetryAfter = time.Second
 	// minJitter and jitterRange define the jitter of Retry-After as a factor: it
 	// is uniform between minJitter and minJitter+jitterRange.
 	minJitter   = 0.75
@@ -34,7 +37,12 @@
 // refuseUntilUsable refuses a request for which no upstream is left. While all upstreams
 // that may serve it have asked for a pause, the client is told when the first pause ends.
 func (exec *execution) refuseUntilUsable(now time.Time) {
-	pause := exec.srv.opts.Balancer.ShortestPause(&placement.Query{Service: exec.service.Name, Allow: exec.releaseFilter.Accept, Now: now})
+	q := &placement.Query{Service: exec.service.Name, Allow: exec.releaseFilter.Accept, Now: now}
+	if exec.srv.opts.Balancer.AllEvacuated(q) {
+		exec.refuse(errkind.NoCapacity, evacuatedRetryAfter)
+		return
+	}
+	pause := exec.srv.opts.Balancer.ShortestPause(q)
 	if pause <= 0 {
 		exec.refuse(errkind.NoCapacity, noUpstreamRetryAfter)
 		return
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -46,6 +46,9 @@
 	// Quarantine holds the parts of prompts that end upstreams. Default: one without
 	// peers.
 	Quarantine *quarantine.Tracker
+	// Outdated reports whether this VM may lack orders of the operator that must be in
+	// force: it makes no calls then. It may be nil.
+	Outdated func(now time.Time) bool
 	// Announce is called after a call with a long prompt is placed and after an upstream
 	// ended under a request, so that peers learn of it at once; it may be nil.
 	Announce func()
@@ -105,6 +108,12 @@
 	}
 }
 
+// outdated reports whether no call may be made because orders of the operator may be
+// missing.
+func (srv *Server) outdated(now time.Time) bool {
+	return srv.opts.Outdated != nil && srv.opts.Outdated(now)
+}
+
 // SetState replaces the routing configuration.
 func (srv *Server) SetState(st *State) {
 	srv.state.Store(st)
--- a/placement/book.go
+++ b/placement/book.go
@@ -63,6 +63,8 @@
 	probedAt time.Time
 	// notices are those of the registered instance, nil if there are none.
 	notices *notices
+	// evacuated is set while the availability zone of the upstream is evacuated.
+	evacuated bool
 }
 
 type cacheKey struct {
@@ -105,6 +107,8 @@
 	peers      map[string]peerState
 	recentUses []cacheEvent
 	zones      map[string]*zone
+	// evacuated is the set of evacuated availability zones.
+	evacuated map[string]bool
 	// listSetAt is the time of the last SetUpstreams call.
 	listSetAt time.Time
 }
@@ -139,7 +143,7 @@
 			e = &upstreamState{cachedAt: map[cacheKey]time.Time{}, notices: b.notices[u.Instance()]}
 			b.upstreams[u.ID] = e
 		}
-		e.Upstream, e.unregisteredAt = u, time.Time{}
+		e.Upstream, e.unregisteredAt, e.evacuated = u, time.Time{}, b.evacuated[u.AvailabilityZone]
 	}
 	for id, e := range b.upstreams {
 		if registered[id] {
@@ -266,7 +270,8 @@
 
 // Usable reports whether a call may still be sent to an instance that Choose
 // returned earlier: the instance may since have started to drain, have lost its
-// registration, have been replaced, or have said that it wants no calls.
+// registration, have been replaced, or have said that it wants no calls, and its zone may
+// have been evacuated.
 func (b *Balancer) Usable(i Instance, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -280,10 +285,10 @@
 	return !e.unregisteredAt.IsZero() && now.Sub(e.unregisteredAt) >= b.options.LapseGrace
 }
 
-// acceptsCalls reports whether neither the registration nor an answer of the upstream
-// rules out new calls of this VM.
+// acceptsCalls reports whether neither the registration, nor an answer of the upstream, nor
+// the evacuation of its zone rules out new calls of this VM.
 func (e *upstreamState) acceptsCalls(now time.Time) bool {
-	return !e.Draining && !e.notices.leaving() && e.notices.pauseLeft(now) == 0
+	return !e.evacuated && !e.Draining && !e.notices.leaving() && e.notices.pauseLeft(now) == 0
 }
 
 // Replaced reports whether another process has the ID or the address of an instance.
--- a/placement/census.go
+++ b/placement/census.go
@@ -12,6 +12,8 @@
 	// have lost their registration. OtherRelease ones run a release that is not allowed
 	// for the request.
 	Tried, Leaving, Lapsed, OtherRelease int
+	// Evacuated upstreams are in an evacuated availability zone.
+	Evacuated int
 	// Paused upstreams asked this VM for no calls until a time.
 	Paused int
 	// Unreachable upstreams accepted no connection or sent no byte recently.
@@ -33,6 +35,8 @@
 		switch {
 		case q.Exclude[e.ID]:
 			c.Tried++
+		case e.evacuated:
+			c.Evacuated++
 		case !e.unregisteredAt.IsZero():
 			c.Lapsed++
 		case e.Draining || e.notices.leaving():
--- a/placement/notices.go
+++ b/placement/notices.go
@@ -130,7 +130,7 @@
 	defer b.mu.Unlock()
 	shortest, found := time.Duration(0), false
 	for _, e := range b.service[q.Service] {
-		if e.Draining || e.notices.leaving() || b.isGone(e, q.Now) || q.Allow != nil && !q.Allow(e.Release) {
+		if e.evacuated || e.Draining || e.notices.leaving() || b.isGone(e, q.Now) || q.Allow != nil && !q.Allow(e.Release) {
 			continue
 		}
 		left := e.notices.pauseLeft(q.Now)
