--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -77,9 +77,9 @@
 	to := p.Member
 	f.mu.Unlock()
 	var reply Digest
-	err := f.call(p, "Exchange", f.digest(to), &reply)
+	err := f.call(p, "Exchange", f.digest(to, time.Now()), &reply)
 	if err == nil {
-		f.applyDigest(reply)
+		f.applyDigest(reply, time.Now())
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -153,8 +153,9 @@
 
 // Exchange applies the digest of a peer and returns the digest of this VM.
 func (h *handler) Exchange(in Digest, out *Digest) error {
-	h.fleet.applyDigest(in)
-	*out = h.fleet.digest(in.From)
+	now := time.Now()
+	h.fleet.applyDigest(in, now)
+	*out = h.fleet.digest(in.From, now)
 	return nil
 }
 
@@ -233,8 +234,7 @@
 }
 
 // digest returns the current digest for a peer.
-func (f *Fleet) digest(to Member) Digest {
-	now := time.Now()
+func (f *Fleet) digest(to Member, now time.Time) Digest {
 	f.mu.Lock()
 	d := Digest{From: f.self(), Incarnation: f.opts.Incarnation}
 	fullDigest := false
@@ -278,8 +278,7 @@
 	return vm + "@" + strconv.FormatInt(incarnation, 36)
 }
 
-func (f *Fleet) applyDigest(d Digest) {
-	now := time.Now()
+func (f *Fleet) applyDigest(d Digest, now time.Time) {
 	f.mu.Lock()
 	if p := f.ensurePeer(d.From.Address, now); p != nil {
 		if !p.alive(now) {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -248,7 +248,7 @@
 	})
 	receive := func() {
 		for i, vm := range []string{"vm0", "vm1"} {
-			f.applyDigest(Digest{From: Member{VM: vm, AvailabilityZone: "z", Address: fmt.Sprint("127.0.0.1:", i+2), Capacity: 1}})
+			f.applyDigest(Digest{From: Member{VM: vm, AvailabilityZone: "z", Address: fmt.Sprint("127.0.0.1:", i+2), Capacity: 1}}, time.Now())
 		}
 	}
 	receive()
@@ -294,7 +294,7 @@
 		n.tell(placement.Instance{ID: fmt.Sprint("u", i)})
 	}
 	f := New(Options{Self: Member{VM: "vm0", Address: "127.0.0.1:1"}, Node: n, Log: zap.NewNop()})
-	assert.Equal(t, len(f.digest(Member{VM: "vm1", Address: "127.0.0.1:2"}).Report.Leaving), maxDigestLeaving)
+	assert.Equal(t, len(f.digest(Member{VM: "vm1", Address: "127.0.0.1:2"}, time.Now()).Report.Leaving), maxDigestLeaving)
 }
 
 // Guards against a report that VMs of the build before Report.Leaving cannot decode, and
