fleet: each use is told to a peer once, and sums are shared by peers

A digest repeated the uses of prompt prefixes and sessions of 0.8 s, and a delegate summed and sorted all reports anew for each peer. Uses are now kept in the order in which a VM learned of them; digests acknowledge them, and hold those that the peer has not acknowledged. Peers of earlier builds, which acknowledge nothing, are sent the uses of 0.8 s as before. The report of a VM and the sums of loads are reused for 25 ms, which is added to the age of loads at each VM that they pass.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -104,6 +104,18 @@
 	urgent bool
 	// fullDigest is the time of the last full digest to the peer.
 	fullDigest time.Time
+	// scope is that of the last digest to the peer, and scopeFrom the position of the uses from
+	// which the digests have had it. acknowledged is the position up to which the peer knows
+	// the uses, 0 if that is not known, and heard that up to which this VM knows the peer's.
+	scope                   Scope
+	scopeFrom, acknowledged int64
+	heard                   NewsMark
+}
+
+// cachedReport is the report of this VM at a time.
+type cachedReport struct {
+	report Report
+	at     time.Time
 }
 
 // Fleet exchanges digests with the other entry VMs. It is safe for concurrent use.
@@ -114,6 +126,11 @@
 	peers       map[string]*peer
 	conns       map[net.Conn]bool
 	reportStore *reportStore
+	// own holds the last reports of this VM, without and with evidence.
+	own [2]cachedReport
+	// sums are the sums of loads at sumsAt.
+	sums   *loadSums
+	sumsAt time.Time
 	// received counts the bytes of long messages that are being received.
 	received atomic.Int64
 	// wake signals that exchanges are due before the next tick.
@@ -246,37 +263,96 @@
 func (f *Fleet) digest(to Member, now time.Time) Digest {
 	f.mu.Lock()
 	d := Digest{From: f.self(), Incarnation: f.opts.Incarnation}
+	p := f.peers[to.Address]
 	fullDigest := false
-	if p := f.peers[to.Address]; p != nil && now.Sub(p.fullDigest) >= fullDigestInterval {
+	if p != nil && now.Sub(p.fullDigest) >= fullDigestInterval {
 		p.fullDigest, fullDigest = now, true
 	}
 	members, topology := f.alive(now), f.reachable(now)
-	f.mu.Unlock()
-	own := f.opts.Node.Report(fullDigest)
-	own.Leaving = own.Leaving[:min(len(own.Leaving), maxDigestLeaving)]
-	d.Tables = f.opts.Node.Tables()
 	d.Scope = topology.scope(&d.From, &to)
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	own := f.ownReport(fullDigest, now)
+	d.Report = Report{Leaving: own.Leaving, Quarantine: own.Quarantine}
 	switch d.Scope {
 	case OwnScope:
-		d.Report = own
+		d.Report.Loads = own.Loads
 	case ZoneScope:
-		d.Report = f.reportStore.zoneSum(own, fullDigest, now)
+		d.Report.Loads = f.loadSums(now).zone
 	case OthersScope:
-		d.Report = f.reportStore.othersSum(own, to.VM, fullDigest, now)
+		d.Report.Loads = f.loadSums(now).others(to.VM)
 	}
 	if fullDigest {
 		d.Members = members
+		switch d.Scope {
+		case OwnScope:
+			d.Report.Rollouts = own.Rollouts
+		case ZoneScope:
+			d.Report.Rollouts = f.reportStore.evidenceSum(own.Rollouts, "", false)
+		case OthersScope:
+			d.Report.Rollouts = f.reportStore.evidenceSum(own.Rollouts, to.VM, true)
+		}
 	}
+	f.addNews(&d, to.VM, p, now)
+	f.mu.Unlock()
+	d.Tables = f.opts.Node.Tables()
 	return d
 }
 
+// addNews adds to a digest the uses that the peer may not know of.
+func (f *Fleet) addNews(d *Digest, to string, p *peer, now time.Time) {
+	after, since := int64(0), now.Add(-newsWindow)
+	if p != nil {
+		if p.scope != d.Scope {
+			// Digests of the previous scope have left out uses. A position of its own tells the
+			// acknowledgements of further digests from theirs.
+			f.reportStore.position++
+			p.scope, p.acknowledged, p.scopeFrom = d.Scope, 0, f.reportStore.position
+		}
+		if p.acknowledged > 0 {
+			after, since = p.acknowledged, now.Add(-newsLifetime)
+		}
+		d.Heard = p.heard
+	}
+	f.reportStore.addNews(&d.Report, d.Scope, to, after, since, now)
+	d.NewsTo = f.reportStore.position
+}
+
+// ownReport returns the report of this VM, which is at most sumsInterval old. The caller must
+// hold f.mu, which is released while the report is made.
+func (f *Fleet) ownReport(evidence bool, now time.Time) Report {
+	cached := &f.own[0]
+	if evidence {
+		cached = &f.own[1]
+	}
+	if now.Sub(cached.at) < sumsInterval {
+		return cached.report
+	}
+	f.mu.Unlock()
+	r := f.opts.Node.Report(evidence)
+	f.mu.Lock()
+	r.Leaving = r.Leaving[:min(len(r.Leaving), maxDigestLeaving)]
+	f.reportStore.recordUses("", &r, now)
+	*cached = cachedReport{report: r, at: now}
+	return r
+}
+
+// loadSums returns the sums of loads, which are at most sumsInterval old. The caller must hold
+// f.mu.
+func (f *Fleet) loadSums(now time.Time) *loadSums {
+	if f.sums == nil || now.Sub(f.sumsAt) >= sumsInterval {
+		own := f.own[0]
+		if f.own[1].at.After(own.at) {
+			own = f.own[1]
+		}
+		f.sums, f.sumsAt = f.reportStore.sums(own.report.Loads, now), now
+	}
+	return f.sums
+}
+
 // source names the VM or group of VMs whose report a digest holds.
 func (d *Digest) source() string {
 	switch d.Scope {
 	case ZoneScope:
-		return "zone/" + d.From.AvailabilityZone
+		return zonePrefix + d.From.AvailabilityZone
 	case OthersScope:
 		return "others"
 	}
@@ -297,6 +373,14 @@
 			f.topology = nil
 		}
 		p.Member, p.lastExchange, p.backoff = d.From, now, 0
+		p.heard = NewsMark{Incarnation: d.Incarnation, To: d.NewsTo}
+		switch {
+		case d.Heard.Incarnation != f.opts.Incarnation:
+			// The peer has not received a digest of this process.
+			p.acknowledged = 0
+		case d.Heard.To >= p.scopeFrom:
+			p.acknowledged = d.Heard.To
+		}
 	}
 	for _, m := range d.Members {
 		f.recordRelayed(m, now)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -87,9 +87,9 @@
 	return Digest{From: Member{VM: vm, AvailabilityZone: zone}, Scope: s, Report: Report{Loads: loads(calls)}}
 }
 
-func totalCalls(r Report) int {
+func totalCalls(list []LoadReport) int {
 	n := 0
-	for _, l := range r.Loads {
+	for _, l := range list {
 		n += l.Calls
 	}
 	return n
@@ -104,11 +104,16 @@
 	rs.record(digestFrom("a-2", "a", OwnScope, 10), "a-2@1", "a", now)
 	rs.record(digestFrom("b-0", "b", ZoneScope, 100), "", "a", now)
 	rs.record(digestFrom("b-1", "b", ZoneScope, 100), "", "a", now)
-	own := Report{Loads: loads(1000)}
-	assert.Equal(t, totalCalls(rs.zoneSum(own, false, now)), 1011)
-	assert.Equal(t, totalCalls(rs.othersSum(own, "a-2", false, now)), 1101)
+	sums := rs.sums(loads(1000), now)
+	assert.Equal(t, totalCalls(sums.zone), 1011)
+	assert.Equal(t, totalCalls(sums.others("a-2")), 1101)
+	// A report that arrives after the sums were made must not be taken off them.
+	rs.record(digestFrom("a-2", "a", OwnScope, 70), "a-2@1", "a", now)
+	rs.record(digestFrom("a-3", "a", OwnScope, 5), "a-3@1", "a", now)
+	assert.Equal(t, totalCalls(sums.others("a-2")), 1101)
+	assert.Equal(t, totalCalls(sums.others("a-3")), 1111)
 	later := now.Add(reportLifetime + time.Millisecond)
-	assert.Equal(t, totalCalls(rs.othersSum(own, "a-2", false, later)), 1000, "old reports no longer count")
+	assert.Equal(t, totalCalls(rs.sums(loads(1000), later).others("a-2")), 1000, "old reports no longer count")
 }
 
 func evidence(bad uint64) []rollout.Evidence {
@@ -140,8 +145,8 @@
 	}
 	later := now.Add(time.Minute)
 	rs.expire(later)
-	assert.Equal(t, badCount(rs.zoneSum(Report{Rollouts: evidence(1)}, true, later).Rollouts), uint64(11))
-	assert.Equal(t, badCount(rs.othersSum(Report{Rollouts: evidence(1)}, "a-1", true, later).Rollouts), uint64(1))
+	assert.Equal(t, badCount(rs.evidenceSum(evidence(1), "", false)), uint64(11))
+	assert.Equal(t, badCount(rs.evidenceSum(evidence(1), "a-1", true)), uint64(1))
 }
 
 // node is a Node that reports a fixed load.
@@ -283,10 +288,13 @@
 			return n.leaving[instance]
 		})
 	}
-	own := Report{Leaving: []placement.Instance{instance}}
-	rs := newReportStore()
-	assert.DeepEqual(t, rs.zoneSum(own, false, time.Unix(100, 0)).Leaving, own.Leaving)
-	assert.DeepEqual(t, rs.othersSum(own, "vm", false, time.Unix(100, 0)).Leaving, own.Leaving)
+	now := time.Now()
+	delegate := delegateOf(&node{leaving: map[placement.Instance]bool{instance: true}}, now)
+	for to, scope := range map[string]Scope{"a-01": OwnScope, "a-05": OthersScope, "b-00": ZoneScope} {
+		d := delegate.digest(memberOf(delegate, to), now)
+		assert.Equal(t, d.Scope, scope)
+		assert.DeepEqual(t, d.Report.Leaving, []placement.Instance{instance})
+	}
 }
 
 // Guards against digests without bound after many upstreams have left.
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -75,6 +75,12 @@
 	// Tables are the states of the sender's copies of the store's tables, by table
 	// name.
 	Tables map[string]mirror.State
+	// NewsTo is the position up to which the receiver knows the uses of prompt prefixes and
+	// sessions with this digest, and Heard the position up to which the sender knows those of
+	// the receiver. Builds before these fields ignore them and are sent the recent uses in
+	// each digest.
+	NewsTo int64
+	Heard  NewsMark
 }
 
 // TableRequest requests the changes of a table.
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -13,32 +15,46 @@
 const (
 	// reportLifetime is the maximum age of a report that is counted in sums.
 	reportLifetime = 1500 * time.Millisecond
+	// sumsInterval is how long the report of this VM and the sums of loads are reused for
+	// further peers. A delegate sends several digests within it. It adds to the age of the
+	// loads at each VM that they pass.
+	sumsInterval = 25 * time.Millisecond
 	// maxDigestUses bounds the uses of prefixes, and those of sessions, in one
-	// digest. The newest ones are kept.
+	// digest that covers several VMs. The newest ones are kept.
 	maxDigestUses = 150
 	// maxDigestLeaving bounds the leaving upstreams in one digest. Those that the sender
 	// learned of last are kept.
 	maxDigestLeaving = 150
+	// zonePrefix precedes the name of a zone where names of VMs are expected otherwise.
+	zonePrefix = "zone/"
 )
 
 // reportStore holds the reports of other VMs, so that a delegate can forward their
 // sums. It is not safe for concurrent use.
 type reportStore struct {
-	// vms holds the reports of the other VMs of this zone by VM name, and zones
+	// vms holds the loads of the other VMs of this zone by VM name, and zones
 	// the sums over other zones by zone name.
-	vms, zones map[string]*receivedReport
-	// evidence holds the evidence on rollouts by incarnation name or, with the
-	// prefix "zone/", by zone. It is kept when the VM that reported it is gone.
+	vms, zones map[string]*receivedLoads
+	// uses and sessions hold the uses of this VM and of all others that were reported.
+	uses     *newsLog[useKey, placement.CacheUse]
+	sessions *newsLog[uint64, rollout.SessionUse]
+	// position is that of the last use.
+	position int64
+	// evidence holds the evidence on rollouts by incarnation name or, with
+	// zonePrefix, by zone. It is kept when the VM that reported it is gone.
 	evidence map[string][]rollout.Evidence
 }
 
-type receivedReport struct {
-	report Report
-	at     time.Time
+type receivedLoads struct {
+	loads []LoadReport
+	at    time.Time
 }
 
 func newReportStore() *reportStore {
-	return &reportStore{vms: map[string]*receivedReport{}, zones: map[string]*receivedReport{}, evidence: map[string][]rollout.Evidence{}}
+	return &reportStore{
+		vms: map[string]*receivedLoads{}, zones: map[string]*receivedLoads{}, evidence: map[string][]rollout.Evidence{},
+		uses: newUseLog(), sessions: newSessionLog(),
+	}
 }
 
 // record stores the report of a peer's digest. Only reports of VMs of this zone
@@ -46,80 +62,118 @@
 func (rs *reportStore) record(d Digest, incarnation string, zone string, now time.Time) {
 	switch {
 	case d.Scope == OwnScope && d.From.AvailabilityZone == zone:
-		rs.vms[d.From.VM] = &receivedReport{d.Report, now}
+		rs.vms[d.From.VM] = &receivedLoads{d.Report.Loads, now}
+		rs.recordUses(d.From.VM, &d.Report, now)
 		if len(d.Report.Rollouts) > 0 {
 			rs.evidence[incarnation] = d.Report.Rollouts
 		}
 	case d.Scope == ZoneScope:
-		rs.zones[d.From.AvailabilityZone] = &receivedReport{d.Report, now}
+		source := zonePrefix + d.From.AvailabilityZone
+		rs.zones[d.From.AvailabilityZone] = &receivedLoads{d.Report.Loads, now}
+		rs.recordUses(source, &d.Report, now)
 		if len(d.Report.Rollouts) > 0 {
-			rs.evidence["zone/"+d.From.AvailabilityZone] = d.Report.Rollouts
+			rs.evidence[source] = d.Report.Rollouts
 		}
 	}
 }
 
-// zoneSum returns the sum over the VMs of this zone, where own is the report of
-// this VM.
-func (rs *reportStore) zoneSum(own Report, evidence bool, now time.Time) Report {
-	return rs.sum(own, "", false, evidence, now)
-}
-
-// othersSum returns the sum over all VMs except one VM of this zone, where own is
-// the report of this VM.
-func (rs *reportStore) othersSum(own Report, except string, evidence bool, now time.Time) Report {
-	return rs.sum(own, except, true, evidence, now)
+// recordUses stores the uses in a report of a source, which is empty for this VM.
+func (rs *reportStore) recordUses(source string, r *Report, now time.Time) {
+	for _, u := range r.Uses {
+		rs.position = rs.uses.add(news[placement.CacheUse]{value: u, at: now.Add(-u.Age), learnedAt: now, source: source}, rs.position)
+	}
+	for _, s := range r.Sessions {
+		rs.position = rs.sessions.add(news[rollout.SessionUse]{value: s, at: now.Add(-s.Age), learnedAt: now, source: source}, rs.position)
+	}
 }
 
-func (rs *reportStore) sum(own Report, except string, zones, evidence bool, now time.Time) Report {
-	loads := map[string]*LoadReport{}
-	// Each VM tells on what it has learned from its peers, so its own list holds theirs.
-	out := Report{Uses: own.Uses, Sessions: own.Sessions, Leaving: own.Leaving, Quarantine: own.Quarantine}
-	addLoads(loads, own.Loads)
-	add := func(p *receivedReport) {
-		age := now.Sub(p.at)
-		if age > reportLifetime {
-			return
+// addNews adds to a report the newest uses for a peer that were learned after a position and
+// since a time.
+func (rs *reportStore) addNews(r *Report, scope Scope, to string, after int64, since, now time.Time) {
+	most := maxDigestUses
+	if scope == OwnScope {
+		most = math.MaxInt
+	}
+	matches := func(source string) bool {
+		switch scope {
+		case OwnScope:
+			return source == ""
+		case ZoneScope:
+			return !strings.HasPrefix(source, zonePrefix)
 		}
-		addLoads(loads, p.report.Loads)
-		for _, u := range p.report.Uses {
-			u.Age += age
-			out.Uses = append(out.Uses, u)
+		return source != to
+	}
+	rs.uses.after(after, since, func(n *news[placement.CacheUse]) bool {
+		if matches(n.source) {
+			u := n.value
+			u.Age = now.Sub(n.at)
+			r.Uses = append(r.Uses, u)
 		}
-		for _, s := range p.report.Sessions {
-			s.Age += age
-			out.Sessions = append(out.Sessions, s)
+		return len(r.Uses) < most
+	})
+	rs.sessions.after(after, since, func(n *news[rollout.SessionUse]) bool {
+		if matches(n.source) {
+			s := n.value
+			s.Age = now.Sub(n.at)
+			r.Sessions = append(r.Sessions, s)
 		}
-	}
+		return len(r.Sessions) < most
+	})
+}
+
+// loadSums holds the sums of loads at one time. It is immutable.
+type loadSums struct {
+	// zone is the sum over the VMs of this zone, all that over all VMs, by upstream.
+	zone, all []LoadReport
+	// vms holds the loads of the other VMs of this zone that are in the sums.
+	vms map[string]*receivedLoads
+}
+
+// sums returns the sums of the loads, where own is the load of this VM.
+func (rs *reportStore) sums(own []LoadReport, now time.Time) *loadSums {
+	s := &loadSums{vms: make(map[string]*receivedLoads, len(rs.vms))}
+	loads := map[string]*LoadReport{}
+	addLoads(loads, own)
 	for vm, p := range rs.vms {
-		if vm != except {
-			add(p)
+		if now.Sub(p.at) <= reportLifetime {
+			addLoads(loads, p.loads)
+			s.vms[vm] = p
 		}
 	}
-	if zones {
-		for _, p := range rs.zones {
-			add(p)
+	s.zone = sortedLoads(loads)
+	for _, p := range rs.zones {
+		if now.Sub(p.at) <= reportLifetime {
+			addLoads(loads, p.loads)
 		}
 	}
-	for _, l := range loads {
-		out.Loads = append(out.Loads, *l)
-	}
-	out.trim()
-	if evidence {
-		out.Rollouts = rs.evidenceSum(own.Rollouts, except, zones)
-	}
-	return out
+	s.all = sortedLoads(loads)
+	return s
 }
 
-// trim limits the uses of prefixes and of sessions to the newest maxDigestUses each.
-func (r *Report) trim() {
-	if len(r.Uses) > maxDigestUses {
-		slices.SortFunc(r.Uses, func(a, b placement.CacheUse) int { return int(a.Age - b.Age) })
-		r.Uses = r.Uses[:maxDigestUses]
+// others returns the sum over all VMs but one of this zone.
+func (s *loadSums) others(except string) []LoadReport {
+	list := slices.Clone(s.all)
+	if p := s.vms[except]; p != nil {
+		for _, l := range p.loads {
+			at, _ := slices.BinarySearchFunc(list, l, compareUpstreams)
+			list[at].Calls -= l.Calls
+			list[at].ReadingMs -= l.ReadingMs
+			list[at].RunningPct -= l.RunningPct
+		}
 	}
-	if len(r.Sessions) > maxDigestUses {
-		slices.SortFunc(r.Sessions, func(a, b rollout.SessionUse) int { return int(a.Age - b.Age) })
-		r.Sessions = r.Sessions[:maxDigestUses]
+	return slices.DeleteFunc(list, func(l LoadReport) bool { return l.Calls == 0 && l.ReadingMs == 0 && l.RunningPct == 0 })
+}
+
+func compareUpstreams(a, b LoadReport) int { return cmp.Compare(a.Upstream, b.Upstream) }
+
+// sortedLoads returns copies of loads by ascending upstream.
+func sortedLoads(loads map[string]*LoadReport) []LoadReport {
+	list := make([]LoadReport, 0, len(loads))
+	for _, l := range loads {
+		list = append(list, *l)
 	}
+	slices.SortFunc(list, compareUpstreams)
+	return list
 }
 
 func addLoads(sum map[string]*LoadReport, list []LoadReport) {
@@ -140,7 +194,7 @@
 func (rs *reportStore) evidenceSum(own []rollout.Evidence, except string, zones bool) []rollout.Evidence {
 	lists := [][]rollout.Evidence{own}
 	for key, list := range rs.evidence {
-		zone := strings.HasPrefix(key, "zone/")
+		zone := strings.HasPrefix(key, zonePrefix)
 		if zone && !zones || except != "" && strings.HasPrefix(key, except+"@") {
 			continue
 		}
@@ -149,9 +203,12 @@
 	return rollout.SumEvidence(lists)
 }
 
-// expire removes reports that are older than reportLifetime. Evidence is kept.
+// expire removes reports that are older than reportLifetime, and uses that were learned
+// before newsLifetime. Evidence is kept.
 func (rs *reportStore) expire(now time.Time) {
-	old := func(_ string, p *receivedReport) bool { return now.Sub(p.at) > reportLifetime }
+	old := func(_ string, p *receivedLoads) bool { return now.Sub(p.at) > reportLifetime }
 	maps.DeleteFunc(rs.vms, old)
 	maps.DeleteFunc(rs.zones, old)
+	rs.uses.expire(now.Add(-newsLifetime))
+	rs.sessions.expire(now.Add(-newsLifetime))
 }
