--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -37,10 +37,11 @@
 // also with those of other zones.
 func TestPartnersInLargeFleet(t *testing.T) {
 	members := fleetOf(30, "a", "b", "c")
+	topology := newTopology(members)
 	for _, m := range members {
 		partners := 0
 		for _, o := range members {
-			if m.VM != o.VM && exchangeDirectly(members, m, o) {
+			if m.VM != o.VM && topology.exchangeDirectly(&m, &o) {
 				partners++
 			}
 		}
@@ -56,10 +57,11 @@
 // In a small fleet every VM exchanges its own report with every other VM.
 func TestSmallFleetIsAMesh(t *testing.T) {
 	members := fleetOf(3, "a", "b", "c")
+	topology := newTopology(members)
 	for _, m := range members {
 		for _, o := range members {
-			assert.Assert(t, exchangeDirectly(members, m, o))
-			assert.Equal(t, scope(members, m, o), OwnScope)
+			assert.Assert(t, topology.exchangeDirectly(&m, &o))
+			assert.Equal(t, topology.scope(&m, &o), OwnScope)
 		}
 	}
 }
@@ -68,13 +70,13 @@
 // not a store reader of its zone.
 func TestDelegatesAreReplaced(t *testing.T) {
 	members := fleetOf(10, "a", "b")
-	assert.DeepEqual(t, delegates(members, "a"), []string{"a-00", "a-01"})
+	assert.DeepEqual(t, newTopology(members).delegates["a"], []string{"a-00", "a-01"})
 	members[0].Stopping = true
-	assert.DeepEqual(t, delegates(members, "a"), []string{"a-01", "a-02"})
+	assert.DeepEqual(t, newTopology(members).delegates["a"], []string{"a-01", "a-02"})
 	members[1].Lost = true
-	assert.DeepEqual(t, storeReaders(members, "a", 2), []string{"a-02", "a-03"})
-	assert.DeepEqual(t, storeReaders(members, "b", 2), []string{"b-00", "b-01"})
-	assert.DeepEqual(t, storeReaders(members, "a", 1), []string{"a-02"})
+	assert.DeepEqual(t, newTopology(members).storeReaders("a", 2), []string{"a-02", "a-03"})
+	assert.DeepEqual(t, newTopology(members).storeReaders("b", 2), []string{"b-00", "b-01"})
+	assert.DeepEqual(t, newTopology(members).storeReaders("a", 1), []string{"a-02"})
 }
 
 func loads(calls int) []LoadReport {
@@ -85,9 +87,9 @@
 	return Digest{From: Member{VM: vm, AvailabilityZone: zone}, Scope: s, Report: Report{Loads: loads(calls)}}
 }
 
-func totalCalls(r Report) int {
+func totalCalls(list []LoadReport) int {
 	n := 0
-	for _, l := range r.Loads {
+	for _, l := range list {
 		n += l.Calls
 	}
 	return n
@@ -102,11 +104,16 @@
 	rs.record(digestFrom("a-2", "a", OwnScope, 10), "a-2@1", "a", now)
 	rs.record(digestFrom("b-0", "b", ZoneScope, 100), "", "a", now)
 	rs.record(digestFrom("b-1", "b", ZoneScope, 100), "", "a", now)
-	own := Report{Loads: loads(1000)}
-	assert.Equal(t, totalCalls(rs.zoneSum(own, false, now)), 1011)
-	assert.Equal(t, totalCalls(rs.othersSum(own, "a-2", false, now)), 1101)
+	sums := rs.sums(loads(1000), now)
+	assert.Equal(t, totalCalls(sums.zone), 1011)
+	assert.Equal(t, totalCalls(sums.others("a-2")), 1101)
+	// A report that arrives after the sums were made must not be taken off them.
+	rs.record(digestFrom("a-2", "a", OwnScope, 70), "a-2@1", "a", now)
+	rs.record(digestFrom("a-3", "a", OwnScope, 5), "a-3@1", "a", now)
+	assert.Equal(t, totalCalls(sums.others("a-2")), 1101)
+	assert.Equal(t, totalCalls(sums.others("a-3")), 1111)
 	later := now.Add(reportLifetime + time.Millisecond)
-	assert.Equal(t, totalCalls(rs.othersSum(own, "a-2", false, later)), 1000, "old reports no longer count")
+	assert.Equal(t, totalCalls(rs.sums(loads(1000), later).others("a-2")), 1000, "old reports no longer count")
 }
 
 func evidence(bad uint64) []rollout.Evidence {
@@ -138,8 +145,8 @@
 	}
 	later := now.Add(time.Minute)
 	rs.expire(later)
-	assert.Equal(t, badCount(rs.zoneSum(Report{Rollouts: evidence(1)}, true, later).Rollouts), uint64(11))
-	assert.Equal(t, badCount(rs.othersSum(Report{Rollouts: evidence(1)}, "a-1", true, later).Rollouts), uint64(1))
+	assert.Equal(t, badCount(rs.evidenceSum(evidence(1), "", false)), uint64(11))
+	assert.Equal(t, badCount(rs.evidenceSum(evidence(1), "a-1", true)), uint64(1))
 }
 
 // node is a Node that reports a fixed load.
@@ -233,7 +240,7 @@
 	})
 	fleets[4].SetStopping()
 	eventually(t, "a stopping VM still reads the store for others", func() bool {
-		names := storeReaders(fleets[0].alive(time.Now()), "z", 2)
+		names := newTopology(fleets[0].alive(time.Now())).storeReaders("z", 2)
 		return names[0] != "vm4" && names[1] != "vm4"
 	})
 }
@@ -248,7 +255,7 @@
 	})
 	receive := func() {
 		for i, vm := range []string{"vm0", "vm1"} {
-			f.applyDigest(Digest{From: Member{VM: vm, AvailabilityZone: "z", Address: fmt.Sprint("127.0.0.1:", i+2), Capacity: 1}})
+			f.applyDigest(Digest{From: Member{VM: vm, AvailabilityZone: "z", Address: fmt.Sprint("127.0.0.1:", i+2), Capacity: 1}}, time.Now())
 		}
 	}
 	receive()
@@ -281,10 +288,13 @@
 			return n.leaving[instance]
 		})
 	}
-	own := Report{Leaving: []placement.Instance{instance}}
-	rs := newReportStore()
-	assert.DeepEqual(t, rs.zoneSum(own, false, time.Unix(100, 0)).Leaving, own.Leaving)
-	assert.DeepEqual(t, rs.othersSum(own, "vm", false, time.Unix(100, 0)).Leaving, own.Leaving)
+	now := time.Now()
+	delegate := delegateOf(&node{leaving: map[placement.Instance]bool{instance: true}}, now)
+	for to, scope := range map[string]Scope{"a-01": OwnScope, "a-05": OthersScope, "b-00": ZoneScope} {
+		d := delegate.digest(memberOf(delegate, to), now)
+		assert.Equal(t, d.Scope, scope)
+		assert.DeepEqual(t, d.Report.Leaving, []placement.Instance{instance})
+	}
 }
 
 // Guards against digests without bound after many upstreams have left.
@@ -294,7 +304,7 @@
 		n.tell(placement.Instance{ID: fmt.Sprint("u", i)})
 	}
 	f := New(Options{Self: Member{VM: "vm0", Address: "127.0.0.1:1"}, Node: n, Log: zap.NewNop()})
-	assert.Equal(t, len(f.digest(Member{VM: "vm1", Address: "127.0.0.1:2"}).Report.Leaving), maxDigestLeaving)
+	assert.Equal(t, len(f.digest(Member{VM: "vm1", Address: "127.0.0.1:2"}, time.Now()).Report.Leaving), maxDigestLeaving)
 }
 
 // Guards against a report that VMs of the build before Report.Leaving cannot decode, and
