placement: a report of a peer changes only the sums of its upstreams

SetPeer summed the loads of all peers for all upstreams at each report. It now takes off what the source reported before and adds what it reports, and sums all anew every 0.1 s, which also drops expired reports.

--- a/placement/book.go
+++ b/placement/book.go
@@ -42,6 +42,15 @@
 	l.Running += o.Running
 }
 
+// subtract takes off a load that was added. Without calls nothing is left, not even what the
+// addition of fractions has rounded.
+func (l *Load) subtract(o Load) {
+	l.add(Load{Calls: -o.Calls, PrefillSeconds: -o.PrefillSeconds, Running: -o.Running})
+	if l.Calls == 0 {
+		*l = Load{}
+	}
+}
+
 type upstreamState struct {
 	Upstream
 	own      Load
@@ -98,13 +107,16 @@
 type Balancer struct {
 	options Options
 
-	mu         sync.Mutex
-	upstreams  map[string]*upstreamState
-	notices    map[Instance]*notices
-	service    map[string][]*upstreamState
-	peers      map[string]peerState
-	recentUses []cacheEvent
-	zones      map[string]*zone
+	mu        sync.Mutex
+	upstreams map[string]*upstreamState
+	notices   map[Instance]*notices
+	service   map[string][]*upstreamState
+	peers     map[string]peerState
+	// peersComputedAt is the time at which the loads of all peers were summed, zero if the
+	// sums lack an upstream.
+	peersComputedAt time.Time
+	recentUses      []cacheEvent
+	zones           map[string]*zone
 	// listSetAt is the time of the last SetUpstreams call.
 	listSetAt time.Time
 }
@@ -138,6 +150,7 @@
 		if e == nil || e.Instance() != u.Instance() {
 			e = &upstreamState{cachedAt: map[cacheKey]time.Time{}, notices: b.notices[u.Instance()]}
 			b.upstreams[u.ID] = e
+			b.peersComputedAt = time.Time{}
 		}
 		e.Upstream, e.unregisteredAt = u, time.Time{}
 	}
@@ -207,13 +220,33 @@
 func (b *Balancer) SetPeer(vm string, loads map[string]Load, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	previous := b.peers[vm].loads
 	b.peers[vm] = peerState{receivedAt: now, loads: loads}
-	b.recomputePeerLoads(now)
+	if now.Sub(b.peersComputedAt) >= peerLoadsInterval {
+		b.recomputePeerLoads(now)
+		return
+	}
+	for id, l := range loads {
+		if e := b.upstreams[id]; e != nil {
+			e.peers.add(l)
+		}
+	}
+	for id, l := range previous {
+		if e := b.upstreams[id]; e != nil {
+			e.peers.subtract(l)
+		}
+	}
 }
 
+// peerLoadsInterval is the interval at which the loads of all peers are summed anew. In between
+// a report changes only the sums of its upstreams, because a delegate receives several hundred
+// reports a second. It is the longest time for which an expired report still counts.
+const peerLoadsInterval = 100 * time.Millisecond
+
 // recomputePeerLoads drops expired load reports and sums the remaining ones for
 // each upstream.
 func (b *Balancer) recomputePeerLoads(now time.Time) {
+	b.peersComputedAt = now
 	for _, e := range b.upstreams {
 		e.peers = Load{}
 	}
