fleet: a VM lists to its delegate only the members that the delegate lacks

Every VM of a zone sent the list of the whole fleet to both delegates of its zone, which send it the same list. It now leaves out the members that the delegate listed last. Delegates still list all.

--- a/fleet/alive.go
+++ b/fleet/alive.go
@@ -18,6 +18,33 @@
 	}
 }
 
+// setListed records a list of members in a digest of the peer. Most digests hold none.
+func (p *peer) setListed(list []Member) {
+	if len(list) == 0 {
+		return
+	}
+	p.listed = make(map[string]bool, len(list))
+	for i := range list {
+		p.listed[list[i].Address] = true
+	}
+}
+
+// unlisted returns the members to list in a digest from a VM to the peer. A delegate lists all.
+// It exchanges digests with the VMs of its zone itself and learns of the others from the
+// delegates of their zones, so that a VM lists only those that its delegate did not list.
+func (p *peer) unlisted(members []Member, t *topology, from *Member) []Member {
+	if t.isMesh() || t.isDelegate(from) || !t.isDelegate(&p.Member) {
+		return members
+	}
+	var list []Member
+	for i := range members {
+		if m := &members[i]; !p.listed[m.Address] && m.Address != from.Address {
+			list = append(list, *m)
+		}
+	}
+	return list
+}
+
 func (p *peer) alive(now time.Time) bool {
 	return now.Sub(p.lastExchange) < livenessTimeout || now.Sub(p.lastRelayed) < relayedLivenessTimeout
 }
--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -5,12 +5,14 @@
 	"encoding/gob"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"runtime"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
 
 	"github.com/savoryshift/savoryshift/mirror"
 	"github.com/savoryshift/savoryshift/placement"
@@ -291,3 +293,33 @@
 func perSecond(d time.Duration, vmSeconds int) float64 {
 	return float64(d.Microseconds()) / float64(vmSeconds)
 }
+
+// BenchmarkExchange measures the processor time of both VMs for an exchange over a TCP
+// connection, with digests of a member and of a delegate in a fleet of 100 VMs.
+func BenchmarkExchange(b *testing.B) {
+	bf := newBenchFleet(100)
+	for range 2 * int(time.Second/benchTick) {
+		bf.tick()
+	}
+	delegate, member := bf.vms[0], bf.vms[8]
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(b, err)
+	go func() { _ = delegate.fleet.Serve(l) }()
+	defer func() { _ = l.Close(); delegate.fleet.Close(); member.fleet.Close() }()
+	p := member.fleet.peers[delegate.fleet.opts.Self.Address]
+	p.Address = l.Addr().String()
+	member.fleet.exchange(p)
+	assert.Assert(b, p.client != nil)
+	before := processTime()
+	b.ReportAllocs()
+	for b.Loop() {
+		member.fleet.exchange(p)
+	}
+	b.ReportMetric(float64((processTime()-before).Microseconds())/float64(b.N), "processor-µs/op")
+}
+
+func processTime() time.Duration {
+	var t unix.Timespec
+	_ = unix.ClockGettime(unix.CLOCK_PROCESS_CPUTIME_ID, &t)
+	return time.Duration(t.Nano())
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -110,6 +110,8 @@
 	scope                   Scope
 	scopeFrom, acknowledged int64
 	heard                   NewsMark
+	// listed holds the addresses of the members in the last list of the peer.
+	listed map[string]bool
 }
 
 // cachedReport is the report of this VM at a time.
@@ -281,7 +283,7 @@
 		d.Report.Loads = f.loadSums(now).others(to.VM)
 	}
 	if fullDigest {
-		d.Members = members
+		d.Members = p.unlisted(members, topology, &d.From)
 		switch d.Scope {
 		case OwnScope:
 			d.Report.Rollouts = own.Rollouts
@@ -373,6 +375,7 @@
 			f.topology = nil
 		}
 		p.Member, p.lastExchange, p.backoff = d.From, now, 0
+		p.setListed(d.Members)
 		p.heard = NewsMark{Incarnation: d.Incarnation, To: d.NewsTo}
 		switch {
 		case d.Heard.Incarnation != f.opts.Incarnation:
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -297,6 +297,27 @@
 	}
 }
 
+// Guards against delegates that are sent lists of the whole fleet by each VM, and against a VM
+// that does not tell its delegate of one that the delegate does not know.
+func TestMembersListWhatTheirDelegateLacks(t *testing.T) {
+	now := time.Now()
+	f := delegateOf(&node{}, now)
+	delegate, member, other := memberOf(f, "a-01"), memberOf(f, "a-05"), memberOf(f, "b-00")
+	f.opts.Self = Member{VM: "a-10", AvailabilityZone: "a", Address: "a-10"}
+	listed := func() []Member {
+		f.peers["a-01"].fullDigest = time.Time{}
+		return f.digest(delegate, now).Members
+	}
+	assert.Equal(t, len(listed()), 19, "the delegate has listed none")
+	f.applyDigest(Digest{From: delegate, Members: []Member{delegate, other, f.opts.Self}}, now)
+	f.applyDigest(Digest{From: delegate}, now)
+	assert.Equal(t, len(listed()), 17)
+	f.applyDigest(Digest{From: delegate, Members: f.alive(now)}, now)
+	assert.Equal(t, len(listed()), 0)
+	f.peers["a-05"].fullDigest = time.Time{}
+	assert.Equal(t, len(f.digest(member, now).Members), 20, "a VM that is no delegate is listed all")
+}
+
 // Guards against digests without bound after many upstreams have left.
 func TestDigestBoundsLeavingUpstreams(t *testing.T) {
 	n := &node{loadBySource: map[string]int{}, leaving: map[placement.Instance]bool{}}
