platform: registrations that did not change are not decoded again

Every VM decoded all registrations at each change of one row. The decoder now keeps the outcome for the value of each row.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -118,6 +118,9 @@
 	// streamed holds the services of streamed requests by name, nil before the first
 	// configuration.
 	streamed atomic.Pointer[map[string]bool]
+	// registrations decodes the table of upstreams. Only upstreamsChanged uses it, which is
+	// never called concurrently.
+	registrations platform.UpstreamDecoder
 	// registered holds the upstreams that are registered until the quarantine knows them.
 	registered atomic.Pointer[[]placement.Upstream]
 	// nextFindings is the time from which findings of the quarantine may be written again.
@@ -312,7 +315,7 @@
 // upstreamsChanged applies the registrations of upstreams. Invalid registrations are
 // ignored.
 func (e *Entry) upstreamsChanged(c mirror.Change) {
-	list, problems := platform.DecodeUpstreams(c.Rows)
+	list, problems := e.registrations.Decode(c.Rows)
 	e.setIgnored(tableUpstreams, problems, zap.WarnLevel, "registration ignored")
 	e.balancer.SetUpstreams(list, c.ConfirmedAt, c.At)
 	releases := map[string]map[string]int{}
