fleet: in a large fleet, announcements go to delegates only

A delegate exchanged digests with all VMs of its zone at once for each long prompt that it sent: 75 exchanges in a fleet of 300 VMs in four zones. Small fleets are told at once as before.

--- a/fleet/alive.go
+++ b/fleet/alive.go
@@ -192,11 +192,15 @@
 	f.triggerExchanges(func(p *peer) bool { return p.AvailabilityZone == f.opts.Self.AvailabilityZone })
 }
 
-// Announce makes the next exchange with all peers due at once. It is called when this VM
-// has sent a long prompt to an engine, because peers that do not know of the load would
+// Announce makes the next exchanges due at once with all peers or, in a large fleet, with the
+// delegates, so that the cost of an announcement does not grow with the fleet. It is called when
+// this VM has sent a long prompt to an engine, because peers that do not know of the load would
 // choose the same engine, and when an upstream has ended under a request.
 func (f *Fleet) Announce() {
-	f.triggerExchanges(func(*peer) bool { return true })
+	f.mu.Lock()
+	topology := f.reachable(time.Now())
+	f.mu.Unlock()
+	f.triggerExchanges(func(p *peer) bool { return topology.isMesh() || topology.isDelegate(&p.Member) })
 }
 
 func (f *Fleet) triggerExchanges(match func(*peer) bool) {
--- a/fleet/news_test.go
+++ b/fleet/news_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -135,3 +136,32 @@
 	rs.expire(now.Add(newsLifetime))
 	assert.Equal(t, len(rs.uses.order)+len(rs.uses.latest)+len(rs.sessions.order)+len(rs.sessions.latest), 0)
 }
+
+// Guards against a delegate that exchanges digests with its whole zone for each long prompt, and
+// against VMs of a small fleet, or other delegates, that are not told at once.
+func TestAnnouncementsGoToDelegates(t *testing.T) {
+	now := time.Now()
+	announced := func(f *Fleet) (names []string) {
+		for _, p := range f.peers {
+			p.lastExchange, p.nextExchange, p.inExchange = now, now.Add(time.Minute), false
+		}
+		f.Announce()
+		for _, p := range f.due(now) {
+			names = append(names, p.VM)
+		}
+		slices.Sort(names)
+		return names
+	}
+	f := delegateOf(&node{}, now)
+	assert.DeepEqual(t, announced(f), []string{"a-01", "b-00", "b-01"})
+	f.opts.Self = Member{VM: "a-10", AvailabilityZone: "a", Address: "a-10"} // without a-00, its successor is a delegate
+	f.members = nil
+	assert.DeepEqual(t, announced(f), []string{"a-01", "a-02"})
+	small := delegateOf(&node{}, now)
+	for address := range small.peers {
+		if address > "b-04" {
+			delete(small.peers, address)
+		}
+	}
+	assert.Equal(t, len(announced(small)), 14)
+}
