fleet: VMs of a large fleet exchange digests with each delegate every 0.2 s

They did so every 0.15 s with both delegates of their zone. Small fleets keep 0.15 s. TestAgeOfLoads guards the age of the loads that a VM knows: 0.6 s, and half as much.

The benchmark's exchanges are no longer all due at the same time.

--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -115,20 +115,21 @@
 
 // benchFleet is a fleet on virtual time, without network.
 type benchFleet struct {
-	vms    []*benchVM
-	byAddr map[string]*benchVM
-	wires  map[[2]*benchVM]*wire
-	random *rand.Rand
-	now    time.Time
-	sent   int
-	nextID int
+	vms       []*benchVM
+	upstreams []placement.Upstream
+	byAddr    map[string]*benchVM
+	wires     map[[2]*benchVM]*wire
+	random    *rand.Rand
+	now       time.Time
+	sent      int
+	nextID    int
 }
 
 func newBenchFleet(size int) *benchFleet {
 	bf := &benchFleet{byAddr: map[string]*benchVM{}, wires: map[[2]*benchVM]*wire{}, random: rand.New(rand.NewPCG(1, 2)), now: time.Now()}
-	upstreams := make([]placement.Upstream, benchUpstreams)
-	for i := range upstreams {
-		upstreams[i] = placement.Upstream{
+	bf.upstreams = make([]placement.Upstream, benchUpstreams)
+	for i := range bf.upstreams {
+		bf.upstreams[i] = placement.Upstream{
 			ID: fmt.Sprintf("brief-model-%03d", i), Service: benchService, Address: fmt.Sprintf("10.1.0.%d:8000", i),
 			AvailabilityZone: fmt.Sprintf("zone-%d", i%benchZones), Release: "v1", Slots: 8,
 		}
@@ -147,11 +148,13 @@
 			rollouts:   rollout.New(rollout.Options{SessionIdle: 5 * time.Second, Exposure: 0.2, Log: zap.NewNop()}),
 			quarantine: quarantine.New(quarantine.Options{}), now: bf.now, delegate: m.Capacity > 1,
 		}
-		v.balancer.SetUpstreams(upstreams, bf.now, bf.now)
+		v.balancer.SetUpstreams(bf.upstreams, bf.now, bf.now)
 		v.fleet = New(Options{Self: m, Incarnation: 1, Node: v, Log: zap.NewNop()})
 		for _, o := range members {
 			if p := v.fleet.ensurePeer(o.Address, bf.now); p != nil {
+				// Exchanges of different VMs are not due at the same time.
 				p.Member, p.lastRelayed = o, bf.now
+				p.nextExchange = bf.now.Add(time.Duration(bf.random.Int64N(int64(crossZoneFactor * float64(exchangeInterval)))))
 			}
 		}
 		bf.vms, bf.byAddr[m.Address] = append(bf.vms, v), v
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -49,8 +49,11 @@
 			continue
 		}
 		wait := exchangeInterval
-		if p.AvailabilityZone != self.AvailabilityZone {
+		switch {
+		case p.AvailabilityZone != self.AvailabilityZone:
 			wait = time.Duration(crossZoneFactor * float64(wait))
+		case !topology.isMesh():
+			wait = zoneInterval
 		}
 		p.inExchange, p.urgent, p.nextExchange = true, false, now.Add(max(wait, p.backoff))
 		list = append(list, p)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,6 +19,9 @@
 	// exchangeInterval is the interval between exchanges with a peer of the same
 	// zone.
 	exchangeInterval = 150 * time.Millisecond
+	// zoneInterval is the interval between exchanges of a VM with a delegate of its zone in
+	// a large fleet, where each VM has two of them and each delegate the whole zone.
+	zoneInterval = 200 * time.Millisecond
 	// crossZoneFactor extends the interval for a VM in another zone, because
 	// traffic between zones is charged.
 	crossZoneFactor = 2.5
