mirror: revisions are compared only within an era of the store

A store that is restored from an older copy gives out its versions again. A mirror never goes back, so its copy stayed at a revision that the store reached again later with other rows, and nothing read Store-Era.

The client of the store passes the era of each reply with pages and commits (absent: 0, odd: the call fails). The pair of era and revision decides in mirror.State, Page, Copy and Row, and in the requests for tables between VMs. A reply of an earlier era is discarded; on a new era the whole table is read, also if the era changes between two pages. The estimate of the store's clock begins anew. Builds before this one count as era 0.

With Options.Hold, which no table sets yet, rows of the restored copy that are older than those known are not in force until the writer has written again or the hold time is over. VMs pass on held rows, for those that start or were cut off, and the first revision seen in the era.

--- a/entry/control.go
+++ b/entry/control.go
@@ -97,8 +97,8 @@
 		e.log.Warn("rollout state not written", append(fields, zap.Error(err))...)
 		return
 	}
-	e.log.Info("rollout state written", append(fields, zap.Int64("revision", revision))...)
-	e.rollouts.SetProgress(w.Progress, revision, time.Now())
+	e.log.Info("rollout state written", append(fields, zap.Int64("revision", revision.Revision))...)
+	e.rollouts.SetProgress(w.Progress, revision.Revision, time.Now())
 }
 
 // statusChanged applies the rollout progress in the status table.
@@ -163,28 +163,28 @@
 	ignored  ignoredRows
 }
 
-// newerRevision is the first revision newer than the copy that a peer has reported,
-// and the time of that report.
+// newerRevision is the position of the first copy newer than that of this VM that a peer
+// has reported, and the time of that report.
 type newerRevision struct {
-	revision int64
+	position mirror.Position
 	since    time.Time
 }
 
-// behindSince records the revision of a peer's copy. It reports whether that
-// revision is newer than the copy of this VM, and since when a newer revision has
-// been known. A peer without a newer revision does not reset that time, because it
+// behindSince records the position of a peer's copy. It reports whether that
+// position is newer than the copy of this VM, and since when a newer one has
+// been known. A peer without a newer one does not reset that time, because it
 // may be as far behind as this VM.
-func (t *table) behindSince(theirs, own int64, now time.Time) (since time.Time, behind bool) {
+func (t *table) behindSince(theirs, own mirror.Position, now time.Time) (since time.Time, behind bool) {
 	known := t.newest.Load()
-	if known != nil && known.revision <= own {
+	if known != nil && !own.Before(known.position) {
 		known = nil
 		t.newest.Store(nil)
 	}
-	if theirs <= own {
+	if !own.Before(theirs) {
 		return time.Time{}, false
 	}
 	if known == nil {
-		known = &newerRevision{revision: theirs, since: now}
+		known = &newerRevision{position: theirs, since: now}
 		t.newest.Store(known)
 	}
 	return known.since, true
@@ -220,14 +220,22 @@
 	now := time.Now()
 	for name, t := range e.tables {
 		theirs, known := tables[name]
-		if !known || t.Confirm(theirs) {
+		if !known {
+			continue
+		}
+		confirmed := t.Confirm(theirs)
+		if t.LacksHeld(theirs) {
+			e.fetchTable(vm, name, t)
+			continue
+		}
+		if confirmed {
 			continue
 		}
 		own, loaded := t.State()
 		if !loaded {
 			own.Revision = -1
 		}
-		since, behind := t.behindSince(theirs.Changed, own.Revision, now)
+		since, behind := t.behindSince(mirror.Position{Era: theirs.Era, Revision: theirs.Changed}, own.Position(), now)
 		if !behind {
 			continue
 		}
@@ -253,7 +261,7 @@
 	if !r.Loaded {
 		after = -1
 	}
-	page, whole := t.ChangesSince(after)
+	page, whole := t.ChangesSince(mirror.Position{Revision: after})
 	return fleet.TableReply{Newer: true, Whole: whole, Page: page}
 }
 
@@ -266,7 +274,7 @@
 	go func() {
 		defer t.fetching.Store(false)
 		c, loaded := t.Copy()
-		reply, err := e.fleet.FetchTable(vm, fleet.TableRequest{Table: name, After: c.Revision, Loaded: loaded})
+		reply, err := e.fleet.FetchTable(vm, fleet.TableRequest{Table: name, After: c.Revision, Loaded: loaded, Era: c.Era, Held: loaded})
 		if err != nil {
 			e.log.Info("table not fetched", zap.String("table", name), zap.String("peer", vm), zap.String("cause", err.Error()))
 			return
--- a/entry/control_test.go
+++ b/entry/control_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/savoryshift/savoryshift/mirror"
 )
 
 // Guards against a VM that never fetches a newer table from a peer in another zone
@@ -14,17 +16,17 @@
 func TestBehindIsRememberedBetweenPeers(t *testing.T) {
 	var tab table
 	begin := time.Now()
-	_, behind := tab.behindSince(7, 5, begin)
+	_, behind := tab.behindSince(mirror.Position{Revision: 7}, mirror.Position{Revision: 5}, begin)
 	assert.Assert(t, behind)
-	_, behind = tab.behindSince(5, 5, begin.Add(100*time.Millisecond))
+	_, behind = tab.behindSince(mirror.Position{Revision: 5}, mirror.Position{Revision: 5}, begin.Add(100*time.Millisecond))
 	assert.Assert(t, !behind, "the peer has no newer revision")
-	since, behind := tab.behindSince(8, 5, begin.Add(500*time.Millisecond))
+	since, behind := tab.behindSince(mirror.Position{Revision: 8}, mirror.Position{Revision: 5}, begin.Add(500*time.Millisecond))
 	assert.Assert(t, behind)
 	assert.Equal(t, since, begin, "a newer revision has been known for 500 ms")
 
 	// When the copy has caught up, the time is reset by the next newer revision.
 	later := begin.Add(time.Second)
-	_, _ = tab.behindSince(8, 8, later)
-	since, behind = tab.behindSince(9, 8, later)
+	_, _ = tab.behindSince(mirror.Position{Revision: 8}, mirror.Position{Revision: 8}, later)
+	since, behind = tab.behindSince(mirror.Position{Revision: 9}, mirror.Position{Revision: 8}, later)
 	assert.Assert(t, behind && since.Equal(later))
 }
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -84,10 +84,15 @@
 	// true, which means that the caller has a copy.
 	After  int64
 	Loaded bool
+	// Era is that of After. Held asks for the rows that the callee holds, also if it has no
+	// newer revision. Builds before these fields send neither.
+	Era  int64
+	Held bool
 }
 
 // TableReply holds the changes of a table, or the whole table if Whole is set.
-// Newer is false, and the page empty, if the callee has no newer revision.
+// Newer is false, and the page empty, if the callee has no newer revision and no held rows
+// were asked for.
 type TableReply struct {
 	Newer, Whole bool
 	Page         mirror.Page
--- a/fleet/outage_test.go
+++ b/fleet/outage_test.go
@@ -135,7 +135,7 @@
 		from := newest[vm.member.AvailabilityZone]
 		for i, m := range vm.tables {
 			if state, ok := from.tables[i].State(); ok && from != vm && !m.Confirm(state) {
-				page, whole := from.tables[i].ChangesSince(-1)
+				page, whole := from.tables[i].ChangesSince(mirror.Position{Revision: -1})
 				m.Offer(page, whole)
 			}
 		}
--- a/mirror/age.go
+++ b/mirror/age.go
@@ -1,6 +1,9 @@
 package mirror
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// unknownAge is the age of a copy that has never been confirmed.
@@ -19,24 +22,37 @@
 	// Confirmed is the reading of the store's clock at which the copy was last known
 	// to be current.
 	Confirmed time.Duration
+	// Era is that of the revisions. Builds before this field do not send it.
+	Era int64
+	// Begin is the first revision that was seen in the era, 0 if it is not known.
+	Begin int64
+	// Held is a fingerprint of the rows of earlier eras that are held, 0 if there are none.
+	Held uint64
 }
 
 // State returns the state of the copy; ok is false until the table has been loaded.
 func (m *Mirror) State() (s State, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return State{Revision: m.revision, Changed: m.changed, Confirmed: m.confirmed}, m.loaded
+	return State{
+		Revision: m.revision, Changed: m.changed, Confirmed: m.confirmed, Era: m.era, Begin: m.options.Eras.begin(m.era), Held: fingerprint(maps.Values(m.held)),
+	}, m.loaded
 }
 
 // Confirm takes the state of a peer's copy. If this copy holds all changes of that
-// one, it is as recent too, and Confirm returns true.
+// one, it is as recent too, and Confirm returns true. A copy of another era confirms
+// nothing.
 func (m *Mirror) Confirm(peer State) bool {
+	now := time.Now()
 	if peer.Confirmed > 0 {
-		m.options.Clock.Observe(peer.Confirmed, time.Now())
+		m.options.Clock.observeIn(peer.Era, peer.Confirmed, now)
+	}
+	if peer.Begin > 0 && m.options.Eras.observe(Position{peer.Era, peer.Begin}, true, now) {
+		m.review()
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.loaded || m.revision < peer.Changed {
+	if !m.loaded || peer.Era != m.era || m.revision < peer.Changed {
 		return false
 	}
 	m.revision = max(m.revision, peer.Revision)
--- a/mirror/clock.go
+++ b/mirror/clock.go
@@ -20,6 +20,22 @@
 	windowEnd              time.Time
 	// origin is the time of the first reading; offsets are relative to it.
 	origin time.Time
+	// era is that of the readings.
+	era int64
+}
+
+// observeIn records a reading of an era. The clock may begin anew with an era, so that
+// earlier readings count no more.
+func (c *Clock) observeIn(era int64, reading time.Duration, now time.Time) {
+	c.mu.Lock()
+	if era > c.era {
+		c.era, c.windowEnd = era, time.Time{}
+	}
+	current := era == c.era
+	c.mu.Unlock()
+	if current {
+		c.Observe(reading, now)
+	}
 }
 
 // Observe records a reading that arrived at now.
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -196,7 +196,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		m, _ := runMirror(t, changeAndDelete(), time.Second)
 		for after, wantWhole := range map[int64]bool{3: true, 5: false, 6: false, 7: false} {
-			changes, whole := m.ChangesSince(after)
+			changes, whole := m.ChangesSince(Position{Revision: after})
 			assert.Equal(t, whole, wantWhole, after)
 			peer := New(Options{Name: "p", Log: zap.NewNop()})
 			if !whole {
--- a/mirror/poll.go
+++ b/mirror/poll.go
@@ -105,7 +105,7 @@
 // copy is recent waits instead.
 func (m *Mirror) poll(ctx context.Context) error {
 	m.mu.Lock()
-	loaded, after := m.loaded, m.revision
+	loaded, era, after := m.loaded, m.era, m.revision
 	m.mu.Unlock()
 	if !loaded {
 		return m.reload(ctx)
@@ -128,6 +128,12 @@
 	if err != nil {
 		return err
 	}
+	if page.Era > era {
+		// The changes are those of another history.
+		err = m.reload(ctx)
+		sleep(ctx, minCallInterval-time.Since(start))
+		return err
+	}
 	m.recordAnswer(page)
 	m.apply(page, false, StoreFeed)
 	if len(page.Rows) > 0 && page.Revision > after {
@@ -175,12 +181,15 @@
 		if err != nil {
 			return err
 		}
+		if from != "" && page.Era != all.Era {
+			return errEraChanged
+		}
 		all.Rows = append(all.Rows, page.Rows...)
 		all.Skipped += page.Skipped
 		if from == "" {
 			// Rows of later pages may be newer than this revision. Follow returns
 			// their changes again.
-			all.Revision, all.Clock = page.Revision, page.Clock
+			all.Revision, all.Era, all.Clock = page.Revision, page.Era, page.Clock
 		}
 		if !page.Partial {
 			break
@@ -202,6 +211,9 @@
 // not tell from which key on.
 var errNoNextPage = errors.New("the page has no key after which the next one begins")
 
+// errEraChanged means that the store was restored while the pages of a table were read.
+var errEraChanged = errors.New("the store was restored between two pages")
+
 // next returns the key from which the next page is read, empty if it is not known.
 func (p *Page) next() string {
 	if len(p.Rows) == 0 {
@@ -221,7 +233,7 @@
 // the rows that the answer lacks.
 func (m *Mirror) recordAnswer(page Page) {
 	now := time.Now()
-	m.options.Clock.Observe(page.Clock, now)
+	m.options.Clock.observeIn(page.Era, page.Clock, now)
 	if page.Skipped > 0 {
 		m.options.Log.Warn("rows skipped", zap.String("table", m.options.Name), zap.Int("rows", page.Skipped), zap.Int64("revision", page.Revision))
 	}
