rollout: ended rollouts stay ended when the store is restored

A store that comes back from an older copy has lost the last progress of a rollout, and the order gets another revision when the operator writes it again. Progress was bound to its order by the revision alone, and revisions only rose: a rollout that was done or rolled back ran again, and its state was not written again.

In a new era the known progress counts as lost until a row of it is read, and is written again with the revision that the row has now. A restored row does not replace what is known, and an ended rollout never runs again by the row of another VM. An order with the content of the known one is that one, once in each era; its earlier revisions still name it in the sessions and the evidence of peers. An earlier order of the restored copy is ignored. Rows of progress have the era and the duration of their order too.

--- a/entry/control.go
+++ b/entry/control.go
@@ -88,7 +88,7 @@
 // failure the change remains due and is retried. The write is conditional on the
 // expected revision, so that only one of several writes takes effect.
 func (e *Entry) commitProgress(ctx context.Context, w rollout.Write) {
-	revision, err := e.store.CommitProgress(ctx, w)
+	position, err := e.store.CommitProgress(ctx, w)
 	fields := []zap.Field{
 		zap.String("service", w.Progress.Service), zap.String("release", w.Progress.Release),
 		zap.String("state", string(w.Progress.State)), zap.Int64("expected", w.ExpectedRevision),
@@ -97,12 +97,13 @@
 		e.log.Warn("rollout state not written", append(fields, zap.Error(err))...)
 		return
 	}
-	e.log.Info("rollout state written", append(fields, zap.Int64("revision", revision.Revision))...)
-	e.rollouts.SetProgress(w.Progress, revision.Revision, time.Now())
+	e.log.Info("rollout state written", append(fields, zap.Int64("revision", position.Revision), zap.Int64("era", position.Era))...)
+	e.rollouts.SetWritten(w, position.Era, position.Revision, time.Now())
 }
 
 // statusChanged applies the rollout progress in the status table.
 func (e *Entry) statusChanged(c mirror.Change) {
+	e.rollouts.BeginEra(c.Era, c.Base)
 	list, problems := platform.DecodeProgress(c.Rows)
 	e.setIgnored(tableStatus, problems, zap.ErrorLevel, "rollout progress ignored")
 	for _, p := range problems {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -291,6 +291,9 @@
 	orders, problems := platform.DecodeOrders(c.Rows)
 	e.setIgnored(tableOrders, problems, zap.ErrorLevel, "rollout order ignored")
 	for _, o := range orders {
+		if o.Era == c.Era {
+			o.Base = c.Base
+		}
 		e.rollouts.SetOrder(o, c.At)
 	}
 	row, ok := c.Rows[platform.ConfigurationKey]
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -78,8 +78,9 @@
 // Evidence holds the outcomes that one VM has observed in a rollout.
 type Evidence struct {
 	Service string
-	// Order is the revision of the order.
+	// Order is the revision of the order, and Era its era. Builds before eras send none.
 	Order  int64
+	Era    int64
 	Counts guard.Counts
 	// Halted is set if the VM has halted the rollout.
 	Halted bool
@@ -92,7 +93,7 @@
 	var out []Evidence
 	for name, s := range m.services {
 		if s.hasOrder && s.state() == Running {
-			out = append(out, Evidence{Service: name, Order: s.order.Revision, Counts: s.guard.Counts(), Halted: s.halted})
+			out = append(out, Evidence{Service: name, Order: s.order.Revision, Era: s.order.Era, Counts: s.guard.Counts(), Halted: s.halted})
 		}
 	}
 	return out
@@ -106,7 +107,7 @@
 	defer m.mu.Unlock()
 	for _, e := range list {
 		s := m.services[e.Service]
-		if s == nil || !s.hasOrder || s.order.Revision != e.Order {
+		if s == nil || !s.hasOrder || !s.is(orderID{e.Era, e.Order}) {
 			continue
 		}
 		s.guard.Merge(peer, e.Counts)
@@ -126,9 +127,9 @@
 		for _, e := range list {
 			s := sums[e.Service]
 			switch {
-			case s == nil || s.Order < e.Order:
-				sums[e.Service] = &Evidence{Service: e.Service, Order: e.Order, Counts: e.Counts.Clone(), Halted: e.Halted}
-			case s.Order == e.Order:
+			case s == nil || s.id().compare(e.id()) < 0:
+				sums[e.Service] = &Evidence{Service: e.Service, Order: e.Order, Era: e.Era, Counts: e.Counts.Clone(), Halted: e.Halted}
+			case s.id() == e.id():
 				s.Counts.Add(e.Counts)
 				s.Halted = s.Halted || e.Halted
 			}
@@ -140,3 +141,5 @@
 	}
 	return out
 }
+
+func (e *Evidence) id() orderID { return orderID{e.Era, e.Order} }
--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -53,6 +54,9 @@
 	services   map[string]*service
 	sessions   map[uint64]sessionUse
 	recentUses []servedSession
+	// era is that of the revisions of stored progress. Rows up to the revision base may be
+	// older than the era.
+	era, base int64
 }
 
 // service is the rollout state of one service.
@@ -68,8 +72,14 @@
 	// unreadable is set if the row of the progress has been replaced by one that cannot
 	// be read.
 	unreadable bool
-	guard      *guard.Guard
-	halted     bool
+	// rewrite is set if the store has lost the known progress.
+	rewrite bool
+	// former holds the earlier IDs of the order, which the operator wrote again after the
+	// store was restored, and past the latest orders before it.
+	former []orderID
+	past   []Order
+	guard  *guard.Guard
+	halted bool
 	// changeDueSince is the time since which the stored state is due for a change,
 	// zero if it is not. lastWriteAt is the time of this VM's last attempt to write
 	// a change.
@@ -95,8 +105,10 @@
 // release, but not by which order.
 const anyOrder = -1
 
-// movedBy reports whether the session is on the new release of an order.
-func (u sessionUse) movedBy(o Order) bool { return u.order == o.Revision || u.order == anyOrder }
+// moved reports whether a session is on the new release of the current order.
+func (s *service) moved(u sessionUse) bool {
+	return u.order == s.order.Revision || u.order == anyOrder || slices.ContainsFunc(s.former, func(i orderID) bool { return i.revision == u.order })
+}
 
 // SessionUse reports to peers which release served a session.
 type SessionUse struct {
@@ -136,30 +148,60 @@
 }
 
 // SetOrder starts a rollout by an order of the operator. Orders that are not newer
-// than the known one are ignored.
+// than the known one are ignored. After the store was restored, an order with the content of
+// the known one is that one, written again.
 func (m *Manager) SetOrder(o Order, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.service(o.Service)
-	if s.hasOrder && s.order.Revision >= o.Revision {
-		return
+	if s.hasOrder {
+		order := s.order.id().compare(o.id())
+		if order == 0 {
+			s.order.Base = o.Base
+		}
+		if order >= 0 || m.supersede(s, o) {
+			return
+		}
+		s.past = append(s.past[max(0, len(s.past)+1-maxPastOrders):], s.order)
 	}
+	s.former = nil
 	s.order, s.hasOrder, s.startedAt = o, true, now
 	s.guard, s.halted, s.changeDueSince, s.lastWriteAt = guard.New(guard.Options{}), false, time.Time{}, time.Time{}
 	m.o.Log.Info("rollout ordered", zap.String("service", o.Service), zap.String("release", o.Release), zap.Duration("duration", o.Duration), zap.Int64("revision", o.Revision))
 }
 
-// SetProgress applies the stored progress of a rollout. startedAt is the start of
-// the rollout by the clock of this VM.
+// SetProgress applies the stored progress of a rollout, at a revision of the current era.
+// startedAt is the start of the rollout by the clock of this VM.
 func (m *Manager) SetProgress(p Progress, revision int64, startedAt time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.setProgress(p, revision, startedAt)
+}
+
+// SetWritten applies the progress that this VM has written at a revision of an era.
+func (m *Manager) SetWritten(w Write, era, revision int64, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if era == m.era {
+		m.setProgress(w.Progress, revision, now)
+	}
+}
+
+func (m *Manager) setProgress(p Progress, revision int64, startedAt time.Time) {
 	s := m.service(p.Service)
 	if revision <= s.revision {
 		return
 	}
-	s.progress, s.revision, s.unreadable, s.changeDueSince = p, revision, false, time.Time{}
-	if s.hasOrder && p.Order == s.order.Revision && startedAt.Before(s.startedAt) {
+	s.revision, s.unreadable, s.changeDueSince = revision, false, time.Time{}
+	if m.keeps(s, p, revision <= m.base) {
+		s.rewrite = true
+		m.o.Log.Warn("rollout progress of the store is older than known", zap.String("service", p.Service), zap.String("release", p.Release), zap.String("state", string(p.State)),
+			zap.String("known", string(s.progress.State)), zap.Int64("era", m.era), zap.Int64("revision", revision))
+		return
+	}
+	s.progress = p
+	s.rewrite = s.belongs(&p) && p.order().compare(s.order.id()) < 0 && p.Order != s.order.Revision
+	if s.belongs(&p) && startedAt.Before(s.startedAt) {
 		s.startedAt = startedAt
 	}
 	m.o.Log.Info("rollout progress", zap.String("service", p.Service), zap.String("release", p.Release), zap.String("state", string(p.State)), zap.Int64("revision", revision))
@@ -180,7 +222,7 @@
 // state returns the state of the current order. A rollout without stored progress
 // is running.
 func (s *service) state() State {
-	if s.progress.Order == s.order.Revision && s.progress.State != "" {
+	if s.belongs(&s.progress) {
 		return s.progress.State
 	}
 	return Running
@@ -269,7 +311,7 @@
 	active := seen && now.Sub(use.usedAt) <= m.o.SessionIdle
 	onNew := float64(session>>11)/(1<<53) < s.scheduledShare(elapsedFraction, m.initialShare)
 	switch {
-	case active && use.movedBy(s.order):
+	case active && s.moved(use):
 		onNew = true
 	case active && elapsedFraction < pinnedUntil:
 		onNew = false
@@ -290,7 +332,8 @@
 // Write is a change of a rollout's progress to be written to the store.
 type Write struct {
 	Progress Progress
-	// ExpectedRevision is the revision of the stored progress that the change replaces.
+	// ExpectedRevision is the revision of the stored progress that the change replaces, 0 if
+	// the store has none.
 	ExpectedRevision int64
 }
 
@@ -304,14 +347,14 @@
 	defer m.mu.Unlock()
 	var out []Write
 	for name, s := range m.services {
-		if !s.hasOrder {
+		if !s.hasOrder && !s.rewrite {
 			continue
 		}
 		nextState, ok := s.nextState(now, func() int { return oldCalls(name, s.order.Release) })
-		if !ok && s.unreadable {
+		if !ok && s.unreadable && s.hasOrder {
 			nextState, ok = s.state(), true
 		}
-		if !ok {
+		if !ok && !s.rewrite {
 			s.changeDueSince = time.Time{}
 			continue
 		}
@@ -326,7 +369,16 @@
 			continue
 		}
 		s.lastWriteAt = now
-		p := Progress{Service: name, Release: s.order.Release, State: nextState, Order: s.order.Revision, Started: storeClock - now.Sub(s.startedAt)}
+		p := s.progress
+		if s.hasOrder {
+			if !ok {
+				nextState = s.state()
+			}
+			p = Progress{
+				Service: name, Release: s.order.Release, State: nextState, Order: s.order.Revision, Era: s.order.Era, Duration: s.order.Duration,
+				Started: storeClock - now.Sub(s.startedAt),
+			}
+		}
 		out = append(out, Write{Progress: p, ExpectedRevision: s.revision})
 	}
 	return out
@@ -335,7 +387,10 @@
 // nextState returns the state to be written to the store, and whether it differs
 // from the stored one.
 func (s *service) nextState(now time.Time, oldCalls func() int) (State, bool) {
-	if s.progress.Order != s.order.Revision {
+	if !s.hasOrder {
+		return "", false
+	}
+	if !s.belongs(&s.progress) {
 		if s.halted {
 			return RolledBack, true
 		}
--- a/rollout/schedule.go
+++ b/rollout/schedule.go
@@ -49,8 +49,22 @@
 	Service  string
 	Release  string
 	Duration time.Duration
-	// Revision is the store revision of the transaction that wrote the order.
-	Revision int64
+	// Revision is the store revision of the transaction that wrote the order, and Era the
+	// era of the store in which it was read.
+	Revision, Era int64
+	// Base is the revision up to which orders of this era may be older than the era.
+	Base int64
+}
+
+// id returns what identifies the order while the store is not restored.
+func (o *Order) id() orderID { return orderID{o.Era, o.Revision} }
+
+// restored reports whether the order may be one that the store had when it was restored.
+func (o *Order) restored() bool { return o.Era > 0 && o.Revision <= o.Base }
+
+// sameContent reports whether two orders ask for the same.
+func (o *Order) sameContent(other Order) bool {
+	return o.Service == other.Service && o.Release == other.Release && o.Duration == other.Duration
 }
 
 // State of a rollout.
@@ -69,8 +83,10 @@
 	Service string
 	Release string
 	State   State
-	// Order is the revision of the order that the progress belongs to.
-	Order int64
+	// Order is the revision of the order that the progress belongs to, and Era its era.
+	Order, Era int64
+	// Duration is that of the order. Rows of earlier builds lack it.
+	Duration time.Duration
 	// Started is the start of the rollout by the store's clock.
 	Started time.Duration
 }
