entry: VMs of two eras exchange their tables

The reply to a request for a table still compared bare revisions, so a VM of a new era got nothing from a peer of that era with a lower revision, and one that started right after the store was restored went by the restored copy: its peers had not noticed the era yet, and it was ready before they told it what they hold.

Requests are answered by era and revision. In the hold time a VM asks a peer of the era before for the changes that it has not reached there, and holds those that are later than the restored rows.

--- a/entry/control.go
+++ b/entry/control.go
@@ -159,6 +159,9 @@
 	// newest is a revision newer than the copy that a peer has reported, nil if there
 	// is none.
 	newest atomic.Pointer[newerRevision]
+	// reported is the last state of a peer that may know more than the restored store,
+	// nil before one does.
+	reported atomic.Pointer[mirror.State]
 	// fetching is set while the table is being fetched from a peer.
 	fetching atomic.Bool
 	ignored  ignoredRows
@@ -212,6 +215,19 @@
 	return false
 }
 
+// lacksRows reports whether a peer may know rows, better than a store that was restored, that
+// this VM has not fetched.
+func (e *Entry) lacksRows() bool {
+	for _, t := range e.tables {
+		if reported := t.reported.Load(); reported != nil {
+			if _, lacks := t.Lacks(*reported); lacks {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // ownReadDelay is how long a VM that reads a table from the store waits for the
 // store's answer before it fetches a newer copy from a peer.
 const ownReadDelay = 400 * time.Millisecond
@@ -224,9 +240,12 @@
 		if !known {
 			continue
 		}
+		if own, loaded := t.State(); theirs.Held != 0 || loaded && theirs.Era < own.Era {
+			t.reported.Store(&theirs)
+		}
 		confirmed := t.Confirm(theirs)
-		if t.LacksHeld(theirs) {
-			e.fetchTable(vm, name, t)
+		if after, lacks := t.Lacks(theirs); lacks {
+			e.fetchTable(vm, name, t, after)
 			continue
 		}
 		if confirmed {
@@ -244,7 +263,7 @@
 		if loaded && !lost && !t.passive() && now.Sub(since) < ownReadDelay {
 			continue
 		}
-		e.fetchTable(vm, name, t)
+		e.fetchTable(vm, name, t, own.Position())
 	}
 }
 
@@ -255,27 +274,28 @@
 		return fleet.TableReply{}
 	}
 	c, ok := t.Copy()
-	if !ok || r.Loaded && c.Revision <= r.After {
+	after := mirror.Position{Era: r.Era, Revision: r.After}
+	holds := r.Held && r.Era == c.Era
+	if !ok || r.Loaded && !after.Before(c.Position()) && !holds {
 		return fleet.TableReply{}
 	}
-	after := r.After
 	if !r.Loaded {
-		after = -1
+		after.Revision = -1
 	}
-	page, whole := t.ChangesSince(mirror.Position{Revision: after})
+	page, whole := t.ChangesSince(after)
 	return fleet.TableReply{Newer: true, Whole: whole, Page: page}
 }
 
-// fetchTable fetches from a peer, in the background, the changes of a table that
-// this VM lacks. At most one fetch of a table runs at a time.
-func (e *Entry) fetchTable(vm, name string, t *table) {
+// fetchTable fetches from a peer, in the background, the changes of a table after a position
+// and the rows that the peer holds. At most one fetch of a table runs at a time.
+func (e *Entry) fetchTable(vm, name string, t *table, after mirror.Position) {
 	if !t.fetching.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer t.fetching.Store(false)
-		c, loaded := t.Copy()
-		reply, err := e.fleet.FetchTable(vm, fleet.TableRequest{Table: name, After: c.Revision, Loaded: loaded, Era: c.Era, Held: loaded})
+		request := fleet.TableRequest{Table: name, After: after.Revision, Loaded: after.Revision >= 0, Era: after.Era, Held: true}
+		reply, err := e.fleet.FetchTable(vm, request)
 		if err != nil {
 			e.log.Info("table not fetched", zap.String("table", name), zap.String("peer", vm), zap.String("cause", err.Error()))
 			return
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -277,9 +277,9 @@
 
 // knowsPeers reports whether this VM has heard from a peer and has read the findings of the
 // quarantine, or has waited long enough. Before that it does not know which prompts are kept
-// from upstreams.
+// from upstreams, nor what peers know better than a store that was restored.
 func (e *Entry) knowsPeers() bool {
-	if !e.heard.Load() && (e.fleet.Heard() && e.findingsLoaded.Load() || time.Since(e.started) > maxPeerWait) {
+	if !e.heard.Load() && (e.fleet.Heard() && e.findingsLoaded.Load() && !e.lacksRows() || time.Since(e.started) > maxPeerWait) {
 		e.heard.Store(true)
 	}
 	return e.heard.Load()
--- a/mirror/era_test.go
+++ b/mirror/era_test.go
@@ -151,22 +151,57 @@
 		for _, m := range []*Mirror{behind, started} {
 			m.Offer(restored, true)
 			assert.DeepEqual(t, values(m), map[string]string{"a": "old"})
-			assert.Assert(t, m.Confirm(state) && m.LacksHeld(state))
+			assert.Assert(t, m.Confirm(state) && lacks(m, state))
 			own, _ := m.State()
 			page, whole := informed.ChangesSince(own.Position())
 			assert.Assert(t, m.Offer(page, whole))
 			assert.DeepEqual(t, values(m), map[string]string{"a": "new"})
-			assert.Assert(t, !m.LacksHeld(state))
+			assert.Assert(t, !lacks(m, state))
 		}
 		time.Sleep(hold - time.Second)
 		synctest.Wait()
 		for _, m := range []*Mirror{informed, behind, started} {
 			assert.DeepEqual(t, values(m), map[string]string{"a": "old"})
-			assert.Assert(t, !m.LacksHeld(state))
+			assert.Assert(t, !lacks(m, state))
 		}
 	})
 }
 
+func lacks(m *Mirror, peer State) bool {
+	_, ok := m.Lacks(peer)
+	return ok
+}
+
+// Guards against a VM that has started in the new era and goes by the restored copy, because
+// its peers have not learned of the era yet.
+func TestPeersOfTheEraBeforeKnowMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		old := page(6, row("a", "old", 3), row("b", "1", 4))
+		peer, behind := holding(t, old), holding(t, old)
+		peer.Offer(page(12, row("a", "new", 10), Row{Key: "b", Revision: 12, Deleted: true}), false)
+		started := New(Options{Name: "t", Log: zap.NewNop(), Hold: hold})
+		state, _ := peer.State()
+		for m, want := range map[*Mirror]map[string]string{behind: {"a": "new"}, started: {"a": "new", "b": "1"}} {
+			m.Offer(inEra(1, page(8, row("a", "old", 3), row("b", "1", 4))), true)
+			after, ok := m.Lacks(state)
+			assert.Assert(t, ok)
+			page, whole := peer.ChangesSince(after)
+			assert.Equal(t, whole, m == started)
+			m.Offer(page, whole)
+			assert.DeepEqual(t, values(m), want)
+			c, _ := m.Copy()
+			assert.Equal(t, c.Position(), Position{1, 8})
+			assert.Assert(t, !lacks(m, state))
+		}
+		time.Sleep(hold)
+		synctest.Wait()
+		later, _ := started.State()
+		state.Changed = 20
+		assert.Assert(t, !lacks(started, state))
+		assert.Equal(t, later.Held, uint64(0))
+	})
+}
+
 // Guards against rows of a peer that was cut off before the store was restored: it holds
 // less than this VM knows.
 func TestHeldRowsOfAPeerAreOlder(t *testing.T) {
--- a/mirror/hold.go
+++ b/mirror/hold.go
@@ -93,9 +93,9 @@
 	m.armHold(now)
 }
 
-// adopt holds the rows that a peer holds in the same era and that are newer than those known
-// to this VM. It reports whether there were any. The caller must hold m.mu.
-func (m *Mirror) adopt(rows []Row, left time.Duration, now time.Time) bool {
+// adoptHeld holds the rows that a peer of the same era holds for a time. It reports whether
+// that changes the copy. The caller must hold m.mu.
+func (m *Mirror) adoptHeld(rows []Row, left time.Duration, now time.Time) bool {
 	if len(rows) == 0 || !now.Before(m.holdUntil) {
 		return false
 	}
@@ -103,6 +103,35 @@
 		m.holdUntil = until
 	}
 	m.adopted = fingerprint(slices.Values(rows))
+	return m.adopt(rows, now)
+}
+
+// adoptEarlier holds the rows of a peer that is still in the era before. It reports whether
+// that changes the copy. The caller must hold m.mu.
+func (m *Mirror) adoptEarlier(page Page, now time.Time) bool {
+	if !m.lacksEarlier(page.Position(), now) {
+		return false
+	}
+	m.previous = page.Position()
+	rows := slices.Clone(page.Held)
+	for _, r := range page.Rows {
+		if !slices.ContainsFunc(page.Held, func(h Row) bool { return h.Key == r.Key }) {
+			r.Era = page.Era
+			rows = append(rows, r)
+		}
+	}
+	return m.adopt(rows, now)
+}
+
+// lacksEarlier reports whether a position of the era before is one that this VM has not
+// reached. The caller must hold m.mu.
+func (m *Mirror) lacksEarlier(p Position, now time.Time) bool {
+	return m.loaded && p.Era == m.era-1 && m.previous.Before(p) && now.Before(m.holdUntil)
+}
+
+// adopt holds the rows of a peer that are newer than those known to this VM. It reports
+// whether there were any. The caller must hold m.mu.
+func (m *Mirror) adopt(rows []Row, now time.Time) bool {
 	base, changed := m.base(now), false
 	for _, r := range rows {
 		old := m.lastKnown[r.Key]
@@ -204,13 +233,18 @@
 	return len(m.held)
 }
 
-// LacksHeld reports whether a peer of the same era holds rows that it may know better than
-// this VM.
-func (m *Mirror) LacksHeld(peer State) bool {
+// Lacks returns the position after which a peer is to be asked for changes, because the
+// restored store may lack them: it holds rows, or has not learned of the era. ok is false if
+// it knows nothing that this VM lacks.
+func (m *Mirror) Lacks(peer State) (after Position, ok bool) {
+	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.loaded && peer.Era == m.era && peer.Held != 0 && peer.Held != m.adopted &&
-		peer.Held != fingerprint(maps.Values(m.held)) && time.Now().Before(m.holdUntil)
+	if m.lacksEarlier(Position{peer.Era, peer.Changed}, now) {
+		return m.previous, true
+	}
+	return m.position(), m.loaded && peer.Era == m.era && peer.Held != 0 && peer.Held != m.adopted &&
+		peer.Held != fingerprint(maps.Values(m.held)) && now.Before(m.holdUntil)
 }
 
 // fingerprint returns a hash of the positions of rows that does not depend on their order, 0
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -176,6 +176,9 @@
 	holdTimer        *time.Timer
 	// lastKnown holds what this VM knew when it learned of the era, until the hold ends.
 	lastKnown map[string]Row
+	// previous is the position in the era before up to which this VM knows the table. Its
+	// revision is -1 if it knows nothing of it.
+	previous Position
 	// adopted is the fingerprint of the held rows that a peer last sent.
 	adopted uint64
 	// removed holds the deletions of rows that were in force in this process, at most
@@ -202,6 +205,7 @@
 	}
 	return &Mirror{
 		options: options, patience: minPatience, rows: map[string]Row{}, tombstones: map[string]int64{}, held: map[string]Row{}, removed: map[string]Row{},
+		previous: Position{Era: -1, Revision: -1},
 	}
 }
 
@@ -252,7 +256,7 @@
 	defer m.mu.Unlock()
 	adoptable := m.loaded && page.Era == m.era
 	if newer := page.Era > m.era; newer && !whole || page.Position().Before(m.position()) {
-		changed := adoptable && m.adopt(page.Held, page.HoldLeft, now)
+		changed := adoptable && m.adoptHeld(page.Held, page.HoldLeft, now) || m.adoptEarlier(page, now)
 		return m.copy(now), changed, false
 	}
 	m.options.Eras.observe(page.Position(), false, now)
@@ -260,7 +264,7 @@
 	begins, changed := page.Era > m.era, whole && !m.loaded
 	if begins {
 		if m.loaded {
-			known, changed = m.known(), true
+			known, changed, m.previous = m.known(), true, m.position()
 		}
 		m.rows, m.era, m.confirmed, m.changed, m.adopted = map[string]Row{}, page.Era, 0, 0, 0
 		clear(m.tombstones)
@@ -272,7 +276,7 @@
 	}
 	m.release(now)
 	if m.loaded {
-		changed = m.adopt(page.Held, page.HoldLeft, now) || changed
+		changed = m.adoptHeld(page.Held, page.HoldLeft, now) || changed
 	}
 	m.remember(before)
 	return m.copy(now), changed, true
@@ -329,8 +333,8 @@
 	return Copy{Rows: m.effective(), Revision: m.revision, Era: m.era, Stored: m.rows, Base: m.base(now)}
 }
 
-// Offer applies a page from a peer if it is newer than the copy or holds rows that this
-// VM does not know, and reports whether it did. If whole is set, the page is the whole
+// Offer applies a page from a peer if it is newer than the copy or may hold rows that this
+// VM does not know, and reports whether it has become the copy. If whole is set, the page is the whole
 // table; otherwise it holds the rows that changed after a revision that the copy has
 // reached.
 func (m *Mirror) Offer(page Page, whole bool) bool {
@@ -338,7 +342,7 @@
 	own, offered := m.position(), page.Position()
 	applicable := own.Before(offered) || own == offered && !m.loaded
 	applicable = applicable && (whole || m.loaded && page.Era == m.era)
-	applicable = applicable || m.loaded && page.Era == m.era && len(page.Held) > 0
+	applicable = applicable || m.loaded && page.Era == m.era && len(page.Held) > 0 || m.lacksEarlier(offered, time.Now())
 	m.mu.Unlock()
 	return applicable && m.apply(page, whole, Peer)
 }
