entry: what the operator and the upstreams said last outlives a restored store

After the store came back from an older copy, a VM took over that copy: an earlier configuration with its withdrawn keys, removed rows, and registrations of upstreams that had drained.

Rows of the operator's table, of any key and also removed ones, are held for at most twice the time within which a configuration must be known, registrations for the grace of a lapsed one. A configuration of the restored copy with a lower version than the one in force is ignored also after that. An instance that was seen draining stays so in later eras. The configuration and the ignored rows are told apart by era and revision. New metrics: savoryshift_table_era and savoryshift_rows_held.

--- a/entry/ages.go
+++ b/entry/ages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/savoryshift/savoryshift/placement"
 	"github.com/savoryshift/savoryshift/platform"
 )
 
@@ -28,18 +29,43 @@
 	confirm, most time.Duration
 }
 
+// knownWithin returns the time within which a change must be known, by a bound of the
+// platform.
+func knownWithin(bound time.Duration) time.Duration {
+	if bound <= 0 {
+		bound = defaultKnownWithin
+	}
+	return min(bound, maxKnownWithin)
+}
+
 // copyAgesFor returns the ages with which a configuration is in force, and a draining
 // upstream known, within the bounds of the platform.
 func copyAgesFor(b platform.Bounds) copyAges {
-	within := maxKnownWithin
-	for _, bound := range []time.Duration{b.Configuration, b.Drain} {
-		if bound <= 0 {
-			bound = defaultKnownWithin
-		}
-		within = min(within, bound)
-	}
+	within := min(knownWithin(b.Configuration), knownWithin(b.Drain))
 	return copyAges{
 		confirm: time.Duration(confirmShare * float64(within)),
 		most:    time.Duration(maxAgeShare * float64(within)),
 	}
 }
+
+// holdShare is the time for which the operator's rows are held, as a multiple of the time
+// within which a change must be known: as much again for the operator to write it a second
+// time.
+const holdShare = 2
+
+// holdTimes are the longest times for which rows stay in force that a restored store lacks or
+// has in an older form.
+type holdTimes struct{ orders, registrations time.Duration }
+
+// holdTimesFor returns the hold times within the bounds of the platform. A registration is
+// held for as long as one that has lapsed may be used, because the upstream may have left
+// while the store was away.
+func holdTimesFor(b platform.Bounds) holdTimes {
+	return holdTimes{orders: holdShare * knownWithin(b.Configuration), registrations: lapseGrace(b)}
+}
+
+// lapseGrace returns the time for which an upstream whose registration has disappeared may be
+// used.
+func lapseGrace(b platform.Bounds) time.Duration {
+	return min(placement.DefaultLapseGrace, b.Drain*3/4)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -109,12 +109,14 @@
 
 	configurationLoaded atomic.Bool
 	upstreamsLoaded     atomic.Bool
-	// configurationRevision is the revision of the last configuration row that was
-	// decoded, valid or not. Only ordersChanged uses it, which is never called
-	// concurrently.
-	configurationRevision int64
-	statusLoaded          atomic.Bool
-	findingsLoaded        atomic.Bool
+	// configurationAt is the position of the last configuration row that was decoded,
+	// valid or not. Only ordersChanged uses it, which is never called concurrently.
+	configurationAt mirror.Position
+	// drained holds the upstreams that were seen draining. Only upstreamsChanged uses it,
+	// which is never called concurrently.
+	drained        drainedUpstreams
+	statusLoaded   atomic.Bool
+	findingsLoaded atomic.Bool
 	// streamed holds the services of streamed requests by name, nil before the first
 	// configuration.
 	streamed atomic.Pointer[map[string]bool]
@@ -135,9 +137,9 @@
 		opts: opts, log: opts.Log, started: time.Now(), metrics: gateway.NewMetrics(), pool: exchange.NewPool(),
 		balancer: placement.NewBalancer(placement.Options{
 			AvailabilityZone: s.AvailabilityZone, CacheLifetime: s.Bounds.CacheLifetime,
-			LapseGrace: min(placement.DefaultLapseGrace, s.Bounds.Drain*3/4),
+			LapseGrace: lapseGrace(s.Bounds),
 		}),
-		budget: newRetryBudget(s.Bounds),
+		budget: newRetryBudget(s.Bounds), drained: drainedUpstreams{},
 	}
 	e.store = platform.NewStore(s.StoreAddress, e.recordStoreCall)
 	e.rollouts = rollout.New(rollout.Options{SessionIdle: s.Bounds.SessionIdle, Exposure: s.Bounds.ExposureShare, Log: opts.Log})
@@ -152,25 +154,28 @@
 	})
 	e.tables = map[string]*table{}
 	ages := copyAgesFor(s.Bounds)
-	clock, reach := &mirror.Clock{}, &mirror.Reach{}
+	holds := holdTimesFor(s.Bounds)
+	clock, reach, eras := &mirror.Clock{}, &mirror.Reach{}, &mirror.Eras{}
 	sharedBy := func() float64 { return e.fleet.SharedBy(time.Now(), readersPerZone) }
 	e.orders = e.addMirror(mirror.Options{
-		Name: tableOrders, Table: e.store.Orders(), Passive: e.isPassive, Changed: e.ordersChanged,
-		Wait: ages.confirm, MaxAge: ages.most, Clock: clock, Reach: reach, SharedBy: sharedBy,
+		Name: tableOrders, Table: e.store.Orders(), Passive: e.isPassive, Changed: e.ordersChanged, Hold: holds.orders, Compare: platform.CompareOrders,
+		Wait: ages.confirm, MaxAge: ages.most, Clock: clock, Reach: reach, Eras: eras, SharedBy: sharedBy,
 	})
 	e.upstreams = e.addMirror(mirror.Options{
-		Name: tableUpstreams, Table: e.store.Upstreams(), Passive: e.isPassive, Changed: e.upstreamsChanged,
-		BatchDelay: upstreamBatchDelay, Wait: ages.confirm, MaxAge: ages.most, Clock: clock, Reach: reach, SharedBy: sharedBy,
+		Name: tableUpstreams, Table: e.store.Upstreams(), Passive: e.isPassive, Changed: e.upstreamsChanged, Hold: holds.registrations, Compare: platform.CompareRegistrations,
+		BatchDelay: upstreamBatchDelay, Wait: ages.confirm, MaxAge: ages.most, Clock: clock, Reach: reach, Eras: eras, SharedBy: sharedBy,
 	})
 	// The VM of rank 0 writes the progress of rollouts and needs to see it at once;
-	// the others receive the status table from peers.
+	// the others receive the status table from peers. The manager of the rollouts keeps
+	// what it knows of them when the store is restored, so that no row is held.
 	passive := func() bool { return e.fleet.Rank(time.Now()) > 0 }
 	e.status = e.addMirror(mirror.Options{
 		Name: tableStatus, Table: e.store.Status(), Passive: passive, Changed: e.statusChanged,
-		Wait: confirmStatusAfter, MaxAge: maxStatusAge, Clock: clock, Reach: reach, SharedBy: sharedBy,
+		Wait: confirmStatusAfter, MaxAge: maxStatusAge, Clock: clock, Reach: reach, Eras: eras, SharedBy: sharedBy,
 	})
 	e.findings = e.addMirror(mirror.Options{
-		Name: tableFindings, Table: e.store.Findings(), Passive: passive, Changed: e.findingsChanged, Clock: clock, Reach: reach, SharedBy: sharedBy,
+		Name: tableFindings, Table: e.store.Findings(), Passive: passive, Changed: e.findingsChanged,
+		Clock: clock, Reach: reach, Eras: eras, SharedBy: sharedBy,
 	})
 	e.registerGauges(e.metrics.Set())
 	return e
@@ -297,15 +302,20 @@
 		e.rollouts.SetOrder(o, c.At)
 	}
 	row, ok := c.Rows[platform.ConfigurationKey]
-	if !ok || row.Revision == e.configurationRevision {
+	if !ok || row.Position() == e.configurationAt {
 		return
 	}
-	e.configurationRevision = row.Revision
+	e.configurationAt = row.Position()
 	snapshot, err := platform.DecodeConfiguration(row.Value)
 	if err != nil {
 		e.log.Error("configuration refused; the last one stays in force", zap.Int64("revision", row.Revision), zap.Error(err))
 		return
 	}
+	if e.isOlderConfiguration(c, row, snapshot.Version) {
+		e.log.Warn("configuration of the restored store ignored; the last one stays in force", zap.Int64("configuration", snapshot.Version),
+			zap.Int64("in_force", e.gateway.Version()), zap.Int64("era", row.Era), zap.Int64("revision", row.Revision))
+		return
+	}
 	e.streamed.Store(streamedServices(snapshot))
 	e.gateway.SetState(&gateway.State{Snapshot: snapshot, Revision: row.Revision})
 	e.configurationLoaded.Store(true)
@@ -317,6 +327,7 @@
 func (e *Entry) upstreamsChanged(c mirror.Change) {
 	list, problems := platform.DecodeUpstreams(c.Rows)
 	e.setIgnored(tableUpstreams, problems, zap.WarnLevel, "registration ignored")
+	e.keepDraining(list, c)
 	e.balancer.SetUpstreams(list, c.ConfirmedAt, c.At)
 	releases := map[string]map[string]int{}
 	for _, u := range list {
--- a/entry/ignored.go
+++ b/entry/ignored.go
@@ -6,14 +6,15 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/savoryshift/savoryshift/mirror"
 	"github.com/savoryshift/savoryshift/platform"
 )
 
 // ignoredRows holds the rows of one table that are ignored because they are malformed.
 type ignoredRows struct {
-	// revisions maps the keys of the rows to their revisions. Only update uses it, which
+	// positions maps the keys of the rows to their positions. Only update uses it, which
 	// is never called concurrently.
-	revisions map[string]int64
+	positions map[string]mirror.Position
 	count     atomic.Int64
 }
 
@@ -21,14 +22,15 @@
 // before.
 func (r *ignoredRows) update(rows []platform.RowError) []platform.RowError {
 	var added []platform.RowError
-	revisions := make(map[string]int64, len(rows))
+	positions := make(map[string]mirror.Position, len(rows))
 	for _, row := range rows {
-		if revision, known := r.revisions[row.Key]; !known || revision != row.Revision {
+		position := mirror.Position{Era: row.Era, Revision: row.Revision}
+		if earlier, known := r.positions[row.Key]; !known || earlier != position {
 			added = append(added, row)
 		}
-		revisions[row.Key] = row.Revision
+		positions[row.Key] = position
 	}
-	r.revisions = revisions
+	r.positions = positions
 	r.count.Store(int64(len(rows)))
 	return added
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -54,6 +54,11 @@
 			c, _ := t.Copy()
 			return float64(c.Revision)
 		})
+		gauge(`savoryshift_table_era{table="`+name+`"}`, func() float64 {
+			c, _ := t.Copy()
+			return float64(c.Era)
+		})
+		gauge(`savoryshift_rows_held{table="`+name+`"}`, func() float64 { return float64(t.Held()) })
 		gauge(`savoryshift_table_age_seconds{table="`+name+`"}`, func() float64 { return t.Age(time.Now()).Seconds() })
 		gauge(`savoryshift_rows_ignored{table="`+name+`"}`, func() float64 { return float64(t.ignored.count.Load()) })
 	}
