quarantine: findings that a restored store lost are written again at once

With rows held in the place of those of a restored copy, the writer compared the findings with the held ones and found no difference, and without them a VM that starts took over parts that had been cleared since the copy.

Rows of findings are held like those of the operator, and the writer compares with the rows that the store has, at their revisions of the new era.

Tested: entry/entrytest:TestStoreComesBackOlder, two drills with four VMs.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -174,7 +174,7 @@
 		Wait: confirmStatusAfter, MaxAge: maxStatusAge, Clock: clock, Reach: reach, Eras: eras, SharedBy: sharedBy,
 	})
 	e.findings = e.addMirror(mirror.Options{
-		Name: tableFindings, Table: e.store.Findings(), Passive: passive, Changed: e.findingsChanged,
+		Name: tableFindings, Table: e.store.Findings(), Passive: passive, Changed: e.findingsChanged, Hold: holds.orders,
 		Clock: clock, Reach: reach, Eras: eras, SharedBy: sharedBy,
 	})
 	e.registerGauges(e.metrics.Set())
--- a/entry/findings.go
+++ b/entry/findings.go
@@ -47,13 +47,15 @@
 	if restored && !writer {
 		return
 	}
-	stored, _ := platform.DecodeFindings(copied.Rows)
 	if !restored {
-		e.restoreFindings(stored, now)
+		known, _ := platform.DecodeFindings(copied.Rows)
+		e.restoreFindings(known, now)
 	}
 	if !writer {
 		return
 	}
+	// The rows of the store, not those held since it was restored, are to be replaced.
+	stored, _ := platform.DecodeFindings(copied.Stored)
 	changes := quarantine.Changes(stored, e.quarantine.Findings(now, clock))
 	if len(changes) == 0 {
 		return
