--- a/entry/control.go
+++ b/entry/control.go
@@ -88,7 +88,7 @@
 // failure the change remains due and is retried. The write is conditional on the
 // expected revision, so that only one of several writes takes effect.
 func (e *Entry) commitProgress(ctx context.Context, w rollout.Write) {
-	revision, err := e.store.CommitProgress(ctx, w)
+	position, err := e.store.CommitProgress(ctx, w)
 	fields := []zap.Field{
 		zap.String("service", w.Progress.Service), zap.String("release", w.Progress.Release),
 		zap.String("state", string(w.Progress.State)), zap.Int64("expected", w.ExpectedRevision),
@@ -97,12 +97,13 @@
 		e.log.Warn("rollout state not written", append(fields, zap.Error(err))...)
 		return
 	}
-	e.log.Info("rollout state written", append(fields, zap.Int64("revision", revision))...)
-	e.rollouts.SetProgress(w.Progress, revision, time.Now())
+	e.log.Info("rollout state written", append(fields, zap.Int64("revision", position.Revision), zap.Int64("era", position.Era))...)
+	e.rollouts.SetWritten(w, position.Era, position.Revision, time.Now())
 }
 
 // statusChanged applies the rollout progress in the status table.
 func (e *Entry) statusChanged(c mirror.Change) {
+	e.rollouts.BeginEra(c.Era, c.Base)
 	list, problems := platform.DecodeProgress(c.Rows)
 	e.setIgnored(tableStatus, problems, zap.ErrorLevel, "rollout progress ignored")
 	for _, p := range problems {
@@ -158,33 +159,36 @@
 	// newest is a revision newer than the copy that a peer has reported, nil if there
 	// is none.
 	newest atomic.Pointer[newerRevision]
+	// reported is the last state of a peer that may know more than the restored store,
+	// nil before one does.
+	reported atomic.Pointer[mirror.State]
 	// fetching is set while the table is being fetched from a peer.
 	fetching atomic.Bool
 	ignored  ignoredRows
 }
 
-// newerRevision is the first revision newer than the copy that a peer has reported,
-// and the time of that report.
+// newerRevision is the position of the first copy newer than that of this VM that a peer
+// has reported, and the time of that report.
 type newerRevision struct {
-	revision int64
+	position mirror.Position
 	since    time.Time
 }
 
-// behindSince records the revision of a peer's copy. It reports whether that
-// revision is newer than the copy of this VM, and since when a newer revision has
-// been known. A peer without a newer revision does not reset that time, because it
+// behindSince records the position of a peer's copy. It reports whether that
+// position is newer than the copy of this VM, and since when a newer one has
+// been known. A peer without a newer one does not reset that time, because it
 // may be as far behind as this VM.
-func (t *table) behindSince(theirs, own int64, now time.Time) (since time.Time, behind bool) {
+func (t *table) behindSince(theirs, own mirror.Position, now time.Time) (since time.Time, behind bool) {
 	known := t.newest.Load()
-	if known != nil && known.revision <= own {
+	if known != nil && !own.Before(known.position) {
 		known = nil
 		t.newest.Store(nil)
 	}
-	if theirs <= own {
+	if !own.Before(theirs) {
 		return time.Time{}, false
 	}
 	if known == nil {
-		known = &newerRevision{revision: theirs, since: now}
+		known = &newerRevision{position: theirs, since: now}
 		t.newest.Store(known)
 	}
 	return known.since, true
@@ -211,6 +215,19 @@
 	return false
 }
 
+// lacksRows reports whether a peer may know rows, better than a store that was restored, that
+// this VM has not fetched.
+func (e *Entry) lacksRows() bool {
+	for _, t := range e.tables {
+		if reported := t.reported.Load(); reported != nil {
+			if _, lacks := t.Lacks(*reported); lacks {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // ownReadDelay is how long a VM that reads a table from the store waits for the
 // store's answer before it fetches a newer copy from a peer.
 const ownReadDelay = 400 * time.Millisecond
@@ -220,14 +237,25 @@
 	now := time.Now()
 	for name, t := range e.tables {
 		theirs, known := tables[name]
-		if !known || t.Confirm(theirs) {
+		if !known {
+			continue
+		}
+		if own, loaded := t.State(); theirs.Held != 0 || loaded && theirs.Era < own.Era {
+			t.reported.Store(&theirs)
+		}
+		confirmed := t.Confirm(theirs)
+		if after, lacks := t.Lacks(theirs); lacks {
+			e.fetchTable(vm, name, t, after)
+			continue
+		}
+		if confirmed {
 			continue
 		}
 		own, loaded := t.State()
 		if !loaded {
 			own.Revision = -1
 		}
-		since, behind := t.behindSince(theirs.Changed, own.Revision, now)
+		since, behind := t.behindSince(mirror.Position{Era: theirs.Era, Revision: theirs.Changed}, own.Position(), now)
 		if !behind {
 			continue
 		}
@@ -235,7 +263,7 @@
 		if loaded && !lost && !t.passive() && now.Sub(since) < ownReadDelay {
 			continue
 		}
-		e.fetchTable(vm, name, t)
+		e.fetchTable(vm, name, t, own.Position())
 	}
 }
 
@@ -246,27 +274,28 @@
 		return fleet.TableReply{}
 	}
 	c, ok := t.Copy()
-	if !ok || r.Loaded && c.Revision <= r.After {
+	after := mirror.Position{Era: r.Era, Revision: r.After}
+	holds := r.Held && r.Era == c.Era
+	if !ok || r.Loaded && !after.Before(c.Position()) && !holds {
 		return fleet.TableReply{}
 	}
-	after := r.After
 	if !r.Loaded {
-		after = -1
+		after.Revision = -1
 	}
 	page, whole := t.ChangesSince(after)
 	return fleet.TableReply{Newer: true, Whole: whole, Page: page}
 }
 
-// fetchTable fetches from a peer, in the background, the changes of a table that
-// this VM lacks. At most one fetch of a table runs at a time.
-func (e *Entry) fetchTable(vm, name string, t *table) {
+// fetchTable fetches from a peer, in the background, the changes of a table after a position
+// and the rows that the peer holds. At most one fetch of a table runs at a time.
+func (e *Entry) fetchTable(vm, name string, t *table, after mirror.Position) {
 	if !t.fetching.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer t.fetching.Store(false)
-		c, loaded := t.Copy()
-		reply, err := e.fleet.FetchTable(vm, fleet.TableRequest{Table: name, After: c.Revision, Loaded: loaded})
+		request := fleet.TableRequest{Table: name, After: after.Revision, Loaded: after.Revision >= 0, Era: after.Era, Held: true}
+		reply, err := e.fleet.FetchTable(vm, request)
 		if err != nil {
 			e.log.Info("table not fetched", zap.String("table", name), zap.String("peer", vm), zap.String("cause", err.Error()))
 			return
