placement: the VMs bound together what a cold upstream gets

Cause: an upstream that has just started is slow, and a rate well above ColdPerS ends it. Change: the first VMs of a rendezvous order over the roster of the last minute (Fleet.Roster) may send to a cold upstream, each a share of half of the bound in any second; the others send nothing. Call.Admit charges a request right before it is written and never returns the charge. Cold are upstreams that say so (ColdLeftMs, X-Cold-Ms of any response), instances that appear after the first list, those of a zone taken back and those that accept connections again. The slowness of cold upstreams is learned apart. The rule needs ColdStartS, ColdPerS and Bounds.ColdOver; without them nothing changes.

--- a/cmd/savoryctl/explain.go
+++ b/cmd/savoryctl/explain.go
@@ -208,7 +208,7 @@
 var exclusions = []struct{ field, description string }{
 	{"tried", "had been tried"}, {"unreachable", "could not be reached"}, {"failing", "failed in a row"},
 	{"leaving", "were leaving"}, {"lapsed", "were no longer registered"}, {"other_release", "ran a release that may not serve it"},
-	{"evacuated", "were in an evacuated zone"},
+	{"evacuated", "were in an evacuated zone"}, {"cold", "were cold, and this VM could send them nothing"},
 	{"paused", "had asked for a pause"},
 }
 
--- a/entry/control.go
+++ b/entry/control.go
@@ -55,12 +55,14 @@
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
+			e.updateRoster(now)
 			e.budget.SetVMs(e.fleet.Size(now))
 			e.writeProgress(ctx, now)
 			e.writeFindings(ctx, now)
 			if n%ticksPerSweep == 0 {
 				e.pool.Sweep()
 				e.balancer.Sweep(now)
+				e.logCold(now)
 				e.listEngines(now)
 				e.quarantine.Sweep(now)
 				e.rollouts.Sweep(now)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -129,6 +129,8 @@
 	// Only the periodic tasks use it.
 	nextFindings time.Time
 	stopping     atomic.Bool
+	// cold holds the upstreams that were logged as cold. Only the periodic tasks use it.
+	cold map[placement.Instance]bool
 	// heard is set once this VM has heard from a peer, or no longer waits for one.
 	heard atomic.Bool
 }
@@ -150,6 +152,7 @@
 		Self:        fleet.Member{VM: s.VM, AvailabilityZone: s.AvailabilityZone, Address: s.Peer, Capacity: s.Cores},
 		Incarnation: e.started.UnixNano(), Seeds: s.Seeds, Node: e, Log: opts.Log, MaxReceived: int64(receivedShare * float64(s.MemoryBytes)),
 	})
+	e.updateRoster(e.started)
 	e.quarantine = e.newQuarantine()
 	e.gateway = gateway.New(gateway.Options{
 		Codec: platform.Codec{}, Balancer: e.balancer, Pool: e.pool, Splitter: e.rollouts, RetryBudget: e.budget, Log: opts.Log, Metrics: e.metrics, Quarantine: e.quarantine, Announce: e.fleet.Announce, Outdated: e.ordersOutdated,
@@ -311,6 +314,7 @@
 		return
 	}
 	e.streamed.Store(streamedServices(snapshot))
+	e.balancer.SetColdLimits(coldLimits(snapshot, e.opts.Settings.Bounds))
 	e.gateway.SetState(&gateway.State{Snapshot: snapshot, Revision: row.Revision})
 	e.configurationLoaded.Store(true)
 	e.log.Info("configuration in force", zap.Int64("configuration", snapshot.Version), zap.Int64("revision", row.Revision), zap.Int("routes", len(snapshot.Routes)))
--- a/entry/entrytest/evacuation_test.go
+++ b/entry/entrytest/evacuation_test.go
@@ -10,8 +10,8 @@
 	"github.com/savoryshift/savoryshift/platform/standin"
 )
 
-// evacuationBound is the aim for the time until an evacuation is in force; the platform's
-// bound, EvacMs, is 5 s.
+// evacuationBound is within the platform's bound of 5 s for the time until an evacuation is in
+// force.
 const evacuationBound = 2 * time.Second
 
 func startIn(t *testing.T, s *System, id, zone string) *standin.Upstream {
--- a/entry/entrytest/system.go
+++ b/entry/entrytest/system.go
@@ -26,6 +26,8 @@
 	T     *testing.T
 	Store *standin.RowStore
 	VMs   []*VM
+	// Bounds, if set, changes the bounds of the VMs that are started.
+	Bounds func(b *platform.Bounds)
 
 	storeAddress string
 	requests     int
@@ -91,6 +93,9 @@
 			ExposureShare: 0.15, SessionIdle: 5 * time.Second, CacheLifetime: 10 * time.Second,
 		},
 	}}
+	if s.Bounds != nil {
+		s.Bounds(&vm.Settings.Bounds)
+	}
 	for _, other := range s.VMs {
 		vm.Settings.Seeds = append(vm.Settings.Seeds, other.Settings.Peer)
 	}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -49,6 +49,8 @@
 		ends, _ := e.quarantine.Size()
 		return float64(ends)
 	})
+	gauge("savoryshift_cold_upstreams", func() float64 { return float64(len(e.balancer.Cold(time.Now()))) })
+	gauge("savoryshift_roster_vms", func() float64 { return float64(len(e.fleet.Roster(time.Now()))) })
 	gauge("savoryshift_evacuated_zones", func() float64 { return float64(e.balancer.Evacuated()) })
 	gauge("savoryshift_evacuations_malformed", func() float64 { return float64(e.oddEvacuations.count.Load()) })
 	for name, t := range e.tables {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -118,6 +118,7 @@
 	// members are the VMs that were alive at membersComputedAt, including this one.
 	members           []Member
 	membersComputedAt time.Time
+	roster            roster
 }
 
 // New returns a fleet. Run must be called to initiate exchanges, and Serve to
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -79,8 +79,6 @@
 func (a *attempt) checkWrite() error {
 	now := time.Now()
 	switch {
-	case !a.exec.srv.opts.Balancer.Usable(a.choice.Instance(), now):
-		return errUnregistered
 	case a.exec.srv.outdated(now):
 		return errOutdated
 	case !a.exec.route.Idempotent() && !a.exec.mayCall(now):
@@ -88,6 +86,16 @@
 	case !a.test && a.exec.srv.opts.Quarantine.Accuses(a.exec.parts, now).Refused:
 		return errQuarantined
 	}
+	// The last check, because it charges the request to the share of a cold upstream.
+	switch a.call.Admit(now) {
+	case placement.NotUsable:
+		return errUnregistered
+	case placement.ShareSpent:
+		a.exec.srv.opts.Metrics.countCallEvent("cold share spent")
+		return errColdShare
+	case placement.AdmittedCold:
+		a.exec.srv.opts.Metrics.countCallEvent("cold")
+	}
 	return nil
 }
 
@@ -100,7 +108,7 @@
 	if class == failed {
 		a.reportBreak()
 	}
-	withdrawn := errors.Is(err, errUnregistered) || errors.Is(err, errOutdated) || errors.Is(err, errOutlastsStop) || errors.Is(err, errQuarantined)
+	withdrawn := errors.Is(err, errUnregistered) || errors.Is(err, errOutdated) || errors.Is(err, errColdShare) || errors.Is(err, errOutlastsStop) || errors.Is(err, errQuarantined)
 	if errors.Is(a.ctx.Err(), context.Canceled) || withdrawn {
 		outcome = placement.Neutral
 	}
@@ -213,8 +221,8 @@
 // observeRelease records the outcome of the call for the comparison of releases.
 func (a *attempt) observeRelease(failed bool, measured time.Duration) {
 	nominal := time.Duration(a.choice.NominalFirstEvent * float64(time.Second))
-	if a.choice.Wait > queueingThreshold {
-		// Behind a queue the latency depends on the load rather than on the release.
+	if a.choice.Wait > queueingThreshold || a.choice.Cold {
+		// Behind a queue, and at a cold upstream, the latency does not depend on the release.
 		nominal = 0
 	}
 	a.exec.srv.opts.Splitter.Observe(a.choice.Service, a.choice.Release, rollout.Outcome{Route: a.exec.route.Name, Model: a.model, Failed: failed, Measured: measured, Nominal: nominal}, time.Now())
@@ -225,7 +233,7 @@
 	a.exec.srv.opts.Log.Info("call", append([]zap.Field{
 		zap.String("request", a.exec.req.ID), zap.String("event", event), zap.String("upstream", a.choice.ID),
 		zap.String("release", a.choice.Release), zap.String("model", a.model), zap.Int32("status", a.status.Load()),
-		zap.Int("candidates", a.choice.Candidates), zap.Float64("predicted", a.choice.FirstEvent),
+		zap.Int("candidates", a.choice.Candidates), zap.Float64("predicted", a.choice.FirstEvent), zap.Bool("cold", a.choice.Cold),
 		zap.Duration("lapsed", a.choice.Lapsed), zap.Duration("took", time.Since(a.start)),
 	}, fields...)...)
 }
--- a/gateway/ended.go
+++ b/gateway/ended.go
@@ -203,6 +203,9 @@
 		}
 		var calls []brokenCall
 		calls, done = srv.ends.take(i, e, ended, time.Now())
+		if ended {
+			srv.opts.Balancer.RecordEnded(i)
+		}
 		srv.recordExamined(i, calls, ended)
 		if done {
 			unprobed = append(unprobed, srv.ends.takeUnprobed(e)...)
--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -211,7 +211,7 @@
 	c := exec.srv.opts.Balancer.ExclusionCounts(&placement.Query{Service: exec.service.Name, Exclude: exec.excluded, Allow: exec.releaseFilter.Accept, Now: time.Now()})
 	exec.srv.opts.Log.Info("no upstream",
 		zap.String("request", exec.req.ID), zap.String("service", exec.service.Name), zap.Int("registered", c.Registered),
-		zap.Int("tried", c.Tried), zap.Int("leaving", c.Leaving), zap.Int("lapsed", c.Lapsed), zap.Int("other_release", c.OtherRelease), zap.Int("evacuated", c.Evacuated), zap.Bool("outdated", exec.srv.outdated(time.Now())),
+		zap.Int("tried", c.Tried), zap.Int("leaving", c.Leaving), zap.Int("lapsed", c.Lapsed), zap.Int("other_release", c.OtherRelease), zap.Int("evacuated", c.Evacuated), zap.Int("cold", c.Cold), zap.Bool("outdated", exec.srv.outdated(time.Now())),
 		zap.Int("paused", c.Paused), zap.Int("unreachable", c.Unreachable), zap.Int("failing", c.Failing), zap.Duration("list_age", c.ListAge),
 		zap.Int("runs", exec.runs), zap.Int("most_runs", exec.route.MaxAttempts),
 	)
@@ -284,12 +284,11 @@
 		Service: exec.service.Name, Model: model, Rank: rank, Tokens: exec.req.PromptTokens, Parts: exec.req.Parts,
 		Exclude: exec.excluded, Now: now,
 	}
-	choice, ok := exec.choose(q)
-	if !ok || !exec.passesQuarantine(now) {
-		return nil
-	}
-	call := exec.srv.opts.Balancer.Start(choice, q)
-	if call == nil {
+	choice, call := exec.startCall(q)
+	if call == nil || !exec.passesQuarantine(now) {
+		if call != nil {
+			call.End(placement.Neutral, now)
+		}
 		return nil
 	}
 	if choice.PrefillSeconds >= announceThreshold {
@@ -303,6 +302,24 @@
 	return a
 }
 
+// maxChoices bounds the choices for one call. Another one is made if the room that a cold
+// upstream had for the call was taken by other requests.
+const maxChoices = 4
+
+// startCall chooses an upstream and registers the call there. It returns nil if none can take it.
+func (exec *execution) startCall(q *placement.Query) (placement.Choice, *placement.Call) {
+	for range maxChoices {
+		choice, ok := exec.choose(q)
+		if !ok {
+			break
+		}
+		if call := exec.srv.opts.Balancer.Start(choice, q); call != nil {
+			return choice, call
+		}
+	}
+	return placement.Choice{}, nil
+}
+
 // choose chooses an upstream by release, in order of preference: the release
 // that produced the stream so far; after a failed call, the releases allowed by
 // AfterFailure; those that the session prefers; and then any that may serve the
@@ -362,6 +379,10 @@
 // long that an evacuation may be in force that it does not know.
 var errOutdated = errors.New("the orders of the operator are outdated")
 
+// errColdShare is returned for a call to a cold upstream that would exceed the share of this
+// VM in the requests to it.
+var errColdShare = errors.New("the share of the cold upstream is spent")
+
 // errOutlastsStop is returned for a call of a request that may run only once, if a planned
 // stop began before the request was written and may end before the call does.
 var errOutlastsStop = errors.New("the call may outlast the planned stop")
--- a/gateway/gatewaytest/codec.go
+++ b/gateway/gatewaytest/codec.go
@@ -51,6 +51,7 @@
 	if n, err := strconv.Atoi(resp.Header.Get("Confidence")); err == nil {
 		r.Confidence = n
 	}
+	r.ColdLeft, _ = time.ParseDuration(resp.Header.Get("Cold"))
 	r.Leaving = resp.Header.Get("Leaving") != ""
 	r.RetryAfter, _ = time.ParseDuration(resp.Header.Get("Retry-After"))
 	return r
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -17,6 +17,7 @@
 		opts.Log.Info("upstream leaving",
 			zap.String("request", a.exec.req.ID), zap.String("upstream", instance.ID), zap.Int64("incarnation", instance.Incarnation))
 	}
+	opts.Balancer.RecordCold(instance, a.responseHeader.ColdLeft, now)
 	if pause := a.requestedPause(); pause > 0 && opts.Balancer.RecordPause(instance, pause, now) {
 		opts.Metrics.countCallEvent("upstream paused")
 		opts.Log.Info("upstream paused",
--- a/gateway/retryafter.go
+++ b/gateway/retryafter.go
@@ -14,6 +14,9 @@
 	// evacuatedRetryAfter replaces it while all upstreams that may serve the request are in
 	// evacuated zones: about the time until a zone that is taken back is known everywhere.
 	evacuatedRetryAfter = time.Second
+	// coldRetryAfter bounds the time while all upstreams that may serve the request are cold.
+	// The shares of the VMs are renewed within it, and another VM may have room.
+	coldRetryAfter = time.Second
 	// minJitter and jitterRange define the jitter of Retry-After as a factor: it
 	// is uniform between minJitter and minJitter+jitterRange.
 	minJitter   = 0.75
@@ -43,6 +46,10 @@
 		return
 	}
 	pause := exec.srv.opts.Balancer.ShortestPause(q)
+	if cold := exec.srv.opts.Balancer.ColdLeft(q); pause <= 0 && cold > 0 {
+		exec.refuse(errkind.NoCapacity, max(noUpstreamRetryAfter, min(cold, coldRetryAfter)))
+		return
+	}
 	if pause <= 0 {
 		exec.refuse(errkind.NoCapacity, noUpstreamRetryAfter)
 		return
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -92,6 +92,9 @@
 	Encoded bool
 	// Leaving reports that the upstream is shutting down and wants no further calls.
 	Leaving bool
+	// ColdLeft is the time for which the upstream remains slow after its start, 0 if the
+	// response does not say so.
+	ColdLeft time.Duration
 	// RetryAfter is the time for which the upstream asks for no further calls, 0 if it
 	// does not ask. It is meaningful with a status of 500 or above.
 	RetryAfter time.Duration
--- a/placement/book.go
+++ b/placement/book.go
@@ -63,6 +63,7 @@
 	probedAt time.Time
 	// notices are those of the registered instance, nil if there are none.
 	notices *notices
+	cold    *coldState
 	// evacuated is set while the availability zone of the upstream is evacuated.
 	evacuated bool
 }
@@ -109,6 +110,17 @@
 	zones      map[string]*zone
 	// evacuated is the set of evacuated availability zones.
 	evacuated map[string]bool
+	// coldLimits holds the limits of cold upstreams by service, colds the cold states of
+	// instances, and coldSlow the slowness of cold upstreams by service.
+	coldLimits map[string]ColdLimit
+	colds      map[Instance]*coldState
+	coldSlow   map[string]*slowness
+	// roster holds the names of the VMs, of which self is this one. rosterVersion grows with
+	// each roster.
+	self          string
+	roster        []string
+	rosterState   Roster
+	rosterVersion uint64
 	// listSetAt is the time of the last SetUpstreams call.
 	listSetAt time.Time
 }
@@ -124,6 +136,7 @@
 	return &Balancer{
 		options: options, upstreams: map[string]*upstreamState{}, service: map[string][]*upstreamState{},
 		notices: map[Instance]*notices{}, peers: map[string]peerState{}, zones: map[string]*zone{},
+		colds: map[Instance]*coldState{}, coldSlow: map[string]*slowness{}, rosterVersion: 1,
 	}
 }
 
@@ -134,14 +147,21 @@
 func (b *Balancer) SetUpstreams(list []Upstream, previousAt, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	first := b.listSetAt.IsZero()
 	b.listSetAt = now
 	registered := make(map[string]bool, len(list))
 	for _, u := range list {
 		registered[u.ID] = true
 		e := b.upstreams[u.ID]
 		if e == nil || e.Instance() != u.Instance() {
-			e = &upstreamState{cachedAt: map[cacheKey]time.Time{}, notices: b.notices[u.Instance()]}
+			e = &upstreamState{cachedAt: map[cacheKey]time.Time{}, notices: b.notices[u.Instance()], cold: b.coldOf(u.Instance())}
 			b.upstreams[u.ID] = e
+			if !first {
+				e.cold.mark(ColdNew, now)
+			}
+		}
+		if e.Revision != u.Revision || e.ColdLeft != u.ColdLeft {
+			e.cold.told(u.ColdLeft, ColdRegistered, now)
 		}
 		e.Upstream, e.unregisteredAt, e.evacuated = u, time.Time{}, b.evacuated[u.AvailabilityZone]
 	}
@@ -275,6 +295,10 @@
 func (b *Balancer) Usable(i Instance, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.usableInstance(i, now)
+}
+
+func (b *Balancer) usableInstance(i Instance, now time.Time) bool {
 	e := b.upstreams[i.ID]
 	return e != nil && e.Instance() == i && e.acceptsCalls(now) && !b.isGone(e, now)
 }
@@ -312,7 +336,7 @@
 	q := &Query{Allow: allow, Now: now}
 	n := 0
 	for _, e := range b.service[service] {
-		if e.ID != exclude && b.usable(e, q, false) && (e.AvailabilityZone == b.options.AvailabilityZone || !b.zones[e.AvailabilityZone].suspected(now)) {
+		if e.ID != exclude && b.usable(e, q, ordinary) && (e.AvailabilityZone == b.options.AvailabilityZone || !b.zones[e.AvailabilityZone].suspected(now)) {
 			n++
 		}
 	}
--- a/placement/call.go
+++ b/placement/call.go
@@ -18,10 +18,15 @@
 	// silent is set if a silence of the call was recorded as a failure.
 	silent bool
 	ended  bool
+	// cold is set if the upstream was cold when the call was placed. reserved is the state of
+	// the upstream in which the call has reserved room until it is written.
+	cold     bool
+	reserved *coldState
 }
 
 // Start records a call that is about to be sent to the chosen upstream. It
-// returns nil if the state of the upstream has been dropped.
+// returns nil if the state of the upstream has been dropped, or if the upstream is cold and
+// other calls have taken the room since it was chosen.
 func (b *Balancer) Start(c Choice, q *Query) *Call {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -34,6 +39,9 @@
 		runningWeight: prefillSeconds(prefillTokensPerSecond, q.Rank), startedAt: q.Now,
 		load: Load{Calls: 1, PrefillSeconds: c.PrefillSeconds},
 	}
+	if !call.reserve(q.Now) {
+		return nil
+	}
 	upstream.own.add(call.load)
 	z := b.zone(upstream.AvailabilityZone)
 	if z.calls == 0 {
@@ -108,10 +116,11 @@
 	c.b.mu.Lock()
 	defer c.b.mu.Unlock()
 	if connected {
+		c.upstream.connected(now)
 		return
 	}
 	c.upstream.health.recordUnreachable(now)
-	c.upstream.unconnectableAt = now
+	c.upstream.unconnectableAt, c.upstream.cold.lost = now, true
 	z := c.b.zone(c.upstream.AvailabilityZone)
 	z.lastFailureAt, z.unconnectableAt = now, now
 }
@@ -167,7 +176,7 @@
 	next := Load{Calls: 1, Running: c.runningWeight}
 	c.setLoad(next)
 	if c.predictedPrefill >= minSlownessSample {
-		c.upstream.slowness.observe(now.Sub(c.startedAt).Seconds(), c.predictedFirstEvent)
+		c.learn(now)
 	}
 	for i, p := range c.parts {
 		c.upstream.cachedAt[cacheKey{c.model, p.ID}] = now
@@ -213,6 +222,7 @@
 		return
 	}
 	c.ended = true
+	c.release()
 	c.setLoad(Load{})
 	c.b.zone(c.upstream.AvailabilityZone).calls--
 	switch o {
@@ -220,7 +230,7 @@
 		c.upstream.health.recordSuccess()
 		c.b.zone(c.upstream.AvailabilityZone).lastByteAt = now
 		if c.model == "" {
-			c.upstream.slowness.observe(now.Sub(c.startedAt).Seconds(), c.predictedFirstEvent)
+			c.learn(now)
 		}
 	case Failed:
 		if !c.silent {
@@ -229,7 +239,7 @@
 	case Unreachable:
 		c.upstream.health.recordFailure(now)
 		c.upstream.health.recordUnreachable(now)
-		c.upstream.unconnectableAt = now
+		c.upstream.unconnectableAt, c.upstream.cold.lost = now, true
 		z := c.b.zone(c.upstream.AvailabilityZone)
 		z.lastFailureAt, z.unconnectableAt = now, now
 	case Silent:
@@ -324,4 +334,5 @@
 	}
 	b.recomputePeerLoads(now)
 	b.expireNotices(now)
+	b.expireColds(now)
 }
--- a/placement/census.go
+++ b/placement/census.go
@@ -14,6 +14,8 @@
 	Tried, Leaving, Lapsed, OtherRelease int
 	// Evacuated upstreams are in an evacuated availability zone.
 	Evacuated int
+	// Cold upstreams have started recently, and this VM may not send them a request now.
+	Cold int
 	// Paused upstreams asked this VM for no calls until a time.
 	Paused int
 	// Unreachable upstreams accepted no connection or sent no byte recently.
@@ -47,6 +49,8 @@
 			c.Paused++
 		case e.health.isUnreachable(q.Now):
 			c.Unreachable++
+		case !b.coldAllows(e, coldAlone, q.Now):
+			c.Cold++
 		case e.health.ejected(q.Now):
 			c.Failing++
 		}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -66,30 +66,39 @@
 	// Lapsed is the time since the upstream lost its registration, 0 if it is
 	// registered.
 	Lapsed time.Duration
+	// Cold is set if the upstream is cold.
+	Cold bool
 }
 
 // Choose returns the best upstream for a call. Ejected and recently unregistered
-// upstreams are chosen only if no other upstream is usable.
+// upstreams are chosen only if no other upstream is usable, and so are cold ones by a VM that
+// knows no other VM. Otherwise cold ones are chosen within the share of this VM.
 func (b *Balancer) Choose(q *Query) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if c, ok := b.best(q, false); ok {
-		return c, true
+	last := lastResort
+	if b.rosterState == RosterAlone {
+		last = coldAlone
 	}
-	return b.best(q, true)
+	for t := ordinary; t < last; t++ {
+		if c, ok := b.best(q, t); ok {
+			return c, true
+		}
+	}
+	return b.best(q, last)
 }
 
-func (b *Balancer) best(q *Query, lastResort bool) (Choice, bool) {
+func (b *Balancer) best(q *Query, t tier) (Choice, bool) {
 	var best Choice
 	bestScore := math.Inf(1)
 	candidates := 0
 	for _, e := range b.service[q.Service] {
-		if !b.usable(e, q, lastResort) {
+		if !b.usable(e, q, t) {
 			continue
 		}
 		candidates++
 		c := b.predict(e, q)
-		score := c.FirstEvent + engineTimeWeight*c.PrefillSeconds*e.slowness.factor() + failurePenalty*e.health.failureRate + b.zoneCost(e, q.Now)
+		score := c.FirstEvent + engineTimeWeight*c.PrefillSeconds*b.slow(e, c.Cold) + failurePenalty*e.health.failureRate + b.zoneCost(e, q.Now)
 		if score < bestScore {
 			best, bestScore = c, score
 		}
@@ -116,22 +125,22 @@
 // usable reports whether a call may be placed at an upstream. Upstreams that accept no
 // calls, and unreachable ones, are excluded even as a last resort: refusing a request at
 // once is better than waiting for a connection.
-func (b *Balancer) usable(e *upstreamState, q *Query, lastResort bool) bool {
-	if !e.acceptsCalls(q.Now) || q.Exclude[e.ID] || q.Allow != nil && !q.Allow(e.Release) || e.health.isUnreachable(q.Now) {
+func (b *Balancer) usable(e *upstreamState, q *Query, t tier) bool {
+	if !e.acceptsCalls(q.Now) || q.Exclude[e.ID] || q.Allow != nil && !q.Allow(e.Release) || e.health.isUnreachable(q.Now) || !b.coldAllows(e, t, q.Now) {
 		return false
 	}
 	if !e.unregisteredAt.IsZero() {
-		return lastResort && !b.isGone(e, q.Now)
+		return t >= lastResort && !b.isGone(e, q.Now)
 	}
-	return lastResort || !e.health.ejected(q.Now)
+	return t >= lastResort || !e.health.ejected(q.Now)
 }
 
 // predict returns the predicted times for a call if it is placed at an upstream.
 func (b *Balancer) predict(e *upstreamState, q *Query) Choice {
 	total := e.own
 	total.add(e.peers)
-	slow := e.slowness.factor()
-	c := Choice{Upstream: e.Upstream}
+	c := Choice{Upstream: e.Upstream, Cold: b.isCold(e, q.Now)}
+	slow := b.slow(e, c.Cold)
 	if q.Model == "" {
 		perSlot := float64(total.Calls+1) / float64(max(1, e.Slots))
 		c.NominalFirstEvent = plainServiceSeconds * (1 + perSlot)
--- a/placement/evacuation.go
+++ b/placement/evacuation.go
@@ -25,6 +25,10 @@
 		b.evacuated[zone] = true
 	}
 	for _, e := range b.upstreams {
+		if e.evacuated && !b.evacuated[e.AvailabilityZone] {
+			// The upstream may have become cold before or during the evacuation.
+			e.cold.mark(ColdTakenBack, now)
+		}
 		e.evacuated = b.evacuated[e.AvailabilityZone]
 	}
 	return added, removed
--- a/routing/configuration.go
+++ b/routing/configuration.go
@@ -75,6 +75,10 @@
 	// MaxConnections is the number of connections that one upstream accepts from
 	// all callers together.
 	MaxConnections int
+	// ColdStart is the time for which an upstream is slow after its start, and ColdPerSecond
+	// the rate of requests from all callers that it takes then; 0 if there is no such limit.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 	// Models is empty for services that are not model engines.
 	Models []Model
 	// Slots is the batch size of one engine, 0 for other services.
