--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -149,6 +149,7 @@
 	topologyComputedAt time.Time
 	// peersFail is set if an exchange with one of the members failed last.
 	peersFail bool
+	roster    roster
 }
 
 // New returns a fleet. Run must be called to initiate exchanges, and Serve to
