clientlimit: clients share a bound on the memory and the descriptors of an entry VM

Cause: each request had its limits, but connections, decoded header sections and bodies of up to 64 KiB had no bound together. net/http decodes a header section before any handler runs, at several hundred bytes a line, and Limits.MaxFds was read by nothing. Clients that each stay legal, or stop just short of an end, used up a VM.

Change: package internal/clientlimit counts connections, header sections by bytes and lines as they are read, and bodies of every size, at the connection. When there is no room it closes senders that are behind, the slowest first, then idle connections, the longest idle first; a request in progress keeps its place, and a request without room is refused and never runs. Clients get 0.4 of the memory and 3/4 of the descriptors without 200 for files; probes and readers of metrics have limits of their own. The metric savoryshift_request_body_bytes is replaced by savoryshift_client_memory_bytes.

--- /dev/null
+++ b/entry/clients.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"net/http"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/savoryshift/savoryshift/errkind"
+	"github.com/savoryshift/savoryshift/gateway"
+	"github.com/savoryshift/savoryshift/internal/clientlimit"
+	"github.com/savoryshift/savoryshift/platform"
+)
+
+const (
+	// clientShare and probeShare are the fractions of the VM's memory for clients and for
+	// readiness probes and readers of metrics: their connections, header sections and bodies.
+	clientShare = 0.4
+	probeShare  = 0.04
+	// fileDescriptors is the number of descriptors that are kept for files. A VM with few
+	// descriptors keeps half of them.
+	fileDescriptors = 200
+	// clientDescriptorShare and probeDescriptorShare are the fractions of the other
+	// descriptors for clients with the calls of their requests, and for probes. What is left
+	// is for peers, the store and idle connections to upstreams.
+	clientDescriptorShare = 0.75
+	probeDescriptorShare  = 0.0625
+	// defaultHeaderTimeout and defaultIdleTimeout are in force unless a configuration states
+	// others.
+	defaultHeaderTimeout = 5 * time.Second
+	defaultIdleTimeout   = 60 * time.Second
+	// clientRetryAfter is when the client of a request is to retry for which there is no room.
+	clientRetryAfter = time.Second
+)
+
+// clients holds the limits on what connects to this VM. Probes have limits of their own, so
+// that clients do not make the VM look dead.
+type clients struct{ front, probes *clientlimit.Limiter }
+
+func (e *Entry) newClients() *clients {
+	memory, descriptors := float64(e.opts.Settings.MemoryBytes), float64(socketDescriptors(e.opts.Settings.Descriptors))
+	limiter := func(listener string, memory, descriptors float64) *clientlimit.Limiter {
+		return clientlimit.New(clientlimit.Options{
+			Memory: int64(memory), Descriptors: int(descriptors), HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+			Log: e.log.With(zap.String("listener", listener)),
+			Count: func(doing string) {
+				e.metrics.Set().GetOrCreateCounter(`savoryshift_clients_without_room_total{listener="` + listener + `",doing="` + doing + `"}`).Inc()
+			},
+		})
+	}
+	return &clients{
+		front:  limiter("front", clientShare*memory, clientDescriptorShare*descriptors),
+		probes: limiter("probes", probeShare*memory, probeDescriptorShare*descriptors),
+	}
+}
+
+// socketDescriptors returns the number of descriptors for connections. stated is that of the
+// settings; without it, the limit of the process counts.
+func socketDescriptors(stated int) int {
+	if stated == 0 {
+		var limit syscall.Rlimit
+		if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+			return 1 << 20
+		}
+		stated = int(min(limit.Cur, 1<<20))
+	}
+	return max(stated-fileDescriptors, stated/2)
+}
+
+// refuseClient answers a request that has not run because there is no room for it.
+func refuseClient(w http.ResponseWriter, _ *http.Request) {
+	platform.Codec{}.EncodeRefusal(w.Header(), &gateway.Request{}, clientlimit.Spread(clientRetryAfter))
+	http.Error(w, "savoryshift: "+string(errkind.NoCapacity), errkind.AnswerFor(errkind.NoCapacity).Status)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -44,20 +44,12 @@
 	// bufferedShare is the fraction of the VM's memory for response bodies that are
 	// being read.
 	bufferedShare = 0.12
-	// requestBodyShare is the fraction of the VM's memory for bodies of requests in progress.
-	requestBodyShare = 0.5
 	// receivedShare is the fraction of the VM's memory for long messages of peers that are
 	// being received.
 	receivedShare = 0.08
 	// gcPercent is the GOGC value. It is above the default of 100, which trades
 	// memory for less CPU time of the garbage collector; the heap is small.
 	gcPercent = 200
-	// headerTimeout limits the time for reading a request header, and idleTimeout
-	// the time between two requests on a connection. The timeouts of the operator's
-	// configuration are not applied to the servers. Clients reuse connections that
-	// were idle for most of the configured timeout.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 60 * time.Second
 	// maxPeerWait bounds the time for which a starting VM is not ready because it has not
 	// heard from a peer.
 	maxPeerWait = time.Second
@@ -102,6 +94,7 @@
 	quarantine *quarantine.Tracker
 	fleet      *fleet.Fleet
 	idle       *idleconn.Closer
+	clients    *clients
 	started    time.Time
 
 	orders, upstreams, status, findings *mirror.Mirror
@@ -139,6 +132,7 @@
 		}),
 		budget: newRetryBudget(s.Bounds),
 	}
+	e.clients = e.newClients()
 	e.store = platform.NewStore(s.StoreAddress, e.recordStoreCall)
 	e.rollouts = rollout.New(rollout.Options{SessionIdle: s.Bounds.SessionIdle, Exposure: s.Bounds.ExposureShare, Log: opts.Log})
 	e.fleet = fleet.New(fleet.Options{
@@ -148,7 +142,7 @@
 	e.quarantine = e.newQuarantine()
 	e.gateway = gateway.New(gateway.Options{
 		Codec: platform.Codec{}, Balancer: e.balancer, Pool: e.pool, Splitter: e.rollouts, RetryBudget: e.budget, Log: opts.Log, Metrics: e.metrics, Quarantine: e.quarantine, Announce: e.fleet.Announce,
-		MaxBuffered: int64(bufferedShare * float64(s.MemoryBytes)), MaxRequestBodies: int64(requestBodyShare * float64(s.MemoryBytes)),
+		MaxBuffered: int64(bufferedShare * float64(s.MemoryBytes)),
 	})
 	e.tables = map[string]*table{}
 	ages := copyAgesFor(s.Bounds)
@@ -231,10 +225,9 @@
 	s := e.opts.Settings
 	e.idle = idleconn.New()
 	front := &http.Server{
-		Handler: e.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(e.log), ConnContext: cutoff.ConnContext, ConnState: e.idle.ConnState,
+		Handler: e.gateway, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(e.log), ConnContext: cutoff.ConnContext,
 	}
-	ready := &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(e.log)}
+	ready := &http.Server{Handler: http.HandlerFunc(e.serveReady), MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(e.log)}
 	for _, l := range []struct {
 		server  *http.Server
 		address string
@@ -244,7 +237,9 @@
 			return oops.Wrapf(err, "listening at %s", l.address)
 		}
 		if l.server == front {
-			listener = e.idle.Listener(listener)
+			listener = e.clients.front.Setup(front, listener, e.idle, false, refuseClient)
+		} else {
+			listener = e.clients.probes.Setup(ready, listener, idleconn.New(), false, refuseClient)
 		}
 		addServer(g, l.server, listener)
 	}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -8,6 +8,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/oklog/run"
 	"github.com/samber/oops"
+
+	"github.com/savoryshift/savoryshift/internal/idleconn"
 )
 
 // addMetrics adds the HTTP server for metrics in the Prometheus text format, if an
@@ -20,7 +22,8 @@
 	if err != nil {
 		return oops.Wrapf(err, "listening at %s", e.opts.MetricsAddress)
 	}
-	server := &http.Server{Handler: http.HandlerFunc(e.serveMetrics), ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: http.HandlerFunc(e.serveMetrics), MaxHeaderBytes: maxHeaderBytes}
+	listener = e.clients.probes.Setup(server, listener, idleconn.New(), false, refuseClient)
 	addServer(g, server, listener)
 	return nil
 }
@@ -34,7 +37,9 @@
 	gauge := func(name string, value func() float64) { set.NewGauge(name, value) }
 	gauge("savoryshift_requests_in_flight", func() float64 { return float64(e.gateway.Active()) })
 	gauge("savoryshift_response_buffer_bytes", func() float64 { return float64(e.gateway.BufferedBytes()) })
-	gauge("savoryshift_request_body_bytes", func() float64 { return float64(e.gateway.RequestBodyBytes()) })
+	gauge("savoryshift_client_memory_bytes", func() float64 { return float64(e.clients.front.Usage().Memory) })
+	gauge("savoryshift_client_connections", func() float64 { return float64(e.clients.front.Usage().Connections) })
+	gauge("savoryshift_client_descriptors", func() float64 { return float64(e.clients.front.Usage().Descriptors) })
 	gauge("savoryshift_log_lines_dropped_total", func() float64 {
 		if e.opts.DroppedLogLines == nil {
 			return 0
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -16,6 +16,7 @@
 	"github.com/savoryshift/savoryshift/errkind"
 	"github.com/savoryshift/savoryshift/exchange"
 	"github.com/savoryshift/savoryshift/internal/bodybudget"
+	"github.com/savoryshift/savoryshift/internal/clientlimit"
 	"github.com/savoryshift/savoryshift/placement"
 	"github.com/savoryshift/savoryshift/quarantine"
 	"github.com/savoryshift/savoryshift/routing"
@@ -150,7 +151,7 @@
 	srv.active.Add(1)
 	defer srv.active.Add(-1)
 	srv.received.Add(1)
-	exec := &execution{srv: srv, response: newClientResponse(w), req: &Request{}, start: time.Now(), ctx: r.Context(), oldProtocol: !r.ProtoAtLeast(1, 1), bodyLeft: r.ContentLength != 0, body: srv.bodies.Share(), confidence: -1}
+	exec := &execution{srv: srv, response: newClientResponse(w), req: &Request{}, start: time.Now(), ctx: r.Context(), oldProtocol: !r.ProtoAtLeast(1, 1), bodyLeft: r.ContentLength != 0, body: srv.bodyShare(r.Context()), confidence: -1}
 	defer exec.finish()
 	req, err := srv.opts.Codec.Decode(r)
 	exec.req = &req
@@ -172,6 +173,15 @@
 	exec.run()
 }
 
+// bodyShare returns the share of a request in the memory of its client, or in that for the
+// bodies of all requests if its server has no limit on clients.
+func (srv *Server) bodyShare(ctx context.Context) *bodybudget.Share {
+	if s := clientlimit.Share(ctx); s != nil {
+		return s
+	}
+	return srv.bodies.Share()
+}
+
 // admit matches the route, authenticates the organisation, picks the service and
 // sets the deadlines. It returns false if it has rejected the request.
 func (exec *execution) admit(st *State) bool {
@@ -232,8 +242,12 @@
 		return true
 	}
 	release := exec.boundBody()
+	readAll := clientlimit.ReadingBody(exec.ctx)
 	limit = min(limit, math.MaxInt-1)
 	body, err := exec.body.ReadAll(http.MaxBytesReader(exec.response.w, r.Body, limit), int(max(0, r.ContentLength)), int(limit)+1)
+	if lost := readAll(); lost != nil {
+		err = lost
+	}
 	release(err == nil)
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/internal/bodybudget/budget.go
+++ b/internal/bodybudget/budget.go
@@ -38,15 +38,40 @@
 	return share.ReadAll(r, 0, most)
 }
 
+// Source is where the memory of a share comes from.
+type Source interface {
+	// Take takes a number of bytes, or returns ErrFull.
+	Take(bytes int64) error
+	// Return gives bytes back.
+	Return(bytes int64)
+}
+
+// Take implements Source.
+func (b *Budget) Take(bytes int64) error {
+	if b.used.Add(bytes) > b.limit {
+		b.used.Add(-bytes)
+		return ErrFull
+	}
+	return nil
+}
+
+// Return implements Source.
+func (b *Budget) Return(bytes int64) { b.used.Add(-bytes) }
+
 // Share is the part of a budget that one body uses. Only one goroutine may use it. A nil
 // share has no bound.
 type Share struct {
-	budget *Budget
-	held   int64
+	source Source
+	// free is the number of bytes up to which a buffer does not count.
+	free int
+	held int64
 }
 
-// Share returns a share of nothing.
-func (b *Budget) Share() *Share { return &Share{budget: b} }
+// Share returns a share of nothing. Buffers of up to UnbudgetedBytes do not count.
+func (b *Budget) Share() *Share { return &Share{source: b, free: UnbudgetedBytes} }
+
+// NewShare returns a share of nothing for which buffers of every size count.
+func NewShare(s Source) *Share { return &Share{source: s} }
 
 // Hold makes the share hold a number of bytes. It never shrinks. After an error the share
 // is as before.
@@ -55,12 +80,11 @@
 		return nil
 	}
 	more := int64(bytes) - s.held
-	if bytes <= UnbudgetedBytes || more <= 0 {
+	if bytes <= s.free || more <= 0 {
 		return nil
 	}
-	if s.budget.used.Add(more) > s.budget.limit {
-		s.budget.used.Add(-more)
-		return ErrFull
+	if err := s.source.Take(more); err != nil {
+		return err
 	}
 	s.held += more
 	return nil
@@ -124,6 +148,6 @@
 	if s == nil {
 		return
 	}
-	s.budget.used.Add(-s.held)
+	s.source.Return(s.held)
 	s.held = 0
 }
--- /dev/null
+++ b/internal/clientlimit/limiter.go
@@ -0,0 +1,247 @@
+// Package clientlimit bounds the memory and the descriptors that the clients of a process use
+// together: connections, header sections as they are once decoded, and bodies. Without it,
+// clients that each stay inside the limits of a request could together use up a VM.
+package clientlimit
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/savoryshift/savoryshift/internal/bodybudget"
+	"github.com/savoryshift/savoryshift/internal/idleconn"
+)
+
+// What clients cost, in bytes. The figures are upper estimates for net/http of Go 1.26 on
+// 64-bit machines, with the garbage that its growing buffers leave.
+const (
+	// connectionBytes is a connection with its goroutine and its buffers of 4 KiB.
+	connectionBytes = 16 << 10
+	// requestBytes is a request that runs: the stacks of its goroutines, and the call to an
+	// upstream with its buffers.
+	requestBytes = 32 << 10
+	// lineBytes is a line of a header section beyond its bytes: its entry in a map that
+	// doubles, its slice of values and its strings.
+	lineBytes = 320
+	// byteFactor is the number of bytes of memory for each byte of a header section: the
+	// strings, and the buffer of a line that doubles.
+	byteFactor = 3
+)
+
+const (
+	// roomTime bounds how long a sender waits until the connections that are closed for it
+	// have given back their memory, and roomPollInterval is the interval at which it looks.
+	roomTime         = 250 * time.Millisecond
+	roomPollInterval = 2 * time.Millisecond
+	// unreadBodyTime is how long the rest of a body may arrive whose request is refused.
+	unreadBodyTime = 300 * time.Millisecond
+	// logInterval is the least time between two log lines about clients without room.
+	logInterval = time.Second
+)
+
+// Options configures a Limiter.
+type Options struct {
+	// Memory is the number of bytes for connections, header sections and bodies, and
+	// Descriptors the number of descriptors for connections of clients and the calls of their
+	// requests.
+	Memory      int64
+	Descriptors int
+	// HeaderTimeout and IdleTimeout are in force until SetTimeouts.
+	HeaderTimeout, IdleTimeout time.Duration
+	Log                        *zap.Logger
+	// Count is called for each connection that is closed, or refused, because there is no
+	// room, with what it was doing; it may be nil.
+	Count func(doing string)
+}
+
+// Limiter keeps the clients of a process inside its memory and its descriptors. It is safe for
+// concurrent use.
+type Limiter struct {
+	opts Options
+
+	mu          sync.Mutex
+	conns       map[*conn]struct{}
+	memory      int64
+	descriptors int
+	// leavingMemory and leavingDescriptors are held by connections that are being closed.
+	leavingMemory      int64
+	leavingDescriptors int
+	header, idle       time.Duration
+	// closed counts the connections that were closed or refused since the last log line.
+	closed     map[string]int
+	nextReport time.Time
+}
+
+// New returns a limiter without connections.
+func New(o Options) *Limiter {
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	if o.Count == nil {
+		o.Count = func(string) {}
+	}
+	return &Limiter{opts: o, conns: map[*conn]struct{}{}, header: o.HeaderTimeout, idle: o.IdleTimeout, closed: map[string]int{}}
+}
+
+// Usage is what clients use at a time.
+type Usage struct {
+	Connections, Descriptors int
+	Memory                   int64
+}
+
+// Usage returns what clients use now.
+func (l *Limiter) Usage() Usage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Usage{len(l.conns), l.descriptors, l.memory}
+}
+
+// SetTimeouts replaces the time for the header section of a request and the time for which a
+// connection is kept without one. Connections that are idle get the new time.
+func (l *Limiter) SetTimeouts(header, idleTime time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.header, l.idle = header, idleTime
+	for c := range l.conns {
+		if c.phase == idle {
+			_ = c.Conn.SetReadDeadline(c.since.Add(idleTime))
+		}
+	}
+}
+
+// Setup prepares a server to serve a listener within the limits, and returns the listener that
+// it must serve. idle closes the connections that wait for a request. refuse answers a request
+// for which there is no room; it says that the request has not run. TLS, if any, belongs above
+// the returned listener; secured says that there is some.
+func (l *Limiter) Setup(server *http.Server, of net.Listener, idle *idleconn.Closer, secured bool, refuse http.HandlerFunc) net.Listener {
+	next, state := server.Handler, idle.ConnState
+	server.ReadHeaderTimeout, server.IdleTimeout = headerPlaceholder, idlePlaceholder
+	server.ConnState = func(of net.Conn, s http.ConnState) {
+		state(of, s)
+		l.connState(of, s)
+	}
+	outer := server.ConnContext
+	server.ConnContext = withConn(outer)
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := fromContext(r.Context())
+		if c == nil {
+			next.ServeHTTP(w, r)
+			return
+		}
+		if c.begin(r) != nil {
+			// net/http reads a part of an unread body before it sends the response.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTime))
+			w.Header().Set("Connection", "close")
+			refuse(w, r)
+			return
+		}
+		defer c.end()
+		next.ServeHTTP(w, r)
+	})
+	return idle.Listener(&listener{Listener: of, limiter: l, secured: secured})
+}
+
+// reserve takes memory and descriptors for a connection. If they do not fit, it closes
+// connections as choose says and waits until they have given back what they hold.
+func (l *Limiter) reserve(c *conn, memory int64, descriptors int) error {
+	var until time.Time
+	for {
+		now := time.Now()
+		l.mu.Lock()
+		if c.evicted {
+			l.mu.Unlock()
+			return bodybudget.ErrFull
+		}
+		shortMemory := l.memory + memory - l.opts.Memory
+		shortDescriptors := l.descriptors + descriptors - l.opts.Descriptors
+		if memory == 0 {
+			shortMemory = 0
+		}
+		if descriptors == 0 {
+			shortDescriptors = 0
+		}
+		if shortMemory <= 0 && shortDescriptors <= 0 {
+			l.take(c, memory, descriptors)
+			l.mu.Unlock()
+			return nil
+		}
+		ended := !until.IsZero() && now.After(until)
+		if until.IsZero() {
+			until = now.Add(roomTime)
+		}
+		var victims []*conn
+		shortMemory, shortDescriptors = shortMemory-l.leavingMemory, shortDescriptors-l.leavingDescriptors
+		if !ended && (shortMemory > 0 || shortDescriptors > 0) {
+			victims = l.evict(c, shortMemory, shortDescriptors, now)
+			ended = victims == nil
+		}
+		if ended {
+			l.report(c.phase.String(), now)
+		}
+		l.mu.Unlock()
+		if ended {
+			return bodybudget.ErrFull
+		}
+		for _, v := range victims {
+			v.drop()
+		}
+		time.Sleep(roomPollInterval)
+	}
+}
+
+// evict chooses the connections that are closed for c and marks those that send. The caller
+// must hold l.mu, and call drop for each of them without it.
+func (l *Limiter) evict(c *conn, memory int64, descriptors int, now time.Time) []*conn {
+	conns, views := make([]*conn, 0, len(l.conns)), make([]view, 0, len(l.conns))
+	for other := range l.conns {
+		if other != c && !other.evicted {
+			conns, views = append(conns, other), append(views, other.view)
+		}
+	}
+	var victims []*conn
+	for _, i := range choose(views, memory, descriptors, now) {
+		v := conns[i]
+		victims = append(victims, v)
+		if v.phase != idle {
+			l.mark(v)
+			l.report(v.phase.String(), now)
+		}
+	}
+	return victims
+}
+
+// mark marks a connection as evicted. The caller must hold l.mu.
+func (l *Limiter) mark(c *conn) {
+	c.evicted = true
+	l.leavingMemory += c.memory
+	l.leavingDescriptors += c.descriptors
+}
+
+// take adds to what a connection holds. The caller must hold l.mu.
+func (l *Limiter) take(c *conn, memory int64, descriptors int) {
+	l.memory += memory
+	c.memory += memory
+	l.descriptors += descriptors
+	c.descriptors += descriptors
+	if c.evicted {
+		l.leavingMemory += memory
+		l.leavingDescriptors += descriptors
+	}
+}
+
+// report counts and logs a connection that is closed or refused. The caller must hold l.mu.
+func (l *Limiter) report(doing string, now time.Time) {
+	l.opts.Count(doing)
+	l.closed[doing]++
+	if now.Before(l.nextReport) {
+		return
+	}
+	l.nextReport = now.Add(logInterval)
+	l.opts.Log.Warn("no room for clients", zap.Any("closed", l.closed), zap.Int("connections", len(l.conns)),
+		zap.Int("descriptors", l.descriptors), zap.Int("most_descriptors", l.opts.Descriptors),
+		zap.Int64("memory", l.memory), zap.Int64("most_memory", l.opts.Memory))
+	l.closed = map[string]int{}
+}
--- a/internal/idleconn/idleconn.go
+++ b/internal/idleconn/idleconn.go
@@ -64,6 +64,9 @@
 		return nil, err
 	}
 	c := &conn{Conn: accepted, idle: true}
+	if limited, ok := accepted.(interface{ SetIdleClose(func() bool) }); ok {
+		limited.SetIdleClose(func() bool { return c.closeIdle(false) })
+	}
 	l.closer.mu.Lock()
 	defer l.closer.mu.Unlock()
 	l.closer.conns[c] = true
@@ -221,14 +224,17 @@
 }
 
 // closeIdle closes the connection if it is idle and no bytes have arrived on it. It leaves a
-// connection without a first request unless unused is set.
-func (c *conn) closeIdle(unused bool) {
+// connection without a first request unless unused is set. It reports whether it has closed
+// the connection.
+func (c *conn) closeIdle(unused bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle && c.reading && !c.closed && (c.answered || unused) && !sockopt.HasUnread(c.Conn) {
-		c.closed = true
-		_ = c.Conn.Close()
+	if !c.idle || !c.reading || c.closed || !c.answered && !unused || sockopt.HasUnread(c.Conn) {
+		return false
 	}
+	c.closed = true
+	_ = c.Conn.Close()
+	return true
 }
 
 // CloseWrite ends the sending side, which http.Server does before it closes a connection
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -59,12 +59,17 @@
 	return err == nil && n > 0
 }
 
-// control calls do with the file descriptor of a connection. It does nothing for connections
+// control calls do with the file descriptor of a connection, or of the one that it wraps. It does nothing for connections
 // without a socket.
 func control(conn net.Conn, do func(fd int)) error {
 	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return nil
+	for !ok {
+		wrapper, wraps := conn.(interface{ NetConn() net.Conn })
+		if !wraps {
+			return nil
+		}
+		conn = wrapper.NetConn()
+		tcp, ok = conn.(*net.TCPConn)
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
