entry: the timeouts of the configuration in force apply to clients

Cause: the server for clients had fixed timeouts of 5 s for a header section and 60 s for an idle connection, because the fields of an http.Server cannot change while it serves. Clients reuse connections by the configured time, so a longer one let requests cross a close, and a shorter one kept connections open.

Change: the connection replaces the deadlines that net/http sets by those of the configuration in force; idle connections get a new one at once. Without a value the times are as before.

--- a/entry/clients.go
+++ b/entry/clients.go
@@ -11,6 +11,7 @@
 	"github.com/savoryshift/savoryshift/gateway"
 	"github.com/savoryshift/savoryshift/internal/clientlimit"
 	"github.com/savoryshift/savoryshift/platform"
+	"github.com/savoryshift/savoryshift/routing"
 )
 
 const (
@@ -68,6 +69,18 @@
 	return max(stated-fileDescriptors, stated/2)
 }
 
+// setTimeouts applies the timeouts of a configuration; 0 is the default.
+func (c *clients) setTimeouts(l routing.Limits) {
+	header, idle := l.HeaderTimeout, l.IdleTimeout
+	if header <= 0 {
+		header = defaultHeaderTimeout
+	}
+	if idle <= 0 {
+		idle = defaultIdleTimeout
+	}
+	c.front.SetTimeouts(header, idle)
+}
+
 // refuseClient answers a request that has not run because there is no room for it.
 func refuseClient(w http.ResponseWriter, _ *http.Request) {
 	platform.Codec{}.EncodeRefusal(w.Header(), &gateway.Request{}, clientlimit.Spread(clientRetryAfter))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -299,6 +299,7 @@
 		return
 	}
 	e.streamed.Store(streamedServices(snapshot))
+	e.clients.setTimeouts(snapshot.Limits)
 	e.gateway.SetState(&gateway.State{Snapshot: snapshot, Revision: row.Revision})
 	e.configurationLoaded.Store(true)
 	e.log.Info("configuration in force", zap.Int64("configuration", snapshot.Version), zap.Int64("revision", row.Revision), zap.Int("routes", len(snapshot.Routes)))
