entry: connections of peers have a bound

Cause: the address for peers accepted connections without a bound, so that any host that reaches it could leave a VM without descriptors. Change: connections of peers get 1/8 of the descriptors without those for files; a further one closes the connection that has been silent longest. A peer whose connection was closed connects again with its next message.

--- a/e2e/clients_test.go
+++ b/e2e/clients_test.go
@@ -43,6 +43,8 @@
 type clientLoad struct {
 	name    string
 	clients int
+	// target is the listener; the default is the front.
+	target func(platform.Settings) string
 	// head is sent once, then part up to parts times; the connection then stays open.
 	head, part string
 	parts      int
@@ -87,9 +89,15 @@
 			name: "long bodies in chunks that stop", clients: crowdLongBodies, head: headOf("chunks", "Transfer-Encoding: chunked\r\n\r\n"), part: "4000\r\n" + body[:1<<14] + "\r\n", parts: crowdBodyBytes>>14 - 1,
 		},
 		{name: "connections without a byte", clients: crowdClients},
+		{name: "heads that stop at the address for probes", clients: crowdClients, target: probeAddress, head: headOf("stop", "X-Long: "+strings.Repeat("a", 60<<10))},
+		{name: "connections without a byte at the address for peers", clients: crowdClients, target: peerAddress},
 	}
 }
 
+func probeAddress(s platform.Settings) string { return s.Ready }
+
+func peerAddress(s platform.Settings) string { return s.Peer }
+
 // press sends a load to an address until end closes: each client connects again when its
 // connection is closed. It returns when all clients have left.
 func press(address string, l clientLoad, end <-chan struct{}) *sync.WaitGroup {
@@ -210,7 +218,11 @@
 			vm := startCrowdVM(t)
 			idle := peakMemory(t, vm.Process)
 			end := make(chan struct{})
-			crowd := press(vm.settings.Front, l, end)
+			address := vm.settings.Front
+			if l.target != nil {
+				address = l.target(vm.settings)
+			}
+			crowd := press(address, l, end)
 			most := 0
 			for until := time.Now().Add(crowdTime); time.Now().Before(until) && vm.Running(); time.Sleep(10 * time.Millisecond) {
 				most = max(most, openDescriptors(t, vm.Process))
--- a/entry/clients.go
+++ b/entry/clients.go
@@ -23,10 +23,12 @@
 	// descriptors keeps half of them.
 	fileDescriptors = 200
 	// clientDescriptorShare and probeDescriptorShare are the fractions of the other
-	// descriptors for clients with the calls of their requests, and for probes. What is left
-	// is for peers, the store and idle connections to upstreams.
+	// descriptors for clients with the calls of their requests, and for probes, and
+	// peerDescriptorShare that for connections of peers. What is left is for calls to peers and
+	// the store and for idle connections to upstreams.
 	clientDescriptorShare = 0.75
 	probeDescriptorShare  = 0.0625
+	peerDescriptorShare   = 0.125
 	// defaultHeaderTimeout and defaultIdleTimeout are in force unless a configuration states
 	// others.
 	defaultHeaderTimeout = 5 * time.Second
--- a/entry/control.go
+++ b/entry/control.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/savoryshift/savoryshift/fleet"
+	"github.com/savoryshift/savoryshift/internal/clientlimit"
 	"github.com/savoryshift/savoryshift/mirror"
 	"github.com/savoryshift/savoryshift/platform"
 	"github.com/savoryshift/savoryshift/rollout"
@@ -35,6 +36,7 @@
 	if err != nil {
 		return oops.Wrapf(err, "listening at %s", e.opts.Settings.Peer)
 	}
+	listener = clientlimit.PeerListener(listener, int(peerDescriptorShare*float64(socketDescriptors(e.opts.Settings.Descriptors))))
 	g.Add(func() error {
 		if err := e.fleet.Serve(listener); !errors.Is(err, net.ErrClosed) {
 			return oops.Wrapf(err, "serving peers")
