daemon: callers and operators share bounds on memory and descriptors

Cause: the own interface had the same gaps as the entry VM. Bodies were read whole without a common bound, connections and decoded header sections had none, and no setting said what the machine has.

Change: the listeners for callers and operators stand behind clientlimit. The settings machine_memory_bytes and descriptors state what the process may use (by default the memory of the machine and the limit of the process); callers get 0.35 of the memory and 3/4 of the descriptors, operators and probes a part of their own. A body counts three times, because its decoded fields and messages are copies. The memory, if stated, also sets the soft limit of the runtime (0.6 of it). Peers had a bound and authenticate.

--- a/cmd/savoryshift/main.go
+++ b/cmd/savoryshift/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
@@ -21,6 +22,10 @@
 	exitBadSettings = 2
 )
 
+// memoryLimitShare is the fraction of the memory of the settings that is the soft memory limit
+// of the Go runtime.
+const memoryLimitShare = 0.6
+
 type options struct {
 	Settings string `long:"settings" description:"path of the JSON settings file"`
 
@@ -61,6 +66,9 @@
 		return exitFailure
 	}
 	defer func() { _ = logger.Sync() }()
+	if memory := s.Bounds.MachineMemoryBytes; memory > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(memory)))
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	d, err := daemon.New(daemon.Options{Settings: s, Logger: logger})
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -43,13 +43,12 @@
 func (d *Daemon) addCallers(g *run.Group) {
 	b := d.opts.Settings.Bounds
 	server := &http.Server{
-		Handler:           d.callerHandler(),
-		BaseContext:       d.proxy.BaseContext,
-		ConnContext:       cutoff.ConnContext,
-		ConnState:         d.callerConns.ConnState,
-		ReadHeaderTimeout: b.HeaderReadTimeoutMs.Duration(),
-		MaxHeaderBytes:    int(b.HeaderBytes),
+		Handler:        d.callerHandler(),
+		BaseContext:    d.proxy.BaseContext,
+		ConnContext:    cutoff.ConnContext,
+		MaxHeaderBytes: int(b.HeaderBytes),
 	}
+	d.callerLimit.Attach(server, d.callerConns, refuseClient)
 	var stopping atomic.Bool
 	accepted, drained := make(chan struct{}), make(chan struct{})
 	g.Add(func() error {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/savoryshift/savoryshift/coord/ledger"
 	"github.com/savoryshift/savoryshift/coord/share"
 	"github.com/savoryshift/savoryshift/infra"
+	"github.com/savoryshift/savoryshift/internal/clientlimit"
 	"github.com/savoryshift/savoryshift/internal/idleconn"
 	"github.com/savoryshift/savoryshift/internal/sockopt"
 	"github.com/savoryshift/savoryshift/peer"
@@ -63,8 +64,10 @@
 	shares     *share.Manager
 	reclaimer  *reclaimer
 	control    *control
-	// callerConns are the connections of callers.
-	callerConns *idleconn.Closer
+	// callerConns are the connections of callers, operatorConns those of operators.
+	callerConns, operatorConns *idleconn.Closer
+	// callerLimit and operatorLimit bound what they use.
+	callerLimit, operatorLimit *clientlimit.Limiter
 	// draining is set when a planned stop begins.
 	draining atomic.Bool
 	// stopBy is when a planned stop ends the requests that still run. It is set and
@@ -80,7 +83,8 @@
 	if opts.Dial == nil {
 		opts.Dial = (&net.Dialer{Timeout: dialTimeout, Control: sockopt.LimitUnacked(unackedTimeout)}).DialContext
 	}
-	d := &Daemon{opts: opts, logger: opts.Logger, callerConns: idleconn.New()}
+	d := &Daemon{opts: opts, logger: opts.Logger, callerConns: idleconn.New(), operatorConns: idleconn.New()}
+	d.buildClientLimits()
 	d.buildConfiguration()
 	if err := d.connectPeers(); err != nil {
 		return nil, err
--- a/daemon/listeners.go
+++ b/daemon/listeners.go
@@ -34,8 +34,11 @@
 			}
 			*l.target = listener
 		}
-		if l.target == &d.opts.Callers {
-			*l.target = d.callerConns.Listener(*l.target)
+		switch l.target {
+		case &d.opts.Callers:
+			*l.target = d.callerLimit.Listener(*l.target, d.callerConns, config != nil)
+		case &d.opts.Operators:
+			*l.target = d.operatorLimit.Listener(*l.target, d.operatorConns, config != nil)
 		}
 		if config != nil {
 			*l.target = tls.NewListener(*l.target, config)
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -124,6 +124,8 @@
 	m.Set("proxy", d.proxy.Vars())
 	m.Set("claims", expvar.Func(func() any { return d.claimer.Stats() }))
 	m.Set("ledger", expvar.Func(func() any { return d.ledger.Stats() }))
+	m.Set("callers", expvar.Func(func() any { return d.callerLimit.Usage() }))
+	m.Set("operators", expvar.Func(func() any { return d.operatorLimit.Usage() }))
 	m.Set("shares", expvar.Func(func() any { return d.shares.Stats() }))
 	m.Set("peer_client", d.peerClient.Counters.Var())
 	m.Set("peer_server", d.peerServer.Counters.Var())
@@ -152,10 +154,10 @@
 func (d *Daemon) addOperators(g *run.Group) {
 	b := d.opts.Settings.Bounds
 	server := &http.Server{
-		Handler:           d.operatorServer(),
-		ReadHeaderTimeout: b.HeaderReadTimeoutMs.Duration(),
-		MaxHeaderBytes:    int(b.HeaderBytes),
+		Handler:        d.operatorServer(),
+		MaxHeaderBytes: int(b.HeaderBytes),
 	}
+	d.operatorLimit.Attach(server, d.operatorConns, refuseClient)
 	g.Add(func() error {
 		if err := server.Serve(d.opts.Operators); err != http.ErrServerClosed {
 			return oops.Wrapf(err, "operator listener")
--- a/entry/clients.go
+++ b/entry/clients.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,11 +18,8 @@
 	// readiness probes and readers of metrics: their connections, header sections and bodies.
 	clientShare = 0.4
 	probeShare  = 0.04
-	// fileDescriptors is the number of descriptors that are kept for files. A VM with few
-	// descriptors keeps half of them.
-	fileDescriptors = 200
-	// clientDescriptorShare and probeDescriptorShare are the fractions of the other
-	// descriptors for clients with the calls of their requests, and for probes, and
+	// clientDescriptorShare and probeDescriptorShare are the fractions of the
+	// descriptors for sockets for clients with the calls of their requests, and for probes, and
 	// peerDescriptorShare that for connections of peers. What is left is for calls to peers and
 	// the store and for idle connections to upstreams.
 	clientDescriptorShare = 0.75
@@ -42,7 +38,7 @@
 type clients struct{ front, probes *clientlimit.Limiter }
 
 func (e *Entry) newClients() *clients {
-	memory, descriptors := float64(e.opts.Settings.MemoryBytes), float64(socketDescriptors(e.opts.Settings.Descriptors))
+	memory, descriptors := float64(e.opts.Settings.MemoryBytes), float64(clientlimit.SocketDescriptors(e.opts.Settings.Descriptors))
 	limiter := func(listener string, memory, descriptors float64) *clientlimit.Limiter {
 		return clientlimit.New(clientlimit.Options{
 			Memory: int64(memory), Descriptors: int(descriptors), HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
@@ -58,19 +54,6 @@
 	}
 }
 
-// socketDescriptors returns the number of descriptors for connections. stated is that of the
-// settings; without it, the limit of the process counts.
-func socketDescriptors(stated int) int {
-	if stated == 0 {
-		var limit syscall.Rlimit
-		if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
-			return 1 << 20
-		}
-		stated = int(min(limit.Cur, 1<<20))
-	}
-	return max(stated-fileDescriptors, stated/2)
-}
-
 // setTimeouts applies the timeouts of a configuration; 0 is the default.
 func (c *clients) setTimeouts(l routing.Limits) {
 	header, idle := l.HeaderTimeout, l.IdleTimeout
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -237,9 +237,9 @@
 			return oops.Wrapf(err, "listening at %s", l.address)
 		}
 		if l.server == front {
-			listener = e.clients.front.Setup(front, listener, e.idle, false, refuseClient)
+			listener = e.clients.front.Setup(front, listener, e.idle, refuseClient)
 		} else {
-			listener = e.clients.probes.Setup(ready, listener, idleconn.New(), false, refuseClient)
+			listener = e.clients.probes.Setup(ready, listener, idleconn.New(), refuseClient)
 		}
 		addServer(g, l.server, listener)
 	}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -23,7 +23,7 @@
 		return oops.Wrapf(err, "listening at %s", e.opts.MetricsAddress)
 	}
 	server := &http.Server{Handler: http.HandlerFunc(e.serveMetrics), MaxHeaderBytes: maxHeaderBytes}
-	listener = e.clients.probes.Setup(server, listener, idleconn.New(), false, refuseClient)
+	listener = e.clients.probes.Setup(server, listener, idleconn.New(), refuseClient)
 	addServer(g, server, listener)
 	return nil
 }
--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -234,7 +234,10 @@
 		return nil
 	case t.IsZero():
 	case left > leastIdle:
-		t = now.Add(l.idle)
+		t = time.Time{}
+		if l.idle > 0 {
+			t = now.Add(l.idle)
+		}
 	case left > leastHeader:
 		t = now.Add(l.header)
 	}
--- a/internal/clientlimit/fuzz_test.go
+++ b/internal/clientlimit/fuzz_test.go
@@ -58,7 +58,7 @@
 	}
 	server := &http.Server{Handler: http.HandlerFunc(handled), MaxHeaderBytes: 16 << 10}
 	pipes := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
-	listener := limiter.Setup(server, pipes, idleconn.New(), false, func(w http.ResponseWriter, _ *http.Request) {
+	listener := limiter.Setup(server, pipes, idleconn.New(), func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
 	served := make(chan struct{})
--- a/internal/clientlimit/limiter.go
+++ b/internal/clientlimit/limiter.go
@@ -49,7 +49,8 @@
 	// requests.
 	Memory      int64
 	Descriptors int
-	// HeaderTimeout and IdleTimeout are in force until SetTimeouts.
+	// HeaderTimeout and IdleTimeout are in force until SetTimeouts. An IdleTimeout of 0 is
+	// none.
 	HeaderTimeout, IdleTimeout time.Duration
 	Log                        *zap.Logger
 	// Count is called for each connection that is closed, or refused, because there is no
@@ -112,11 +113,22 @@
 	}
 }
 
-// Setup prepares a server to serve a listener within the limits, and returns the listener that
-// it must serve. idle closes the connections that wait for a request. refuse answers a request
-// for which there is no room; it says that the request has not run. TLS, if any, belongs above
-// the returned listener; secured says that there is some.
-func (l *Limiter) Setup(server *http.Server, of net.Listener, idle *idleconn.Closer, secured bool, refuse http.HandlerFunc) net.Listener {
+// Setup does what Listener and Attach do, for a listener without TLS.
+func (l *Limiter) Setup(server *http.Server, of net.Listener, idle *idleconn.Closer, refuse http.HandlerFunc) net.Listener {
+	l.Attach(server, idle, refuse)
+	return l.Listener(of, idle, false)
+}
+
+// Listener returns a listener whose connections count towards the limits. idle closes those
+// that wait for a request. TLS, if any, belongs above the listener; secured says that there is
+// some.
+func (l *Limiter) Listener(of net.Listener, idle *idleconn.Closer, secured bool) net.Listener {
+	return idle.Listener(&listener{Listener: of, limiter: l, secured: secured})
+}
+
+// Attach prepares a server that serves a listener of l. refuse answers a request for which there
+// is no room; it says that the request has not run.
+func (l *Limiter) Attach(server *http.Server, idle *idleconn.Closer, refuse http.HandlerFunc) {
 	next, state := server.Handler, idle.ConnState
 	server.ReadHeaderTimeout, server.IdleTimeout = headerPlaceholder, idlePlaceholder
 	server.ConnState = func(of net.Conn, s http.ConnState) {
@@ -141,7 +153,6 @@
 		defer c.end()
 		next.ServeHTTP(w, r)
 	})
-	return idle.Listener(&listener{Listener: of, limiter: l, secured: secured})
 }
 
 // reserve takes memory and descriptors for a connection. If they do not fit, it closes
--- a/internal/clientlimit/limiter_test.go
+++ b/internal/clientlimit/limiter_test.go
@@ -38,7 +38,7 @@
 	assert.NilError(t, err)
 	s.address = listener.Addr().String()
 	server := &http.Server{Handler: s, MaxHeaderBytes: 64 << 10}
-	listener = s.limiter.Setup(server, listener, idleconn.New(), false, func(w http.ResponseWriter, _ *http.Request) {
+	listener = s.limiter.Setup(server, listener, idleconn.New(), func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
 	go func() { _ = server.Serve(listener) }()
--- a/proxy/chat.go
+++ b/proxy/chat.go
@@ -6,12 +6,13 @@
 	"encoding/binary"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 	"unicode/utf8"
 
 	"github.com/savoryshift/savoryshift/errkind"
+	"github.com/savoryshift/savoryshift/internal/bodybudget"
+	"github.com/savoryshift/savoryshift/internal/clientlimit"
 	"github.com/savoryshift/savoryshift/quarantine"
 )
 
@@ -56,12 +57,23 @@
 	}
 }
 
+// bodyCopies is the number of times that a body is in memory once its JSON is decoded: the
+// body, its fields, and the text of its messages.
+const bodyCopies = 3
+
 // readBody reads the request body within the limit on its size and that of
-// limitBodyTime.
+// limitBodyTime. A body for which there is no memory is refused.
 func readBody(w *callerResponse, r *http.Request, limit int64) ([]byte, error) {
 	control := http.NewResponseController(w)
 	stopped := context.AfterFunc(r.Context(), func() { _ = control.SetReadDeadline(time.Now()) })
-	data, err := io.ReadAll(http.MaxBytesReader(w.ResponseWriter, r.Body, limit))
+	done := clientlimit.ReadingBody(r.Context())
+	data, err := w.body.ReadAll(http.MaxBytesReader(w.ResponseWriter, r.Body, limit), int(max(0, r.ContentLength)), int(limit)+1)
+	if err == nil {
+		err = w.body.Hold(bodyCopies * len(data))
+	}
+	if lost := done(); lost != nil {
+		err = lost
+	}
 	if stopped() && err == nil {
 		_ = control.SetReadDeadline(time.Time{})
 	}
@@ -78,6 +90,9 @@
 	if _, tooLarge := errors.AsType[*http.MaxBytesError](err); tooLarge {
 		return errkind.New(errkind.PayloadTooLarge, "the body exceeds %d bytes", limit)
 	}
+	if errors.Is(err, bodybudget.ErrFull) {
+		return errkind.New(errkind.NoCapacity, "this daemon has no memory for the body")
+	}
 	if endedByStop(ctx) {
 		return errkind.New(errkind.ShuttingDown, "the body was not read before this daemon stopped: %v", err)
 	}
--- a/proxy/errors.go
+++ b/proxy/errors.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -56,6 +57,18 @@
 	return retryAfter
 }
 
+// WriteRefusal answers a request that no handler has seen, with an error that says so.
+func WriteRefusal(w http.ResponseWriter, err error) {
+	body := errorBody(err, newRequestID())
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(HeaderRequestID, body.Error.RequestID)
+	header.Set("Retry-After", strconv.FormatInt(max(1, body.Error.RetryAfterMs/1000), 10))
+	w.WriteHeader(errkind.AnswerFor(body.Error.Code).Status)
+	// An error means that the caller has left.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
 // writeError sends the status and the body that belong to the kind of err.
 func writeError(w *callerResponse, r *request, err error) {
 	body := errorBody(err, r.id)
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/savoryshift/savoryshift/errkind"
+	"github.com/savoryshift/savoryshift/internal/bodybudget"
 	"github.com/savoryshift/savoryshift/internal/cutoff"
 )
 
@@ -17,6 +18,8 @@
 // Only one goroutine uses it at a time.
 type callerResponse struct {
 	http.ResponseWriter
+	// body is the memory that the body of the request uses; it may be nil.
+	body           *bodybudget.Share
 	accepted, sent extent
 	// whole is set once the response was accepted to its end. A stream that an error event
 	// ends counts as whole.
@@ -103,6 +106,7 @@
 // the request are released before, so that the caller's next request finds them free.
 func (s *Server) finish(w *callerResponse, r *request) {
 	cause := recover()
+	defer w.body.Release()
 	if cause != nil && cause != http.ErrAbortHandler {
 		s.options.Log.Error("handler panicked", zap.String("request", r.id), zap.Any("cause", cause), zap.Stack("stack"))
 		s.counters.errors.Add(string(errkind.Internal), 1)
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/savoryshift/savoryshift/errkind"
+	"github.com/savoryshift/savoryshift/internal/clientlimit"
 	"github.com/savoryshift/savoryshift/quarantine"
 	"github.com/savoryshift/savoryshift/tree"
 )
@@ -109,7 +110,7 @@
 func (s *Server) admit(h handler) http.HandlerFunc {
 	return func(hw http.ResponseWriter, hr *http.Request) {
 		s.counters.requests.Add(1)
-		w, r := &callerResponse{ResponseWriter: hw}, &request{Request: hr, id: newRequestID(), arrival: time.Now()}
+		w, r := &callerResponse{ResponseWriter: hw, body: clientlimit.Share(hr.Context())}, &request{Request: hr, id: newRequestID(), arrival: time.Now()}
 		defer s.finish(w, r)
 		inFlight := s.inFlight.Add(1)
 		defer s.inFlight.Add(-1)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -145,6 +145,14 @@
 type Bounds struct {
 	// BodyBytes limits the body of a request and of a stored or rated answer.
 	BodyBytes int64 `json:"body_bytes" default:"4194304" min:"1024" max:"67108864" unit:"bytes"`
+	// MachineMemoryBytes is the memory that the process may use. Of it, 0.35 are for callers:
+	// connections, headers and bodies; 0.05 are for operators and probes. Default: the memory
+	// of the machine.
+	MachineMemoryBytes int64 `json:"machine_memory_bytes" default:"0" min:"0" max:"1099511627776" unit:"bytes"`
+	// Descriptors is the number of descriptors that the process may have open. Without 200 for
+	// files, 3/4 of them are for callers with the calls of their requests, and 1/16 for
+	// operators and probes. Default: the limit of the process.
+	Descriptors int64 `json:"descriptors" default:"0" min:"0" max:"1048576" unit:"descriptors"`
 	// HeaderBytes limits the headers of a request.
 	HeaderBytes int64 `json:"header_bytes" default:"65536" min:"4096" max:"1048576" unit:"bytes"`
 	// HeaderReadTimeoutMs limits the time for reading the headers of a request.
