fleet: the exchanges that are due are found among the partners of a VM

A VM looked through all known peers 20 times a second for exchanges that are due and 40 times for the readers of the store, and sorted them five times a second. It now keeps the peers sorted and those with which it exchanges digests until the topology changes.

--- a/fleet/alive.go
+++ b/fleet/alive.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -14,7 +15,8 @@
 	}
 	at := now.Add(-m.Age)
 	if at.After(p.lastRelayed) && at.After(p.lastExchange) {
-		p.lastRelayed, p.Member = at, m
+		p.lastRelayed = at
+		f.setMember(p, m)
 	}
 }
 
@@ -45,6 +47,14 @@
 	return list
 }
 
+// setMember replaces what is known of a peer. The caller must hold f.mu.
+func (f *Fleet) setMember(p *peer, m Member) {
+	if p.VM != m.VM {
+		f.byName = nil
+	}
+	p.Member = m
+}
+
 func (p *peer) alive(now time.Time) bool {
 	return now.Sub(p.lastExchange) < livenessTimeout || now.Sub(p.lastRelayed) < relayedLivenessTimeout
 }
@@ -55,8 +65,9 @@
 	if now.Sub(f.membersComputedAt) < membersInterval && f.members != nil {
 		return f.members
 	}
-	list := []Member{f.self()}
-	for _, p := range f.peers {
+	self := f.self()
+	list := make([]Member, 0, len(f.peers)+1)
+	for _, p := range f.sortedPeers() {
 		if !p.alive(now) {
 			continue
 		}
@@ -64,12 +75,21 @@
 		m.Age = now.Sub(maxTime(p.lastExchange, p.lastRelayed))
 		list = append(list, m)
 	}
-	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.VM, b.VM) })
+	at, _ := slices.BinarySearchFunc(list, self, func(a, b Member) int { return strings.Compare(a.VM, b.VM) })
+	list = slices.Insert(list, at, self)
 	f.members, f.membersComputedAt, f.topology = list, now, nil
 	f.reportStore.expire(now)
 	return list
 }
 
+// sortedPeers returns the peers by ascending name. The caller must hold f.mu.
+func (f *Fleet) sortedPeers() []*peer {
+	if f.byName == nil {
+		f.byName = slices.SortedFunc(maps.Values(f.peers), func(a, b *peer) int { return strings.Compare(a.VM, b.VM) })
+	}
+	return f.byName
+}
+
 func maxTime(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -147,14 +167,25 @@
 	if slices.Contains(readers, self.VM) {
 		return true
 	}
-	for _, p := range f.peers {
-		if slices.Contains(readers, p.VM) && now.Sub(p.lastExchange) < readerTrustedFor {
+	for _, vm := range readers {
+		if now.Sub(f.lastExchangeWith(vm)) < readerTrustedFor {
 			return false
 		}
 	}
 	return true
 }
 
+// lastExchangeWith returns the time of the last exchange with a VM at any of its addresses. The
+// caller must hold f.mu.
+func (f *Fleet) lastExchangeWith(vm string) (last time.Time) {
+	peers := f.sortedPeers()
+	at, _ := slices.BinarySearchFunc(peers, vm, func(p *peer, name string) int { return strings.Compare(p.VM, name) })
+	for ; at < len(peers) && peers[at].VM == vm; at++ {
+		last = maxTime(last, peers[at].lastExchange)
+	}
+	return last
+}
+
 // SharedBy returns the number of VMs that share the store calls of one, because all of
 // them have lost the store: the alive VMs of the zone that cannot reach it, for each of
 // perZone readers.
@@ -177,12 +208,21 @@
 	if f.topology != nil && (!f.peersFail || now.Sub(f.topologyComputedAt) < topologyInterval) {
 		return f.topology
 	}
-	f.topologyComputedAt, f.peersFail = now, false
-	f.topology = newTopology(slices.DeleteFunc(slices.Clone(members), func(m Member) bool {
-		p := f.peers[m.Address]
-		f.peersFail = f.peersFail || p != nil && p.backoff > 0
-		return p != nil && p.backoff > 0 && now.Sub(p.lastExchange) > silentAfter
-	}))
+	f.topologyComputedAt = now
+	failing := func(m Member) *peer {
+		if p := f.peers[m.Address]; p != nil && p.backoff > 0 {
+			return p
+		}
+		return nil
+	}
+	f.peersFail = slices.ContainsFunc(members, func(m Member) bool { return failing(m) != nil })
+	if f.peersFail {
+		members = slices.DeleteFunc(slices.Clone(members), func(m Member) bool {
+			p := failing(m)
+			return p != nil && now.Sub(p.lastExchange) > silentAfter
+		})
+	}
+	f.topology = newTopology(members)
 	return f.topology
 }
 
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -31,21 +31,14 @@
 }
 
 // due returns the peers with which an exchange is due and marks them as being in
-// an exchange. It removes peers that have been silent for forgetAfter.
+// an exchange.
 func (f *Fleet) due(now time.Time) []*peer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	topology, self := f.reachable(now), f.self()
 	var list []*peer
-	for address, p := range f.peers {
-		if p.inExchange || now.Before(p.nextExchange) {
-			continue
-		}
-		if now.Sub(maxTime(maxTime(p.lastExchange, p.lastRelayed), p.discovered)) > forgetAfter && !slices.Contains(f.opts.Seeds, address) {
-			delete(f.peers, address)
-			continue
-		}
-		if !f.initiates(topology, &self, p, now) {
+	for _, p := range f.partnersBy(topology, &self, now) {
+		if p.inExchange || now.Before(p.nextExchange) || !f.initiates(topology, &self, p, now) {
 			continue
 		}
 		wait := exchangeInterval
@@ -61,6 +54,28 @@
 	return list
 }
 
+// partnersBy returns the peers with which this VM exchanges digests. It removes peers that have
+// been silent for forgetAfter. The caller must hold f.mu.
+func (f *Fleet) partnersBy(topology *topology, self *Member, now time.Time) []*peer {
+	if f.partnersIn == topology {
+		return f.partners
+	}
+	f.partners, f.partnersIn = nil, topology
+	for address, p := range f.peers {
+		if !p.inExchange && now.Sub(maxTime(maxTime(p.lastExchange, p.lastRelayed), p.discovered)) > forgetAfter && !slices.Contains(f.opts.Seeds, address) {
+			delete(f.peers, address)
+			f.byName = nil
+			continue
+		}
+		// The VM at a seed address is unknown until the first exchange, which also yields the
+		// other members.
+		if p.VM == "" || topology.exchangeDirectly(self, &p.Member) {
+			f.partners = append(f.partners, p)
+		}
+	}
+	return f.partners
+}
+
 // initiates reports whether this VM initiates the exchange with a peer.
 func (f *Fleet) initiates(topology *topology, self *Member, p *peer, now time.Time) bool {
 	if p.VM == "" {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -149,6 +149,12 @@
 	topologyComputedAt time.Time
 	// peersFail is set if an exchange with one of the members failed last.
 	peersFail bool
+	// byName holds the peers by ascending name, nil if they are to be sorted anew.
+	byName []*peer
+	// partners are the peers with which this VM exchanges digests by the topology partnersIn,
+	// which is nil if they are to be found anew.
+	partners   []*peer
+	partnersIn *topology
 }
 
 // New returns a fleet. Run must be called to initiate exchanges, and Serve to
@@ -175,6 +181,7 @@
 	if p == nil {
 		p = &peer{Member: Member{Address: address}, discovered: now}
 		f.peers[address] = p
+		f.byName, f.partnersIn = nil, nil
 	}
 	return p
 }
@@ -377,7 +384,8 @@
 		if p.backoff > 0 {
 			f.topology = nil
 		}
-		p.Member, p.lastExchange, p.backoff = d.From, now, 0
+		f.setMember(p, d.From)
+		p.lastExchange, p.backoff = now, 0
 		p.setListed(d.Members)
 		p.heard = NewsMark{Incarnation: d.Incarnation, To: d.NewsTo}
 		switch {
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -21,13 +21,17 @@
 	relayedLivenessTimeout = 4 * time.Second
 )
 
-// topology tells which VMs of a list exchange digests with each other. It is immutable. It is
-// computed once for all peers, because choosing the delegates of a zone takes time in
-// proportion to the fleet.
+// topology tells which VMs of a list exchange digests with each other. It is computed
+// once for all peers, because choosing the delegates of a zone takes time in proportion to the
+// fleet. Only storeReaders changes it.
 type topology struct {
 	members []Member
 	// delegates maps each zone to the names of its delegates.
 	delegates map[string][]string
+	// readers holds the store readers of the zone and number that were asked for last.
+	readers     []string
+	readersZone string
+	readersMost int
 }
 
 func newTopology(members []Member) *topology {
@@ -100,5 +104,9 @@
 // storeReaders returns the names of the VMs of a zone that read the store for it:
 // the largest ones that can reach the store.
 func (t *topology) storeReaders(zone string, readers int) []string {
-	return largestMembers(t.members, zone, readers, func(m *Member) bool { return !m.Lost })
+	if t.readersZone != zone || t.readersMost != readers {
+		t.readersZone, t.readersMost = zone, readers
+		t.readers = largestMembers(t.members, zone, readers, func(m *Member) bool { return !m.Lost })
+	}
+	return t.readers
 }
