--- a/fleet/news.go
+++ b/fleet/news.go
@@ -35,6 +35,8 @@
 	source string
 	// position grows with each use that is added to any log of the VM.
 	position int64
+	// replaced is set once the log holds a later use with the same key.
+	replaced bool
 }
 
 // newsLog holds the latest uses by key, in the order in which this VM learned of them, so that
@@ -76,8 +78,11 @@
 // the last position.
 func (l *newsLog[K, V]) add(n news[V], last int64) int64 {
 	key := l.key(n.value)
-	if known := l.latest[key]; known != nil && l.repeats(known, &n) {
-		return last
+	if known := l.latest[key]; known != nil {
+		if l.repeats(known, &n) {
+			return last
+		}
+		known.replaced = true
 	}
 	n.position = last + 1
 	l.latest[key] = &n
@@ -93,7 +98,7 @@
 		if n.position <= position || n.learnedAt.Before(since) {
 			return
 		}
-		if l.latest[l.key(n.value)] == n && !visit(n) {
+		if !n.replaced && !visit(n) {
 			return
 		}
 	}
@@ -103,8 +108,8 @@
 func (l *newsLog[K, V]) expire(before time.Time) {
 	n := 0
 	for n < len(l.order) && l.order[n].learnedAt.Before(before) {
-		if key := l.key(l.order[n].value); l.latest[key] == l.order[n] {
-			delete(l.latest, key)
+		if !l.order[n].replaced {
+			delete(l.latest, l.key(l.order[n].value))
 		}
 		l.order[n] = nil
 		n++
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -91,6 +91,9 @@
 // since a time.
 func (rs *reportStore) addNews(r *Report, scope Scope, to string, after int64, since, now time.Time) {
 	most := maxDigestUses
+	if after == rs.position {
+		return
+	}
 	if scope == OwnScope {
 		most = math.MaxInt
 	}
