--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/savoryshift/savoryshift/mirror"
 	"github.com/savoryshift/savoryshift/placement"
+	"github.com/savoryshift/savoryshift/policy/guard"
 	"github.com/savoryshift/savoryshift/quarantine"
 	"github.com/savoryshift/savoryshift/rollout"
 )
@@ -326,3 +327,33 @@
 	_ = unix.ClockGettime(unix.CLOCK_PROCESS_CPUTIME_ID, &t)
 	return time.Duration(t.Nano())
 }
+
+// BenchmarkEvidenceSum measures the sums of the evidence on a rollout that a delegate in a fleet
+// of 300 VMs makes in a second for the 74 other VMs of its zone.
+func BenchmarkEvidenceSum(b *testing.B) {
+	now := time.Now()
+	rs := newReportStore()
+	list := func() []rollout.Evidence {
+		counts := guard.Counts{Base: map[guard.Stratum]guard.Tally{}, Candidate: map[guard.Stratum]guard.Tally{}}
+		for i := range 8 {
+			s := guard.Stratum{Class: fmt.Sprint("route-", i), Signal: guard.Errors}
+			counts.Base[s], counts.Candidate[s] = guard.Tally{N: 1000, Bad: 3}, guard.Tally{N: 100, Bad: 1}
+		}
+		return []rollout.Evidence{{Service: benchService, Order: 5, Counts: counts}}
+	}
+	name := func(i int) string { return fmt.Sprintf("vm-%03d", i) }
+	for i := range 74 {
+		d := Digest{From: Member{VM: name(i), AvailabilityZone: "a"}, Scope: OwnScope, Report: Report{Rollouts: list()}}
+		rs.record(d, incarnationName(name(i), 1), "a", now)
+	}
+	for _, zone := range []string{"b", "c", "d"} {
+		rs.record(Digest{From: Member{VM: zone, AvailabilityZone: zone}, Scope: ZoneScope, Report: Report{Rollouts: list()}}, "", "a", now)
+	}
+	own := list()
+	b.ReportAllocs()
+	for b.Loop() {
+		for n := range int(74 * time.Second / fullDigestInterval) {
+			rs.evidenceSum(own, name(n%74), true)
+		}
+	}
+}
