fleet, placement: loads are added and taken off by one function each

Sums of other fields can be added beside those of the loads as before, and a test fails for a field of a load that is added to a sum and not taken off again.

--- a/fleet/alive.go
+++ b/fleet/alive.go
@@ -245,7 +245,7 @@
 
 func (f *Fleet) triggerExchanges(match func(*peer) bool) {
 	f.mu.Lock()
-	f.own, f.sums = [2]cachedReport{}, nil
+	f.own, f.reportStore.loads = [2]cachedReport{}, nil
 	for _, p := range f.peers {
 		if p.backoff == 0 && !p.lastExchange.IsZero() && match(p) {
 			p.nextExchange, p.urgent = time.Time{}, true
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -133,9 +133,6 @@
 	reportStore *reportStore
 	// own holds the last reports of this VM, without and with evidence.
 	own [2]cachedReport
-	// sums are the sums of loads at sumsAt.
-	sums   *loadSums
-	sumsAt time.Time
 	// received counts the bytes of long messages that are being received.
 	received atomic.Int64
 	// wake signals that exchanges are due before the next tick.
@@ -283,25 +280,17 @@
 	members, topology := f.alive(now), f.reachable(now)
 	d.Scope = topology.scope(&d.From, &to)
 	own := f.ownReport(fullDigest, now)
-	d.Report = Report{Leaving: own.Leaving, Quarantine: own.Quarantine}
 	switch d.Scope {
 	case OwnScope:
-		d.Report.Loads = own.Loads
+		d.Report = own
+		d.Report.Uses, d.Report.Sessions = nil, nil
 	case ZoneScope:
-		d.Report.Loads = f.loadSums(now).zone
+		d.Report = f.reportStore.zoneSum(own, fullDigest, now)
 	case OthersScope:
-		d.Report.Loads = f.loadSums(now).others(to.VM)
+		d.Report = f.reportStore.othersSum(own, to.VM, fullDigest, now)
 	}
 	if fullDigest {
 		d.Members = p.unlisted(members, topology, &d.From)
-		switch d.Scope {
-		case OwnScope:
-			d.Report.Rollouts = own.Rollouts
-		case ZoneScope:
-			d.Report.Rollouts = f.reportStore.evidenceSum(own.Rollouts, "", false)
-		case OthersScope:
-			d.Report.Rollouts = f.reportStore.evidenceSum(own.Rollouts, to.VM, true)
-		}
 	}
 	f.addNews(&d, to.VM, p, now)
 	f.mu.Unlock()
@@ -347,19 +336,6 @@
 	return r
 }
 
-// loadSums returns the sums of loads, which are at most sumsInterval old. The caller must hold
-// f.mu.
-func (f *Fleet) loadSums(now time.Time) *loadSums {
-	if f.sums == nil || now.Sub(f.sumsAt) >= sumsInterval {
-		own := f.own[0]
-		if f.own[1].at.After(own.at) {
-			own = f.own[1]
-		}
-		f.sums, f.sumsAt = f.reportStore.sums(own.report.Loads, now), now
-	}
-	return f.sums
-}
-
 // source names the VM or group of VMs whose report a digest holds.
 func (d *Digest) source() string {
 	switch d.Scope {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"net"
+	"reflect"
 	"slices"
 	"sync"
 	"testing"
@@ -87,9 +88,9 @@
 	return Digest{From: Member{VM: vm, AvailabilityZone: zone}, Scope: s, Report: Report{Loads: loads(calls)}}
 }
 
-func totalCalls(list []LoadReport) int {
+func totalCalls(r Report) int {
 	n := 0
-	for _, l := range list {
+	for _, l := range r.Loads {
 		n += l.Calls
 	}
 	return n
@@ -104,16 +105,34 @@
 	rs.record(digestFrom("a-2", "a", OwnScope, 10), "a-2@1", "a", now)
 	rs.record(digestFrom("b-0", "b", ZoneScope, 100), "", "a", now)
 	rs.record(digestFrom("b-1", "b", ZoneScope, 100), "", "a", now)
-	sums := rs.sums(loads(1000), now)
-	assert.Equal(t, totalCalls(sums.zone), 1011)
-	assert.Equal(t, totalCalls(sums.others("a-2")), 1101)
+	own := Report{Loads: loads(1000)}
+	assert.Equal(t, totalCalls(rs.zoneSum(own, false, now)), 1011)
+	assert.Equal(t, totalCalls(rs.othersSum(own, "a-2", false, now)), 1101)
 	// A report that arrives after the sums were made must not be taken off them.
 	rs.record(digestFrom("a-2", "a", OwnScope, 70), "a-2@1", "a", now)
 	rs.record(digestFrom("a-3", "a", OwnScope, 5), "a-3@1", "a", now)
-	assert.Equal(t, totalCalls(sums.others("a-2")), 1101)
-	assert.Equal(t, totalCalls(sums.others("a-3")), 1111)
+	assert.Equal(t, totalCalls(rs.othersSum(own, "a-2", false, now)), 1101)
+	assert.Equal(t, totalCalls(rs.othersSum(own, "a-3", false, now)), 1111)
+	assert.Equal(t, totalCalls(rs.othersSum(own, "a-2", false, now.Add(sumsInterval))), 1106)
 	later := now.Add(reportLifetime + time.Millisecond)
-	assert.Equal(t, totalCalls(rs.sums(loads(1000), later).others("a-2")), 1000, "old reports no longer count")
+	assert.Equal(t, totalCalls(rs.othersSum(own, "a-2", false, later)), 1000, "old reports no longer count")
+}
+
+// Guards against a field of a load that is added to a sum, but not taken off for the VM that
+// reported it.
+func TestAllFieldsOfALoadAreTakenOff(t *testing.T) {
+	var load LoadReport
+	v := reflect.ValueOf(&load).Elem()
+	for i := range v.NumField() {
+		if v.Field(i).CanInt() {
+			v.Field(i).SetInt(int64(i))
+		}
+	}
+	sum := load
+	sum.add(load, 1)
+	assert.Assert(t, sum != load)
+	sum.add(load, -2)
+	assert.Equal(t, sum, LoadReport{})
 }
 
 func evidence(bad uint64) []rollout.Evidence {
@@ -145,8 +164,8 @@
 	}
 	later := now.Add(time.Minute)
 	rs.expire(later)
-	assert.Equal(t, badCount(rs.evidenceSum(evidence(1), "", false)), uint64(11))
-	assert.Equal(t, badCount(rs.evidenceSum(evidence(1), "a-1", true)), uint64(1))
+	assert.Equal(t, badCount(rs.zoneSum(Report{Rollouts: evidence(1)}, true, later).Rollouts), uint64(11))
+	assert.Equal(t, badCount(rs.othersSum(Report{Rollouts: evidence(1)}, "a-1", true, later).Rollouts), uint64(1))
 }
 
 // node is a Node that reports a fixed load.
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -32,9 +32,12 @@
 // reportStore holds the reports of other VMs, so that a delegate can forward their
 // sums. It is not safe for concurrent use.
 type reportStore struct {
-	// vms holds the loads of the other VMs of this zone by VM name, and zones
+	// vms holds the reports of the other VMs of this zone by VM name, and zones
 	// the sums over other zones by zone name.
-	vms, zones map[string]*receivedLoads
+	vms, zones map[string]*receivedReport
+	// loads are the sums of loads at loadsAt, nil if they are to be made anew.
+	loads   *loadSums
+	loadsAt time.Time
 	// uses and sessions hold the uses of this VM and of all others that were reported.
 	uses     *newsLog[useKey, placement.CacheUse]
 	sessions *newsLog[uint64, rollout.SessionUse]
@@ -45,14 +48,14 @@
 	evidence map[string][]rollout.Evidence
 }
 
-type receivedLoads struct {
-	loads []LoadReport
-	at    time.Time
+type receivedReport struct {
+	report Report
+	at     time.Time
 }
 
 func newReportStore() *reportStore {
 	return &reportStore{
-		vms: map[string]*receivedLoads{}, zones: map[string]*receivedLoads{}, evidence: map[string][]rollout.Evidence{},
+		vms: map[string]*receivedReport{}, zones: map[string]*receivedReport{}, evidence: map[string][]rollout.Evidence{},
 		uses: newUseLog(), sessions: newSessionLog(),
 	}
 }
@@ -62,14 +65,14 @@
 func (rs *reportStore) record(d Digest, incarnation string, zone string, now time.Time) {
 	switch {
 	case d.Scope == OwnScope && d.From.AvailabilityZone == zone:
-		rs.vms[d.From.VM] = &receivedLoads{d.Report.Loads, now}
+		rs.vms[d.From.VM] = &receivedReport{d.Report, now}
 		rs.recordUses(d.From.VM, &d.Report, now)
 		if len(d.Report.Rollouts) > 0 {
 			rs.evidence[incarnation] = d.Report.Rollouts
 		}
 	case d.Scope == ZoneScope:
 		source := zonePrefix + d.From.AvailabilityZone
-		rs.zones[d.From.AvailabilityZone] = &receivedLoads{d.Report.Loads, now}
+		rs.zones[d.From.AvailabilityZone] = &receivedReport{d.Report, now}
 		rs.recordUses(source, &d.Report, now)
 		if len(d.Report.Rollouts) > 0 {
 			rs.evidence[source] = d.Report.Rollouts
@@ -129,24 +132,58 @@
 	// zone is the sum over the VMs of this zone, all that over all VMs, by upstream.
 	zone, all []LoadReport
 	// vms holds the loads of the other VMs of this zone that are in the sums.
-	vms map[string]*receivedLoads
+	vms map[string]*receivedReport
 }
 
-// sums returns the sums of the loads, where own is the load of this VM.
-func (rs *reportStore) sums(own []LoadReport, now time.Time) *loadSums {
-	s := &loadSums{vms: make(map[string]*receivedLoads, len(rs.vms))}
+// zoneSum returns the sum over the VMs of this zone, where own is the report of
+// this VM. The uses are left out.
+func (rs *reportStore) zoneSum(own Report, evidence bool, now time.Time) Report {
+	out := rs.sum(own, "", false, evidence)
+	out.Loads = rs.loadSums(own.Loads, now).zone
+	return out
+}
+
+// othersSum returns the sum over all VMs except one VM of this zone, where own is
+// the report of this VM. The uses are left out.
+func (rs *reportStore) othersSum(own Report, except string, evidence bool, now time.Time) Report {
+	out := rs.sum(own, except, true, evidence)
+	out.Loads = rs.loadSums(own.Loads, now).others(except)
+	return out
+}
+
+// sum returns the parts of a sum that are not kept for further peers.
+func (rs *reportStore) sum(own Report, except string, zones, evidence bool) Report {
+	// Each VM tells on what it has learned from its peers, so its own list holds theirs.
+	out := Report{Leaving: own.Leaving, Quarantine: own.Quarantine}
+	if evidence {
+		out.Rollouts = rs.evidenceSum(own.Rollouts, except, zones)
+	}
+	return out
+}
+
+// loadSums returns the sums of the loads, which are at most sumsInterval old. own is the load of
+// this VM.
+func (rs *reportStore) loadSums(own []LoadReport, now time.Time) *loadSums {
+	if rs.loads == nil || now.Sub(rs.loadsAt) >= sumsInterval {
+		rs.loads, rs.loadsAt = rs.makeLoadSums(own, now), now
+	}
+	return rs.loads
+}
+
+func (rs *reportStore) makeLoadSums(own []LoadReport, now time.Time) *loadSums {
+	s := &loadSums{vms: make(map[string]*receivedReport, len(rs.vms))}
 	loads := map[string]*LoadReport{}
 	addLoads(loads, own)
 	for vm, p := range rs.vms {
 		if now.Sub(p.at) <= reportLifetime {
-			addLoads(loads, p.loads)
+			addLoads(loads, p.report.Loads)
 			s.vms[vm] = p
 		}
 	}
 	s.zone = sortedLoads(loads)
 	for _, p := range rs.zones {
 		if now.Sub(p.at) <= reportLifetime {
-			addLoads(loads, p.loads)
+			addLoads(loads, p.report.Loads)
 		}
 	}
 	s.all = sortedLoads(loads)
@@ -157,14 +194,12 @@
 func (s *loadSums) others(except string) []LoadReport {
 	list := slices.Clone(s.all)
 	if p := s.vms[except]; p != nil {
-		for _, l := range p.loads {
+		for _, l := range p.report.Loads {
 			at, _ := slices.BinarySearchFunc(list, l, compareUpstreams)
-			list[at].Calls -= l.Calls
-			list[at].ReadingMs -= l.ReadingMs
-			list[at].RunningPct -= l.RunningPct
+			list[at].add(l, -1)
 		}
 	}
-	return slices.DeleteFunc(list, func(l LoadReport) bool { return l.Calls == 0 && l.ReadingMs == 0 && l.RunningPct == 0 })
+	return slices.DeleteFunc(list, func(l LoadReport) bool { return l == LoadReport{Upstream: l.Upstream} })
 }
 
 func compareUpstreams(a, b LoadReport) int { return cmp.Compare(a.Upstream, b.Upstream) }
@@ -186,12 +221,17 @@
 			s = &LoadReport{Upstream: l.Upstream}
 			sum[l.Upstream] = s
 		}
-		s.Calls += l.Calls
-		s.ReadingMs += l.ReadingMs
-		s.RunningPct += l.RunningPct
+		s.add(l, 1)
 	}
 }
 
+// add adds a load a number of times; -1 takes it off again.
+func (l *LoadReport) add(o LoadReport, times int) {
+	l.Calls += times * o.Calls
+	l.ReadingMs += times * o.ReadingMs
+	l.RunningPct += times * o.RunningPct
+}
+
 // evidenceSum returns the sum of the evidence of all VMs, including those that are
 // gone. Without zones, it leaves out the evidence of other zones.
 func (rs *reportStore) evidenceSum(own []rollout.Evidence, except string, zones bool) []rollout.Evidence {
@@ -209,7 +249,7 @@
 // expire removes reports that are older than reportLifetime, and uses that were learned
 // before newsLifetime. Evidence is kept.
 func (rs *reportStore) expire(now time.Time) {
-	old := func(_ string, p *receivedLoads) bool { return now.Sub(p.at) > reportLifetime }
+	old := func(_ string, p *receivedReport) bool { return now.Sub(p.at) > reportLifetime }
 	maps.DeleteFunc(rs.vms, old)
 	maps.DeleteFunc(rs.zones, old)
 	rs.uses.expire(now.Add(-newsLifetime))
--- a/placement/peers_test.go
+++ b/placement/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"reflect"
 	"strconv"
 	"testing"
 	"time"
@@ -50,3 +51,22 @@
 		assert.Equal(t, e.peers, Load{})
 	}
 }
+
+// Guards against a field of a load that is added, but not taken off.
+func TestAllFieldsOfALoadAreTakenOff(t *testing.T) {
+	var load Load
+	v := reflect.ValueOf(&load).Elem()
+	for i := range v.NumField() {
+		if v.Field(i).CanInt() {
+			v.Field(i).SetInt(int64(2 + i))
+		} else {
+			v.Field(i).SetFloat(float64(2 + i))
+		}
+	}
+	// Of two loads one is left, because nothing is left without calls.
+	var sum Load
+	sum.add(load)
+	sum.add(load)
+	sum.subtract(load)
+	assert.Equal(t, sum, load)
+}
