--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -133,9 +133,6 @@
 	reportStore *reportStore
 	// own holds the last reports of this VM, without and with evidence.
 	own [2]cachedReport
-	// sums are the sums of loads at sumsAt.
-	sums   *loadSums
-	sumsAt time.Time
 	// received counts the bytes of long messages that are being received.
 	received atomic.Int64
 	// wake signals that exchanges are due before the next tick.
@@ -150,6 +147,12 @@
 	// peersFail is set if an exchange with one of the members failed last.
 	peersFail bool
 	roster    roster
+	// byName holds the peers by ascending name, nil if they are to be sorted anew.
+	byName []*peer
+	// partners are the peers with which this VM exchanges digests by the topology partnersIn,
+	// which is nil if they are to be found anew.
+	partners   []*peer
+	partnersIn *topology
 }
 
 // New returns a fleet. Run must be called to initiate exchanges, and Serve to
@@ -176,6 +179,7 @@
 	if p == nil {
 		p = &peer{Member: Member{Address: address}, discovered: now}
 		f.peers[address] = p
+		f.byName, f.partnersIn = nil, nil
 	}
 	return p
 }
@@ -277,25 +281,17 @@
 	members, topology := f.alive(now), f.reachable(now)
 	d.Scope = topology.scope(&d.From, &to)
 	own := f.ownReport(fullDigest, now)
-	d.Report = Report{Leaving: own.Leaving, Quarantine: own.Quarantine}
 	switch d.Scope {
 	case OwnScope:
-		d.Report.Loads = own.Loads
+		d.Report = own
+		d.Report.Uses, d.Report.Sessions = nil, nil
 	case ZoneScope:
-		d.Report.Loads = f.loadSums(now).zone
+		d.Report = f.reportStore.zoneSum(own, fullDigest, now)
 	case OthersScope:
-		d.Report.Loads = f.loadSums(now).others(to.VM)
+		d.Report = f.reportStore.othersSum(own, to.VM, fullDigest, now)
 	}
 	if fullDigest {
 		d.Members = p.unlisted(members, topology, &d.From)
-		switch d.Scope {
-		case OwnScope:
-			d.Report.Rollouts = own.Rollouts
-		case ZoneScope:
-			d.Report.Rollouts = f.reportStore.evidenceSum(own.Rollouts, "", false)
-		case OthersScope:
-			d.Report.Rollouts = f.reportStore.evidenceSum(own.Rollouts, to.VM, true)
-		}
 	}
 	f.addNews(&d, to.VM, p, now)
 	f.mu.Unlock()
@@ -341,19 +337,6 @@
 	return r
 }
 
-// loadSums returns the sums of loads, which are at most sumsInterval old. The caller must hold
-// f.mu.
-func (f *Fleet) loadSums(now time.Time) *loadSums {
-	if f.sums == nil || now.Sub(f.sumsAt) >= sumsInterval {
-		own := f.own[0]
-		if f.own[1].at.After(own.at) {
-			own = f.own[1]
-		}
-		f.sums, f.sumsAt = f.reportStore.sums(own.report.Loads, now), now
-	}
-	return f.sums
-}
-
 // source names the VM or group of VMs whose report a digest holds.
 func (d *Digest) source() string {
 	switch d.Scope {
@@ -378,7 +361,8 @@
 		if p.backoff > 0 {
 			f.topology = nil
 		}
-		p.Member, p.lastExchange, p.backoff = d.From, now, 0
+		f.setMember(p, d.From)
+		p.lastExchange, p.backoff = now, 0
 		p.setListed(d.Members)
 		p.heard = NewsMark{Incarnation: d.Incarnation, To: d.NewsTo}
 		switch {
