placement: prompts are read where they make few streams late

Under load most late streams had their first event in time and paused for just longer than their route allows, at engines that read long prompts beside many streams. No figure of the placement showed that. Package admission learns how often the streams of an engine pause for too long, in shares of the pause that their routes allow; VMs tell each other. A request costs more where its own stream is to expect such pauses, and a prompt more where its reading delays many streams.

--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -43,6 +43,7 @@
 	})
 	gauge("savoryshift_vms_alive", func() float64 { return float64(e.fleet.Size(time.Now())) })
 	gauge("savoryshift_peer_age_seconds_max", func() float64 { return e.fleet.OldestPeer(time.Now()).Seconds() })
+	gauge("savoryshift_pause_level_max", e.balancer.HighestPauseLevel)
 	gauge("savoryshift_configuration_version", func() float64 { return float64(e.gateway.Version()) })
 	gauge("savoryshift_quarantined_parts", func() float64 { return float64(len(e.quarantine.Accusations(time.Now()))) })
 	gauge("savoryshift_quarantine_ends", func() float64 {
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -132,6 +132,8 @@
 		s.Calls += l.Calls
 		s.ReadingMs += l.ReadingMs
 		s.RunningPct += l.RunningPct
+		s.Streams += l.Streams
+		s.PausedPct += l.PausedPct
 	}
 }
 
--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -282,7 +282,7 @@
 	}
 	q := &placement.Query{
 		Service: exec.service.Name, Model: model, Rank: rank, Tokens: exec.req.PromptTokens, Parts: exec.req.Parts,
-		Exclude: exec.excluded, Now: now,
+		Exclude: exec.excluded, MaxPause: exec.route.MaxPause, Now: now,
 	}
 	choice, ok := exec.choose(q)
 	if !ok || !exec.passesQuarantine(now) {
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -149,6 +149,7 @@
 	splitter gateway.Splitter
 	codec    gateway.Codec
 	logs     *observer.ObservedLogs
+	metrics  *gateway.Metrics
 	// writes counts the writes to connections of clients.
 	writes atomic.Int64
 	url    string
@@ -183,6 +184,10 @@
 			s.onLongPrompt()
 		}
 	}
+	if o.Metrics == nil {
+		o.Metrics = gateway.NewMetrics()
+	}
+	s.metrics = o.Metrics
 	s.server = gateway.New(o)
 	front := httptest.NewUnstartedServer(s.server)
 	front.Config.ConnContext = cutoff.ConnContext
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -323,7 +323,7 @@
 	c.accept(now, t.pauseTimeout())
 	c.call.FirstEvent(now)
 	c.observeRelease(false, now.Sub(c.start))
-	c.logEvent("first event", zap.Float64("wait", c.choice.Wait), zap.Float64("reading", c.choice.PrefillSeconds))
+	c.logEvent("first event", zap.Float64("wait", c.choice.Wait), zap.Float64("reading", c.choice.PrefillSeconds), zap.Int("streams", c.choice.Streams), zap.Float64("pause_level", c.choice.PauseLevel))
 	if c == t.current {
 		t.timer.Reset(t.firstCheck(c))
 	}
--- a/gateway/streamcall.go
+++ b/gateway/streamcall.go
@@ -132,11 +132,16 @@
 	memory := c.exec.srv.buffers.Share()
 	defer memory.Release()
 	reader := newEventReader(c.response, memory)
+	waited := time.Duration(0)
 	for begun := false; ; {
+		waits := time.Now()
 		data, id, err := reader.next()
+		// The time for which a slow client delays the reader is no pause of the upstream.
+		waited += time.Since(waits)
 		if err == io.EOF && !begun && c.unframed() {
 			err = errNoWholeEvent
 		}
+		first := !begun
 		if err == nil && !isComment(data) {
 			begun = true
 			c.prompt.Event(time.Now())
@@ -153,8 +158,13 @@
 			c.response.Close()
 		case err != nil:
 			event.err = err
-		default:
+		case first || isComment(data):
 			c.call.RecordBytes(event.at)
+		default:
+			c.recordGap(waited, event.at)
+		}
+		if !isComment(data) {
+			waited = 0
 		}
 		if !c.sendEvent(event) || err != nil {
 			return
@@ -162,6 +172,15 @@
 	}
 }
 
+// recordGap records an event that followed the one before after gap.
+func (c *streamCall) recordGap(gap time.Duration, now time.Time) {
+	route := c.exec.route
+	c.call.RecordEvent(gap, route.MaxPause, now)
+	if route.MaxPause > 0 && gap > route.MaxPause {
+		c.exec.srv.opts.Metrics.countLatePause(route.Name)
+	}
+}
+
 // awaitedResult returns the channel of the result until it has been received, and nil
 // afterwards or for a nil call.
 func (c *streamCall) awaitedResult() <-chan *callResult {
--- a/placement/book.go
+++ b/placement/book.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"github.com/savoryshift/savoryshift/admission"
 )
 
 const (
@@ -34,12 +36,18 @@
 	// Running counts the streams that have had their first event, weighted by the
 	// engine time of their model.
 	Running float64
+	// Streams counts the calls that have had their first event. Paused is the sum over them
+	// of the level of the upstream's pauses, see admission.Pauses.
+	Streams int
+	Paused  float64
 }
 
 func (l *Load) add(o Load) {
 	l.Calls += o.Calls
 	l.PrefillSeconds += o.PrefillSeconds
 	l.Running += o.Running
+	l.Streams += o.Streams
+	l.Paused += o.Paused
 }
 
 type upstreamState struct {
@@ -47,6 +55,7 @@
 	own      Load
 	peers    Load
 	slowness slowness
+	pauses   admission.Pauses
 	health   health
 	// cachedAt maps a prompt part and a model to the time of the last prefill.
 	cachedAt map[cacheKey]time.Time
@@ -237,7 +246,7 @@
 	out := map[string]Load{}
 	for id, e := range b.upstreams {
 		if e.own.Calls > 0 {
-			out[id] = e.own
+			out[id] = e.ownLoad()
 		}
 	}
 	return out
--- a/placement/call.go
+++ b/placement/call.go
@@ -164,7 +164,7 @@
 	c.hasFirstEvent = true
 	c.upstream.lastByteAt = now
 	c.b.zone(c.upstream.AvailabilityZone).lastByteAt = now
-	next := Load{Calls: 1, Running: c.runningWeight}
+	next := Load{Calls: 1, Running: c.runningWeight, Streams: 1}
 	c.setLoad(next)
 	if c.predictedPrefill >= minSlownessSample {
 		c.upstream.slowness.observe(now.Sub(c.startedAt).Seconds(), c.predictedFirstEvent)
@@ -180,7 +180,7 @@
 }
 
 func (c *Call) setLoad(next Load) {
-	c.upstream.own.add(Load{Calls: -c.load.Calls, PrefillSeconds: -c.load.PrefillSeconds, Running: -c.load.Running})
+	c.upstream.own.add(c.load.negated())
 	if c.upstream.own.Calls+next.Calls == 0 {
 		c.upstream.own = Load{}
 	}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/savoryshift/savoryshift/admission"
 )
 
 const (
@@ -41,7 +43,10 @@
 	Exclude map[string]bool
 	// Allow reports whether a release may serve the call; nil allows all.
 	Allow func(release string) bool
-	Now   time.Time
+	// MaxPause is the longest pause between two events that the route allows, 0 if it sets
+	// none.
+	MaxPause time.Duration
+	Now      time.Time
 }
 
 // Choice is a chosen upstream with the predictions for the call.
@@ -61,6 +66,12 @@
 	Wait float64
 	// UncachedTokens is the number of prompt tokens that need a prefill.
 	UncachedTokens float64
+	// Streams is the number of streams that run at the upstream, and LateStreams how many of
+	// them the call is expected to make late by pauses, see admission.LateStreams.
+	Streams     int
+	LateStreams float64
+	// PauseLevel is that of the upstream, see admission.Pauses.
+	PauseLevel float64
 	// Candidates is the number of upstreams that were compared.
 	Candidates int
 	// Lapsed is the time since the upstream lost its registration, 0 if it is
@@ -83,13 +94,16 @@
 	var best Choice
 	bestScore := math.Inf(1)
 	candidates := 0
+	pauses := b.pauseLevel(q)
 	for _, e := range b.service[q.Service] {
 		if !b.usable(e, q, lastResort) {
 			continue
 		}
 		candidates++
 		c := b.predict(e, q)
-		score := c.FirstEvent + engineTimeWeight*c.PrefillSeconds*e.slowness.factor() + failurePenalty*e.health.failureRate + b.zoneCost(e, q.Now)
+		prefill := c.PrefillSeconds * e.slowness.factor()
+		c.LateStreams = admission.LateStreams(prefill, q.MaxPause, c.Streams, pauses)
+		score := c.FirstEvent + engineTimeWeight*prefill + failurePenalty*e.health.failureRate + b.zoneCost(e, q.Now) + admission.PauseCost(c.PauseLevel, c.LateStreams)
 		if score < bestScore {
 			best, bestScore = c, score
 		}
@@ -128,10 +142,10 @@
 
 // predict returns the predicted times for a call if it is placed at an upstream.
 func (b *Balancer) predict(e *upstreamState, q *Query) Choice {
-	total := e.own
+	total := e.ownLoad()
 	total.add(e.peers)
 	slow := e.slowness.factor()
-	c := Choice{Upstream: e.Upstream}
+	c := Choice{Upstream: e.Upstream, Streams: total.Streams, PauseLevel: total.pauseLevel()}
 	if q.Model == "" {
 		perSlot := float64(total.Calls+1) / float64(max(1, e.Slots))
 		c.NominalFirstEvent = plainServiceSeconds * (1 + perSlot)
--- /dev/null
+++ b/placement/pauses.go
@@ -0,0 +1,62 @@
+package placement
+
+import "time"
+
+// RecordEvent records an event of the call that followed the one before after gap; allowed
+// is the longest pause that the route of the call allows, 0 if it sets none.
+func (c *Call) RecordEvent(gap, allowed time.Duration, now time.Time) {
+	c.b.mu.Lock()
+	defer c.b.mu.Unlock()
+	c.upstream.lastByteAt = now
+	c.b.zone(c.upstream.AvailabilityZone).lastByteAt = now
+	if !c.ended {
+		c.upstream.pauses.Observe(gap, allowed, now)
+	}
+}
+
+// ownLoad returns the load of this VM with the level of the pauses that it has seen.
+func (e *upstreamState) ownLoad() Load {
+	l := e.own
+	l.Paused = e.pauses.Level() * float64(l.Streams)
+	return l
+}
+
+// pauseLevel returns the level of the pauses, as the mean over the streams of all VMs.
+func (l Load) pauseLevel() float64 {
+	if l.Streams <= 0 {
+		return 0
+	}
+	return l.Paused / float64(l.Streams)
+}
+
+// pauseLevel returns the level of the pauses at all upstreams of the service of a call.
+func (b *Balancer) pauseLevel(q *Query) float64 {
+	if q.Model == "" {
+		return 0
+	}
+	var sum Load
+	for _, e := range b.service[q.Service] {
+		sum.add(e.ownLoad())
+		sum.add(e.peers)
+	}
+	return sum.pauseLevel()
+}
+
+// HighestPauseLevel returns the highest level of pauses among the upstreams at which streams
+// run, see admission.Pauses.
+func (b *Balancer) HighestPauseLevel() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	highest := 0.0
+	for _, e := range b.upstreams {
+		l := e.ownLoad()
+		l.add(e.peers)
+		highest = max(highest, l.pauseLevel())
+	}
+	return highest
+}
+
+// negated returns the load that takes l back.
+func (l Load) negated() Load {
+	return Load{Calls: -l.Calls, PrefillSeconds: -l.PrefillSeconds, Running: -l.Running, Streams: -l.Streams}
+}
