cascade: the larger model pays for streams that it makes late

The price of a request for the larger model included the wait, but not the streams that its prompt delays beyond the pause that their routes allow.

--- a/cascade/cascade.go
+++ b/cascade/cascade.go
@@ -56,6 +56,9 @@
 	// EngineTime is the engine time that the larger model needs; Wait is the time until
 	// its engine starts the request. Both are in seconds.
 	EngineTime, Wait float64
+	// LateStreams is the number of other streams that the larger model is expected to make
+	// late by reading the prompt beside them.
+	LateStreams float64
 	// PredictedFirstEvent is the predicted time to the first event of the larger model; TimeLeft
 	// is the time after which a first event is late.
 	PredictedFirstEvent, TimeLeft time.Duration
@@ -67,7 +70,7 @@
 	// model.
 	Drop bool
 	// Gain is the value that the larger model is expected to add; Price is the cost
-	// of its answer and of its engine time.
+	// of its answer and of its engine time, and what the streams lose that it makes late.
 	Gain, Price float64
 }
 
@@ -75,7 +78,7 @@
 // expected gain from the larger model exceeds its price.
 func Decide(in Input) Decision {
 	gain := poorProbability(in.Confidence) * (1 - poorValueFraction) * in.Value * retainedValueFraction(in.PredictedFirstEvent, in.TimeLeft)
-	price := in.Cost + engineTimePrice(in)*in.EngineTime
+	price := in.Cost + engineTimePrice(in)*in.EngineTime + in.LateStreams*(1-lateValueFraction)*in.Value
 	return Decision{Drop: gain > price, Gain: gain, Price: price}
 }
 
--- a/cascade/cascade_test.go
+++ b/cascade/cascade_test.go
@@ -57,3 +57,20 @@
 	in.PredictedFirstEvent, in.Wait = 4*time.Second, 3.5
 	assert.Assert(t, !Decide(in).Drop, "the larger model would be late")
 }
+
+// Load answered: streams that are late because the engine of the larger model reads prompts
+// beside them. Guards against requests for it that cost other callers more than they gain.
+func TestLateStreamsRaiseThePrice(t *testing.T) {
+	in := Input{Confidence: 30, PredictedFirstEvent: time.Second, TimeLeft: 3 * time.Second, Terms: Terms{Value: 1, Objective: time.Second}}
+	price := Decide(in).Price
+	for _, c := range []struct {
+		late float64
+		drop bool
+	}{{0, true}, {0.5, true}, {1.2, false}, {5, false}} {
+		in.LateStreams = c.late
+		d := Decide(in)
+		assert.Equal(t, d.Drop, c.drop, "%v", c.late)
+		assert.Assert(t, d.Price >= price, "%v", c.late)
+		price = d.Price
+	}
+}
--- a/gateway/escalation.go
+++ b/gateway/escalation.go
@@ -23,7 +23,7 @@
 	d := cascade.Decide(in)
 	ok := d.Drop && t.chargeRetry()
 	c.logEvent("confidence", zap.Int("confidence", in.Confidence), zap.Duration("larger", in.PredictedFirstEvent), zap.Duration("left", in.TimeLeft),
-		zap.Float64("wait", in.Wait), zap.Float64("mean_wait", in.MeanWait), zap.Float64("value", in.Value), zap.Float64("engine_time_value", in.EngineTimeValue), zap.Float64("gain", d.Gain), zap.Float64("price", d.Price), zap.Bool("dropped", ok))
+		zap.Float64("wait", in.Wait), zap.Float64("mean_wait", in.MeanWait), zap.Float64("pause_level", escalation.choice.PauseLevel), zap.Int("streams", escalation.choice.Streams), zap.Float64("late_streams", in.LateStreams), zap.Float64("value", in.Value), zap.Float64("engine_time_value", in.EngineTimeValue), zap.Float64("gain", d.Gain), zap.Float64("price", d.Price), zap.Bool("dropped", ok))
 	if !ok {
 		t.unplace(escalation)
 		return
@@ -46,6 +46,7 @@
 		Cost:                cascade.Cost(request.Price, request.GeneratedTokens, next.choice.UncachedTokens),
 		EngineTime:          request.EngineTime,
 		Wait:                next.choice.Wait,
+		LateStreams:         next.choice.LateStreams,
 		PredictedFirstEvent: time.Duration(next.choice.FirstEvent * float64(time.Second)),
 		TimeLeft:            t.route.Objective - now.Sub(t.start),
 	}
