placement: the comparison of upstreams takes half of its time

What the predictions for all upstreams have in common is computed once, and the chosen upstream alone is copied. Predictions are the same.

--- a/admission/pauses.go
+++ b/admission/pauses.go
@@ -74,15 +74,14 @@
 func (p *Pauses) Level() float64 { return p.mean }
 
 // LateStreams returns the expected number of streams that a prompt makes late which an
-// engine reads beside them. prefill is the predicted time of the reading in seconds, allowed
-// the longest pause that the route allows, and level that of the pauses at the engines of
-// the service, which read alike.
-func LateStreams(prefill float64, allowed time.Duration, streams int, level float64) float64 {
-	share := prefill
-	if allowed > 0 {
-		share /= allowed.Seconds()
+// engine reads beside them. share is the predicted time of the reading as a share of the
+// longest pause that the route allows, and level that of the pauses at the engines of the
+// service, which read alike.
+func LateStreams(share float64, streams int, level float64) float64 {
+	if level <= freeLevel {
+		return 0
 	}
-	return max(0, level-freeLevel) * float64(streams) * max(0, min(1, share))
+	return (level - freeLevel) * float64(streams) * min(1, share)
 }
 
 // PauseCost returns the cost in seconds of a request at an engine by pauses: those that its
--- a/admission/pauses_test.go
+++ b/admission/pauses_test.go
@@ -32,7 +32,7 @@
 
 // cost returns the cost of a prompt of one second beside 20 streams.
 func cost(p *Pauses) float64 {
-	return PauseCost(p.Level(), LateStreams(1, allowed, 20, p.Level()))
+	return PauseCost(p.Level(), LateStreams(0.8, 20, p.Level()))
 }
 
 // Guards against a cost for engines that are sound: they pause for about a second now and
@@ -89,10 +89,10 @@
 			assert.Assert(t, p.Level() >= 0 && p.Level() <= 1, "seed %d", seed)
 		}
 		assert.Equal(t, p, again, "seed %d", seed)
-		prefill, streams, level := 2*r.Float64(), r.IntN(40), r.Float64()
-		late := LateStreams(prefill, allowed, streams, level)
-		assert.Assert(t, late >= 0 && late <= float64(streams) && late <= LateStreams(prefill+0.1, allowed, streams, level), "seed %d", seed)
-		assert.Assert(t, late <= LateStreams(prefill, allowed, streams+1, level) && late <= LateStreams(prefill, allowed, streams, level+0.1), "seed %d", seed)
+		share, streams, level := 2*r.Float64(), r.IntN(40), r.Float64()
+		late := LateStreams(share, streams, level)
+		assert.Assert(t, late >= 0 && late <= float64(streams) && late <= LateStreams(share+0.1, streams, level), "seed %d", seed)
+		assert.Assert(t, late <= LateStreams(share, streams+1, level) && late <= LateStreams(share, streams, level+0.1), "seed %d", seed)
 		assert.Assert(t, PauseCost(level, late) <= PauseCost(level+0.1, late) && PauseCost(level, late) <= PauseCost(level, late+1), "seed %d", seed)
 	}
 }
@@ -104,5 +104,5 @@
 	p.Observe(time.Second, 0, start)
 	p.Observe(-time.Second, allowed, start)
 	assert.Equal(t, p, Pauses{})
-	assert.Equal(t, PauseCost(0, LateStreams(3, 0, 0, 1)), 0.0)
+	assert.Equal(t, PauseCost(0, LateStreams(3, 0, 1)), 0.0)
 }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -91,28 +91,48 @@
 }
 
 func (b *Balancer) best(q *Query, lastResort bool) (Choice, bool) {
-	var best Choice
+	var best, c Choice
+	var chosen *upstreamState
 	bestScore := math.Inf(1)
 	candidates := 0
-	pauses := b.pauseLevel(q)
+	common := b.prepare(q)
 	for _, e := range b.service[q.Service] {
 		if !b.usable(e, q, lastResort) {
 			continue
 		}
 		candidates++
-		c := b.predict(e, q)
+		b.predict(e, q, &common, &c)
 		prefill := c.PrefillSeconds * e.slowness.factor()
-		c.LateStreams = admission.LateStreams(prefill, q.MaxPause, c.Streams, pauses)
 		score := c.FirstEvent + engineTimeWeight*prefill + failurePenalty*e.health.failureRate + b.zoneCost(e, q.Now) + admission.PauseCost(c.PauseLevel, c.LateStreams)
 		if score < bestScore {
-			best, bestScore = c, score
+			best, bestScore, chosen = c, score, e
 		}
 	}
-	best.Candidates = candidates
-	if e := b.upstreams[best.ID]; candidates > 0 && !e.unregisteredAt.IsZero() {
-		best.Lapsed = q.Now.Sub(e.unregisteredAt)
+	if chosen == nil {
+		return Choice{}, false
 	}
-	return best, candidates > 0
+	best.Upstream, best.Candidates = chosen.Upstream, candidates
+	if !chosen.unregisteredAt.IsZero() {
+		best.Lapsed = q.Now.Sub(chosen.unregisteredAt)
+	}
+	return best, true
+}
+
+// terms are what the predictions of a call for all upstreams have in common.
+type terms struct {
+	// tokenSeconds is the prefill time of a prompt token.
+	tokenSeconds float64
+	// pauseLevel is that of the pauses at all upstreams of the service, pausesPerSecond the
+	// number of allowed pauses in a second.
+	pauseLevel, pausesPerSecond float64
+}
+
+func (b *Balancer) prepare(q *Query) terms {
+	t := terms{tokenSeconds: prefillSeconds(1, q.Rank), pauseLevel: b.pauseLevel(q), pausesPerSecond: 1}
+	if q.MaxPause > 0 {
+		t.pausesPerSecond = 1 / q.MaxPause.Seconds()
+	}
+	return t
 }
 
 // zoneCost returns the penalty, in seconds, for the availability zone of an
@@ -131,7 +151,7 @@
 // calls, and unreachable ones, are excluded even as a last resort: refusing a request at
 // once is better than waiting for a connection.
 func (b *Balancer) usable(e *upstreamState, q *Query, lastResort bool) bool {
-	if !e.acceptsCalls(q.Now) || q.Exclude[e.ID] || q.Allow != nil && !q.Allow(e.Release) || e.health.isUnreachable(q.Now) {
+	if !e.acceptsCalls(q.Now) || len(q.Exclude) > 0 && q.Exclude[e.ID] || q.Allow != nil && !q.Allow(e.Release) || e.health.isUnreachable(q.Now) {
 		return false
 	}
 	if !e.unregisteredAt.IsZero() {
@@ -140,25 +160,27 @@
 	return lastResort || !e.health.ejected(q.Now)
 }
 
-// predict returns the predicted times for a call if it is placed at an upstream.
-func (b *Balancer) predict(e *upstreamState, q *Query) Choice {
-	total := e.ownLoad()
-	total.add(e.peers)
-	slow := e.slowness.factor()
-	c := Choice{Upstream: e.Upstream, Streams: total.Streams, PauseLevel: total.pauseLevel()}
+// predict sets the predicted times for a call if it is placed at an upstream.
+func (b *Balancer) predict(e *upstreamState, q *Query, common *terms, c *Choice) {
+	own, peers, slow := &e.own, &e.peers, e.slowness.factor()
 	if q.Model == "" {
-		perSlot := float64(total.Calls+1) / float64(max(1, e.Slots))
+		perSlot := float64(own.Calls+peers.Calls+1) / float64(max(1, e.Slots))
 		c.NominalFirstEvent = plainServiceSeconds * (1 + perSlot)
 		c.FirstEvent = slow * c.NominalFirstEvent
-		return c
+		return
 	}
+	c.Streams, c.PauseLevel = own.Streams+peers.Streams, 0
+	queued := own.PrefillSeconds + peers.PrefillSeconds
 	c.UncachedTokens = float64(max(minPrefillTokens, q.Tokens-e.cachedTokens(q, b.options.CacheLifetime)))
-	c.PrefillSeconds = prefillSeconds(c.UncachedTokens, q.Rank)
-	slowdown := 1 + runningSlowdown*total.Running
-	c.Wait = total.PrefillSeconds * slowdown * slow
-	c.NominalFirstEvent = firstEventFloor + (total.PrefillSeconds+c.PrefillSeconds)*slowdown
+	c.PrefillSeconds = c.UncachedTokens * common.tokenSeconds
+	slowdown := 1 + runningSlowdown*(own.Running+peers.Running)
+	c.Wait = queued * slowdown * slow
+	c.NominalFirstEvent = firstEventFloor + (queued+c.PrefillSeconds)*slowdown
 	c.FirstEvent = slow * c.NominalFirstEvent
-	return c
+	if paused := e.paused(); paused > 0 && c.Streams > 0 {
+		c.PauseLevel = paused / float64(c.Streams)
+	}
+	c.LateStreams = admission.LateStreams(c.PrefillSeconds*slow*common.pausesPerSecond, c.Streams, common.pauseLevel)
 }
 
 // minPrefillTokens is the least number of tokens that any prompt needs prefilled,
--- a/placement/pauses.go
+++ b/placement/pauses.go
@@ -21,6 +21,11 @@
 	return l
 }
 
+// paused returns Load.Paused of the load of all VMs.
+func (e *upstreamState) paused() float64 {
+	return e.pauses.Level()*float64(e.own.Streams) + e.peers.Paused
+}
+
 // pauseLevel returns the level of the pauses, as the mean over the streams of all VMs.
 func (l Load) pauseLevel() float64 {
 	if l.Streams <= 0 {
@@ -36,8 +41,8 @@
 	}
 	var sum Load
 	for _, e := range b.service[q.Service] {
-		sum.add(e.ownLoad())
-		sum.add(e.peers)
+		sum.Streams += e.own.Streams + e.peers.Streams
+		sum.Paused += e.paused()
 	}
 	return sum.pauseLevel()
 }
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -25,9 +25,16 @@
 type slowness struct {
 	logFactor    float64
 	observations float64
+	// exp is the exponential of logFactor once there is an observation.
+	exp float64
 }
 
-func (s *slowness) factor() float64 { return math.Exp(s.logFactor) }
+func (s *slowness) factor() float64 {
+	if s.observations == 0 {
+		return 1
+	}
+	return s.exp
+}
 
 // observe updates the learned slowness with a measured and a predicted time.
 func (s *slowness) observe(measured, predicted float64) {
@@ -39,6 +46,7 @@
 	s.observations++
 	s.logFactor += gain * math.Log(ratio)
 	s.logFactor = math.Max(math.Log(minSlowness), math.Min(math.Log(maxSlowness), s.logFactor))
+	s.exp = math.Exp(s.logFactor)
 }
 
 const (
