gateway: a request that no engine is expected to serve in time is refused at once

Such a request waited behind others until its client left, and its prompt was read for nobody. It is refused before its first call (503, deadline_too_short) if no upstream that may serve it has a free slot and the first event is expected, at the soonest upstream and with the learned error of the prediction, after the deadline or after clients of the route leave. Retry-After names the time by which the queues are too long, spread within a third of the time that the client has left. Requests that may have run, resumed streams and plain services are not refused by prediction.

--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/savoryshift/savoryshift/placement"
 )
 
 // metric returns the line of a metric of the gateway, empty if there is none.
@@ -46,3 +48,50 @@
 	assert.Assert(t, <-learned > 0.1)
 	assert.Equal(t, s.metric("savoryshift_late_pauses_total"), `savoryshift_late_pauses_total{route="stream"} 2`)
 }
+
+// Load answered: engines whose queues are longer than clients wait. Guards against requests
+// that wait in vain, against refusals of requests that may have run or while an engine has
+// room, and against clients that are told to return all at once or later than they wait.
+func TestRequestsAreRefusedByPrediction(t *testing.T) {
+	const patience = 3 * time.Second
+	full := placement.Load{Calls: 4, PrefillSeconds: 20}
+	for name, c := range map[string]struct {
+		loads   map[string]placement.Load
+		last    string
+		refused bool
+	}{
+		"all engines are full":           {map[string]placement.Load{"a": full, "b": full}, "", true},
+		"one has room":                   {map[string]placement.Load{"a": full, "b": {Calls: 3, PrefillSeconds: 20}}, "", false},
+		"one is soon done":               {map[string]placement.Load{"a": full, "b": {Calls: 4, PrefillSeconds: 0.5}}, "", false},
+		"the stream has begun elsewhere": {map[string]placement.Load{"a": full, "b": full}, "1", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			a, b := startUpstream(t, "a", events(3, lastChunk)), startUpstream(t, "b", events(3, lastChunk))
+			s := newSystem(t, registration(a, "v1"), registration(b, "v1")).configure()
+			s.book.SetPeer("p", c.loads, time.Now())
+			delays := map[string]bool{}
+			for i := range 5 {
+				begun := time.Now()
+				got := s.call("/stream/x", "Model: small", fmt.Sprint("Id: r", i), "Tokens: 500", "Patience: 3000", "Last: "+c.last)
+				if !c.refused {
+					assert.Equal(t, got.status, http.StatusOK)
+					continue
+				}
+				assert.Equal(t, got.status, http.StatusServiceUnavailable)
+				assert.Assert(t, time.Since(begun) < time.Second)
+				after, err := time.ParseDuration(got.header.Get("Retry-After"))
+				assert.NilError(t, err)
+				assert.Assert(t, after > 0 && after <= patience/3, "%v", after)
+				delays[got.header.Get("Retry-After")] = true
+			}
+			if !c.refused {
+				return
+			}
+			assert.Equal(t, len(a.received())+len(b.received()), 0)
+			assert.Assert(t, len(delays) >= 4, "%v", delays)
+			assert.Equal(t, s.metric("savoryshift_refused_by_prediction_total"), `savoryshift_refused_by_prediction_total{route="stream"} 5`)
+			assert.Equal(t, s.logs.FilterMessage("refused by prediction").Len(), 5)
+		})
+	}
+}
--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/savoryshift/savoryshift/admission"
 	"github.com/savoryshift/savoryshift/errkind"
 	"github.com/savoryshift/savoryshift/internal/bodybudget"
 	"github.com/savoryshift/savoryshift/placement"
@@ -88,6 +89,9 @@
 	anyCallFailed bool
 	// lastUnsent is set if no byte of the last call was written.
 	lastUnsent bool
+	// admission is the decision that keeps the request from its first call, nil if there is
+	// none.
+	admission *admission.Admission
 	// mayHaveRun is set once a call ran or may have run. The client must then not
 	// be told that the request was not run.
 	mayHaveRun bool
@@ -193,6 +197,8 @@
 		exec.refuseForStop()
 	case !exec.mayHaveRun && exec.quarantined.Refused:
 		exec.refuseQuarantined()
+	case !exec.mayHaveRun && exec.admission != nil:
+		exec.refuseLate(time.Now())
 	case exec.mayHaveRun:
 		exec.logNoUpstream()
 		exec.fail(errkind.UpstreamFailed)
@@ -285,7 +291,7 @@
 		Exclude: exec.excluded, MaxPause: exec.route.MaxPause, Now: now,
 	}
 	choice, ok := exec.choose(q)
-	if !ok || !exec.passesQuarantine(now) {
+	if !ok || exec.refusesLate(q, choice, now) || !exec.passesQuarantine(now) {
 		return nil
 	}
 	call := exec.srv.opts.Balancer.Start(choice, q)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -32,6 +32,10 @@
 	m.set.GetOrCreateCounter(`savoryshift_call_events_total{event="` + sanitizeLabel(event) + `"}`).Inc()
 }
 
+func (m *Metrics) countRefusedLate(route string) {
+	m.set.GetOrCreateCounter(`savoryshift_refused_by_prediction_total{route="` + sanitizeLabel(route) + `"}`).Inc()
+}
+
 func (m *Metrics) countLatePause(route string) {
 	m.set.GetOrCreateCounter(`savoryshift_late_pauses_total{route="` + sanitizeLabel(route) + `"}`).Inc()
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -78,6 +78,7 @@
 	received   atomic.Int64
 	valuations valuations
 	durations  routeDurations
+	accuracies accuracies
 	// buffers is the memory for responses, bodies that for the bodies of requests.
 	buffers, bodies *bodybudget.Budget
 	ends            endExaminer
@@ -115,6 +116,7 @@
 	exists := func(route string) bool { return names[route] }
 	srv.durations.keep(exists)
 	srv.valuations.keep(st.Snapshot, exists)
+	srv.accuracies.keep(func(service string) bool { return st.Snapshot.Service(service) != nil })
 }
 
 // Version returns the version of the configuration in force, 0 before there is one.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -322,6 +322,7 @@
 	now := time.Now()
 	c.accept(now, t.pauseTimeout())
 	c.call.FirstEvent(now)
+	c.observePrediction(now)
 	c.observeRelease(false, now.Sub(c.start))
 	c.logEvent("first event", zap.Float64("wait", c.choice.Wait), zap.Float64("reading", c.choice.PrefillSeconds), zap.Int("streams", c.choice.Streams), zap.Float64("pause_level", c.choice.PauseLevel))
 	if c == t.current {
