gateway: organisations over their fair part of the engines are served later

One organisation that sends several times its usual load kept the requests of all others waiting, and clients that repeat at once made it worse. Each call is charged with its engine time to its organisation, in a window of 3 s, and VMs tell each other the 16 largest uses and the engine time that engines served (a field of fleet.Report). While more calls are in flight than the engines have slots, calls of an organisation above the max-min fair part of what is served get the engine priority after that of others on their route. It stays below the base priority of the next less urgent route.

What is served is measured: slots over calls in flight, tried first, counts the length of the queue as overload, so that all organisations were over their part.

--- a/entry/control.go
+++ b/entry/control.go
@@ -128,6 +128,7 @@
 	}
 	r.Leaving = e.balancer.LeavingSince(now.Add(-recentWindow), now)
 	r.Quarantine = e.quarantine.Report(recentWindow, evidence, now)
+	r.Organisations = e.fairness.Report(now)
 	if evidence {
 		r.Leaving = e.balancer.LeavingSince(time.Time{}, now)
 		r.Rollouts = e.rollouts.Evidence()
@@ -145,6 +146,7 @@
 		}
 	}
 	e.quarantine.Merge(r.Quarantine, now)
+	e.fairness.SetPeer(source, r.Organisations, now)
 	e.rollouts.AddSessions(r.Sessions, now)
 	e.rollouts.Merge(source, r.Rollouts)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/samber/oops"
 	"go.uber.org/zap"
 
+	"github.com/savoryshift/savoryshift/admission"
 	"github.com/savoryshift/savoryshift/exchange"
 	"github.com/savoryshift/savoryshift/fleet"
 	"github.com/savoryshift/savoryshift/gateway"
@@ -100,9 +101,11 @@
 	rollouts *rollout.Manager
 	// quarantine holds the parts of prompts that end upstreams.
 	quarantine *quarantine.Tracker
-	fleet      *fleet.Fleet
-	idle       *idleconn.Closer
-	started    time.Time
+	// fairness holds the engine time that organisations use.
+	fairness *admission.Fairness
+	fleet    *fleet.Fleet
+	idle     *idleconn.Closer
+	started  time.Time
 
 	orders, upstreams, status, findings *mirror.Mirror
 	tables                              map[string]*table
@@ -146,8 +149,9 @@
 		Incarnation: e.started.UnixNano(), Seeds: s.Seeds, Node: e, Log: opts.Log, MaxReceived: int64(receivedShare * float64(s.MemoryBytes)),
 	})
 	e.quarantine = e.newQuarantine()
+	e.fairness = admission.NewFairness()
 	e.gateway = gateway.New(gateway.Options{
-		Codec: platform.Codec{}, Balancer: e.balancer, Pool: e.pool, Splitter: e.rollouts, RetryBudget: e.budget, Log: opts.Log, Metrics: e.metrics, Quarantine: e.quarantine, Announce: e.fleet.Announce,
+		Codec: platform.Codec{}, Balancer: e.balancer, Pool: e.pool, Splitter: e.rollouts, RetryBudget: e.budget, Log: opts.Log, Metrics: e.metrics, Quarantine: e.quarantine, Fairness: e.fairness, Announce: e.fleet.Announce,
 		MaxBuffered: int64(bufferedShare * float64(s.MemoryBytes)), MaxRequestBodies: int64(requestBodyShare * float64(s.MemoryBytes)),
 	})
 	e.tables = map[string]*table{}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/savoryshift/savoryshift/admission"
 	"github.com/savoryshift/savoryshift/mirror"
 	"github.com/savoryshift/savoryshift/placement"
 	"github.com/savoryshift/savoryshift/quarantine"
@@ -63,6 +64,9 @@
 	// Quarantine is what the sender knows of parts of prompts that end upstreams, also
 	// from its peers. Builds before this field ignore it.
 	Quarantine quarantine.Report
+	// Organisations is the engine time that organisations used lately. Builds before this
+	// field ignore it.
+	Organisations admission.Report
 }
 
 // Digest is the message that two VMs send each other in an exchange.
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/savoryshift/savoryshift/admission"
 	"github.com/savoryshift/savoryshift/placement"
 	"github.com/savoryshift/savoryshift/rollout"
 )
@@ -75,12 +76,14 @@
 	// Each VM tells on what it has learned from its peers, so its own list holds theirs.
 	out := Report{Uses: own.Uses, Sessions: own.Sessions, Leaving: own.Leaving, Quarantine: own.Quarantine}
 	addLoads(loads, own.Loads)
+	uses := []admission.Report{own.Organisations}
 	add := func(p *receivedReport) {
 		age := now.Sub(p.at)
 		if age > reportLifetime {
 			return
 		}
 		addLoads(loads, p.report.Loads)
+		uses = append(uses, p.report.Organisations)
 		for _, u := range p.report.Uses {
 			u.Age += age
 			out.Uses = append(out.Uses, u)
@@ -103,6 +106,7 @@
 	for _, l := range loads {
 		out.Loads = append(out.Loads, *l)
 	}
+	out.Organisations = admission.SumReports(uses...)
 	out.trim()
 	if evidence {
 		out.Rollouts = rs.evidenceSum(own.Rollouts, except, zones)
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -11,6 +11,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/savoryshift/savoryshift/admission"
+	"github.com/savoryshift/savoryshift/gateway"
 	"github.com/savoryshift/savoryshift/placement"
 )
 
@@ -95,3 +97,34 @@
 		})
 	}
 }
+
+// Load answered: one organisation uses most of the engines while these are saturated. Guards
+// against its calls that are served before those of others, and against an effect without
+// saturation or by the use that only this VM knows.
+func TestOrganisationsOverTheirPartAreServedLater(t *testing.T) {
+	a := startUpstream(t, "a", events(3, lastChunk))
+	s := newSystem(t, registration(a, "v1"))
+	fairness := admission.NewFairness()
+	s.restart(gateway.Options{Fairness: fairness}).configure()
+	now := time.Now()
+	for i, c := range []struct {
+		calls    int
+		use      float64
+		priority string
+	}{{3, 10, "2"}, {8, 10, "3"}, {8, 0.5, "2"}} {
+		s.book.SetPeer("p", map[string]placement.Load{"a": {Calls: c.calls}}, time.Now())
+		other, greedy := admission.NewFairness(), admission.NewFairness()
+		other.Charge("other", 2, now)
+		other.Serve("other", 2, now)
+		greedy.Charge("org", c.use, now)
+		greedy.Serve("org", c.use/2, now)
+		fairness.SetPeer("p", admission.SumReports(other.Report(now), greedy.Report(now)), time.Now())
+		assert.Equal(t, s.call("/stream/x", "Model: small", fmt.Sprint("Id: r", i), "Tokens: 500").status, http.StatusOK)
+		received := a.received()
+		assert.Equal(t, received[len(received)-1].Header.Get("Engine-Priority"), c.priority, "%+v", c)
+	}
+	assert.Equal(t, s.logs.FilterMessage("over fair part").Len(), 1)
+	assert.Equal(t, s.metric("savoryshift_over_fair_part_total"), `savoryshift_over_fair_part_total{route="stream"} 1`)
+	report := fairness.Report(time.Now())
+	assert.Assert(t, len(report.Uses) == 1 && report.Uses[0].Ms > 0 && report.ServedMs > 0, "%+v", report)
+}
--- a/gateway/escalation.go
+++ b/gateway/escalation.go
@@ -55,7 +55,8 @@
 const (
 	// The engine priority of a request is baseEnginePriority plus
 	// enginePriorityStep times its route or organisation priority; lower values are
-	// served first. The step of 2 leaves a value for repeated calls in between.
+	// served first. The step of 2 leaves a value in between: for repeated calls of the less
+	// urgent priority and for calls of organisations over their fair part of the more urgent.
 	// maxEnginePriority is the largest value, which is served last.
 	baseEnginePriority = 2
 	enginePriorityStep = 2
@@ -65,11 +66,15 @@
 // enginePriority returns the scheduling priority at the engine. After a call of
 // the request has run, further calls, such as one that replaces a dropped
 // response or resumes a stream, are served before first calls of the same
-// priority.
-func (t *streamExecution) enginePriority() int {
+// priority. Calls of an organisation over its fair part are served after those of others of
+// the same priority, and not after first calls of the next one.
+func (t *streamExecution) enginePriority(overFairPart bool) int {
 	p := baseEnginePriority + enginePriorityStep*t.priority
 	if t.runs > 0 {
 		p--
 	}
+	if overFairPart {
+		p++
+	}
 	return max(0, min(maxEnginePriority, p))
 }
--- a/gateway/gatewaytest/codec.go
+++ b/gateway/gatewaytest/codec.go
@@ -38,7 +38,7 @@
 func (Codec) Encode(r *gateway.Request, c gateway.Call) http.Header {
 	return http.Header{
 		"Id": {r.ID}, "Upstream": {c.Upstream}, "Organisation": {c.Organisation}, "Model": {c.Model}, "Last": {c.LastEventID},
-		"Left": {strconv.FormatInt(c.Left.Milliseconds(), 10)},
+		"Left": {strconv.FormatInt(c.Left.Milliseconds(), 10)}, "Engine-Priority": {strconv.Itoa(c.EnginePriority)},
 	}
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -36,6 +36,10 @@
 	m.set.GetOrCreateCounter(`savoryshift_refused_by_prediction_total{route="` + sanitizeLabel(route) + `"}`).Inc()
 }
 
+func (m *Metrics) countOverFairPart(route string) {
+	m.set.GetOrCreateCounter(`savoryshift_over_fair_part_total{route="` + sanitizeLabel(route) + `"}`).Inc()
+}
+
 func (m *Metrics) countLatePause(route string) {
 	m.set.GetOrCreateCounter(`savoryshift_late_pauses_total{route="` + sanitizeLabel(route) + `"}`).Inc()
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/savoryshift/savoryshift/admission"
 	"github.com/savoryshift/savoryshift/cascade"
 	"github.com/savoryshift/savoryshift/errkind"
 	"github.com/savoryshift/savoryshift/exchange"
@@ -46,6 +47,9 @@
 	// Quarantine holds the parts of prompts that end upstreams. Default: one without
 	// peers.
 	Quarantine *quarantine.Tracker
+	// Fairness holds the engine time that organisations use, with that of peers. Default: one
+	// without peers.
+	Fairness *admission.Fairness
 	// Announce is called after a call with a long prompt is placed and after an upstream
 	// ended under a request, so that peers learn of it at once; it may be nil.
 	Announce func()
@@ -93,6 +97,9 @@
 	if opts.Quarantine == nil {
 		opts.Quarantine = quarantine.New(quarantine.Options{})
 	}
+	if opts.Fairness == nil {
+		opts.Fairness = admission.NewFairness()
+	}
 	if opts.MaxBuffered == 0 {
 		opts.MaxBuffered = defaultMaxBuffered
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -284,6 +284,7 @@
 	outcome := placement.Failed
 	if result.resultClass == notRun {
 		outcome = placement.Neutral
+		c.returnCharge()
 	}
 	c.end(outcome)
 	t.exclude(c.choice.ID)
@@ -323,6 +324,7 @@
 	c.accept(now, t.pauseTimeout())
 	c.call.FirstEvent(now)
 	c.observePrediction(now)
+	c.recordEngineTime(now)
 	c.observeRelease(false, now.Sub(c.start))
 	c.logEvent("first event", zap.Float64("wait", c.choice.Wait), zap.Float64("reading", c.choice.PrefillSeconds), zap.Int("streams", c.choice.Streams), zap.Float64("pause_level", c.choice.PauseLevel))
 	if c == t.current {
--- a/gateway/streamcall.go
+++ b/gateway/streamcall.go
@@ -66,6 +66,10 @@
 	triedEarly bool
 	// probed is set when the upstream was probed since the last progress.
 	probed bool
+	// engineTime is the engine time in seconds that was charged to the organisation.
+	// overFairPart is set if the organisation had then used more than its fair part.
+	engineTime   float64
+	overFairPart bool
 	// tried is the upstream of the last candidate that was dropped, empty if none was.
 	tried string
 }
@@ -81,7 +85,8 @@
 		result: make(chan *callResult, 1), events: make(chan streamEvent, 1),
 		timeout: max(minFirstEventTimeout, time.Duration(firstEventTimeoutFactor*a.choice.FirstEvent*float64(time.Second))),
 	}
-	go c.run(t.lastEventID, t.enginePriority())
+	t.chargeOrganisation(c)
+	go c.run(t.lastEventID, t.enginePriority(c.overFairPart))
 	return c
 }
 
--- a/placement/prospects.go
+++ b/placement/prospects.go
@@ -42,3 +42,27 @@
 	}
 	return p
 }
+
+// Occupancy returns the calls of all VMs in flight at the registered upstreams of a service,
+// and their slots.
+func (b *Balancer) Occupancy(service string) (calls, slots int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range b.service[service] {
+		if e.unregisteredAt.IsZero() {
+			calls += e.own.Calls + e.peers.Calls
+			slots += e.Slots
+		}
+	}
+	return calls, slots
+}
+
+// outputTokenSeconds is the engine time per generated token relative to that per prompt
+// token: a token is generated in a step of its own, which it shares with other streams.
+const outputTokenSeconds = 10
+
+// EngineSeconds returns the engine time in seconds that a call takes, with an expected number
+// of generated tokens.
+func (c *Choice) EngineSeconds(output, rank int) float64 {
+	return c.PrefillSeconds + prefillSeconds(outputTokenSeconds*float64(output), rank)
+}
