--- a/placement/book.go
+++ b/placement/book.go
@@ -114,6 +114,8 @@
 	peers      map[string]peerState
 	recentUses []cacheEvent
 	zones      map[string]*zone
+	// pauses are the last levels of the pauses at all upstreams of a service.
+	pauses map[string]servicePauses
 	// listSetAt is the time of the last SetUpstreams call.
 	listSetAt time.Time
 }
@@ -128,7 +130,7 @@
 	}
 	return &Balancer{
 		options: options, upstreams: map[string]*upstreamState{}, service: map[string][]*upstreamState{},
-		notices: map[Instance]*notices{}, peers: map[string]peerState{}, zones: map[string]*zone{},
+		notices: map[Instance]*notices{}, peers: map[string]peerState{}, zones: map[string]*zone{}, pauses: map[string]servicePauses{},
 	}
 }
 
@@ -217,6 +219,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.peers[vm] = peerState{receivedAt: now, loads: loads}
+	clear(b.pauses)
 	b.recomputePeerLoads(now)
 }
 
--- a/placement/pauses.go
+++ b/placement/pauses.go
@@ -34,13 +34,32 @@
 	return l.Paused / float64(l.Streams)
 }
 
+// pauseLevelLifetime is the age at which the level of the pauses at all upstreams of a service
+// is computed again. Levels change within seconds.
+const pauseLevelLifetime = 100 * time.Millisecond
+
+// servicePauses is the level of the pauses at all upstreams of a service at a time.
+type servicePauses struct {
+	level float64
+	at    time.Time
+}
+
 // pauseLevel returns the level of the pauses at all upstreams of the service of a call.
 func (b *Balancer) pauseLevel(q *Query) float64 {
 	if q.Model == "" {
 		return 0
 	}
+	known, ok := b.pauses[q.Service]
+	if age := q.Now.Sub(known.at); !ok || age < 0 || age >= pauseLevelLifetime {
+		known = servicePauses{b.sumPauses(q.Service), q.Now}
+		b.pauses[q.Service] = known
+	}
+	return known.level
+}
+
+func (b *Balancer) sumPauses(service string) float64 {
 	var sum Load
-	for _, e := range b.service[q.Service] {
+	for _, e := range b.service[service] {
 		sum.Streams += e.own.Streams + e.peers.Streams
 		sum.Paused += e.paused()
 	}
