placement: calls go to engines whose memory holds them

An engine ends when the requests that it holds exceed its memory, and rejects one larger than its memory as if it were full. The prompt tokens and expected generated tokens of the calls in flight of all VMs are summed by upstream (a field of LoadReport), and a call goes to an engine that holds it besides these. If none does, the call is placed as before, because the sum also counts calls that wait. A prompt that no engine can ever hold is refused at once, without a time to retry.

--- a/fleet/load_test.go
+++ b/fleet/load_test.go
@@ -14,7 +14,7 @@
 // Guards against loads, pauses and uses of engine time that get lost at a delegate, and against
 // reports that grow with the number of organisations.
 func TestDelegatesForwardLoadsAndUses(t *testing.T) {
-	load := placement.Load{Calls: 3, PrefillSeconds: 1.5, Running: 2, Streams: 2, Paused: 0.5}
+	load := placement.Load{Calls: 3, PrefillSeconds: 1.5, Running: 2, Streams: 2, Paused: 0.5, Tokens: 9000}
 	assert.Equal(t, DecodeLoads(EncodeLoads(map[string]placement.Load{"e": load}))["e"], load)
 	now := time.Unix(100, 0)
 	rs := newReportStore()
@@ -31,7 +31,7 @@
 	}
 	rs.record(Digest{From: Member{VM: "c", AvailabilityZone: "other"}, Scope: ZoneScope, Report: report()}, "c@1", "z", now)
 	sum := rs.othersSum(report(), "b", false, now)
-	assert.DeepEqual(t, DecodeLoads(sum.Loads)["e"], placement.Load{Calls: 9, PrefillSeconds: 4.5, Running: 6, Streams: 6, Paused: 1.5})
+	assert.DeepEqual(t, DecodeLoads(sum.Loads)["e"], placement.Load{Calls: 9, PrefillSeconds: 4.5, Running: 6, Streams: 6, Paused: 1.5, Tokens: 27000})
 	assert.Equal(t, len(sum.Organisations.Uses), len(report().Organisations.Uses))
 	assert.Equal(t, sum.Organisations.Uses[0].Ms, 3000)
 	assert.Equal(t, sum.Organisations.ServedMs, 90_000)
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -33,8 +33,8 @@
 	// placement.Load.Running in hundredths.
 	ReadingMs, RunningPct int
 	// Streams is placement.Load.Streams, and PausedPct is placement.Load.Paused in
-	// hundredths. Builds before these fields ignore them.
-	Streams, PausedPct int
+	// hundredths. Tokens is placement.Load.Tokens. Builds before these fields ignore them.
+	Streams, PausedPct, Tokens int
 }
 
 // Scope tells whose state the report of a digest covers.
@@ -104,7 +104,7 @@
 func EncodeLoads(loads map[string]placement.Load) []LoadReport {
 	out := make([]LoadReport, 0, len(loads))
 	for id, l := range loads {
-		out = append(out, LoadReport{Upstream: id, Calls: l.Calls, ReadingMs: int(l.PrefillSeconds * 1000), RunningPct: int(l.Running * 100), Streams: l.Streams, PausedPct: int(l.Paused * 100)})
+		out = append(out, LoadReport{Upstream: id, Calls: l.Calls, ReadingMs: int(l.PrefillSeconds * 1000), RunningPct: int(l.Running * 100), Streams: l.Streams, PausedPct: int(l.Paused * 100), Tokens: l.Tokens})
 	}
 	return out
 }
@@ -113,7 +113,7 @@
 func DecodeLoads(list []LoadReport) map[string]placement.Load {
 	out := make(map[string]placement.Load, len(list))
 	for _, l := range list {
-		out[l.Upstream] = placement.Load{Calls: l.Calls, PrefillSeconds: float64(l.ReadingMs) / 1000, Running: float64(l.RunningPct) / 100, Streams: l.Streams, Paused: float64(l.PausedPct) / 100}
+		out[l.Upstream] = placement.Load{Calls: l.Calls, PrefillSeconds: float64(l.ReadingMs) / 1000, Running: float64(l.RunningPct) / 100, Streams: l.Streams, Paused: float64(l.PausedPct) / 100, Tokens: l.Tokens}
 	}
 	return out
 }
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -138,6 +138,7 @@
 		s.RunningPct += l.RunningPct
 		s.Streams += l.Streams
 		s.PausedPct += l.PausedPct
+		s.Tokens += l.Tokens
 	}
 }
 
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -14,6 +14,7 @@
 	"github.com/savoryshift/savoryshift/admission"
 	"github.com/savoryshift/savoryshift/gateway"
 	"github.com/savoryshift/savoryshift/placement"
+	"github.com/savoryshift/savoryshift/routing"
 )
 
 // metric returns the line of a metric of the gateway, empty if there is none.
@@ -128,3 +129,24 @@
 	report := fairness.Report(time.Now())
 	assert.Assert(t, len(report.Uses) == 1 && report.Uses[0].Ms > 0 && report.ServedMs > 0, "%+v", report)
 }
+
+// Guards against prompts that are sent to engines which can never hold them, and which
+// reject them as if they were full, so that the client returns in vain.
+func TestPromptLargerThanTheMemoryIsRefused(t *testing.T) {
+	a := startUpstream(t, "a", events(3, lastChunk))
+	s := newSystem(t, registration(a, "v1")).configure()
+	to := []routing.Destination{{Service: "svc", Weight: 1}}
+	c, err := routing.Compile(routing.Configuration{
+		Services: []routing.Service{{Name: "svc", KvTokens: 1000, Models: []routing.Model{{Name: "small"}}}},
+		Routes:   []routing.Route{{Name: "stream", Host: "h", Prefix: "/stream/", Kind: routing.Stream, MaxAttempts: 2, Models: []string{"small"}, Destinations: to, Resumable: true}},
+	})
+	assert.NilError(t, err)
+	s.server.SetState(&gateway.State{Snapshot: c})
+	got := s.call("/stream/x", "Model: small", "Tokens: 1000")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, got.header.Get("Retry-After"), "")
+	assert.Equal(t, len(a.received()), 0)
+	assert.Equal(t, s.logs.FilterMessage("exceeds memory").Len(), 1)
+	assert.Equal(t, s.call("/stream/x", "Model: small", "Tokens: 999").status, http.StatusOK)
+	assert.Equal(t, s.call("/stream/x", "Model: small", "Tokens: 1000", "Last: 1").status, http.StatusOK)
+}
--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -92,6 +92,8 @@
 	// admission is the decision that keeps the request from its first call, nil if there is
 	// none.
 	admission *admission.Admission
+	// tooLarge is set if no engine can hold the prompt.
+	tooLarge bool
 	// mayHaveRun is set once a call ran or may have run. The client must then not
 	// be told that the request was not run.
 	mayHaveRun bool
@@ -197,6 +199,8 @@
 		exec.refuseForStop()
 	case !exec.mayHaveRun && exec.quarantined.Refused:
 		exec.refuseQuarantined()
+	case !exec.mayHaveRun && exec.tooLarge:
+		exec.refuseTooLarge()
 	case !exec.mayHaveRun && exec.admission != nil:
 		exec.refuseLate(time.Now())
 	case exec.mayHaveRun:
@@ -288,8 +292,12 @@
 	}
 	q := &placement.Query{
 		Service: exec.service.Name, Model: model, Rank: rank, Tokens: exec.req.PromptTokens, Parts: exec.req.Parts,
+		OutputTokens: exec.req.expectedOutput(), KvTokens: exec.service.KvTokens,
 		Exclude: exec.excluded, MaxPause: exec.route.MaxPause, Now: now,
 	}
+	if exec.exceedsMemory(q) {
+		return nil
+	}
 	choice, ok := exec.choose(q)
 	if !ok || exec.refusesLate(q, choice, now) || !exec.passesQuarantine(now) {
 		return nil
@@ -306,6 +314,7 @@
 	a.prompt = exec.srv.opts.Quarantine.Start(choice.Instance().String(), quarantine.HashRequest(exec.req.ID), exec.parts, exec.resumes(), now)
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	exec.lastUpstream = choice.ID
+	a.logMemory()
 	return a
 }
 
--- a/placement/book.go
+++ b/placement/book.go
@@ -40,6 +40,9 @@
 	// of the level of the upstream's pauses, see admission.Pauses.
 	Streams int
 	Paused  float64
+	// Tokens counts the prompt tokens and the expected generated tokens of the calls, which
+	// take memory of the engine.
+	Tokens int
 }
 
 func (l *Load) add(o Load) {
@@ -48,6 +51,7 @@
 	l.Running += o.Running
 	l.Streams += o.Streams
 	l.Paused += o.Paused
+	l.Tokens += o.Tokens
 }
 
 type upstreamState struct {
--- a/placement/call.go
+++ b/placement/call.go
@@ -32,7 +32,7 @@
 	call := &Call{
 		b: b, upstream: upstream, model: q.Model, parts: q.Parts, predictedFirstEvent: c.FirstEvent, predictedPrefill: c.PrefillSeconds,
 		runningWeight: prefillSeconds(prefillTokensPerSecond, q.Rank), startedAt: q.Now,
-		load: Load{Calls: 1, PrefillSeconds: c.PrefillSeconds},
+		load: Load{Calls: 1, PrefillSeconds: c.PrefillSeconds, Tokens: q.memory()},
 	}
 	upstream.own.add(call.load)
 	z := b.zone(upstream.AvailabilityZone)
@@ -164,7 +164,7 @@
 	c.hasFirstEvent = true
 	c.upstream.lastByteAt = now
 	c.b.zone(c.upstream.AvailabilityZone).lastByteAt = now
-	next := Load{Calls: 1, Running: c.runningWeight, Streams: 1}
+	next := Load{Calls: 1, Running: c.runningWeight, Streams: 1, Tokens: c.load.Tokens}
 	c.setLoad(next)
 	if c.predictedPrefill >= minSlownessSample {
 		c.upstream.slowness.observe(now.Sub(c.startedAt).Seconds(), c.predictedFirstEvent)
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -43,6 +43,9 @@
 	Exclude map[string]bool
 	// Allow reports whether a release may serve the call; nil allows all.
 	Allow func(release string) bool
+	// OutputTokens is the expected number of generated tokens. KvTokens is the number of
+	// tokens that an engine holds in its memory, 0 if it is not known.
+	OutputTokens, KvTokens int
 	// MaxPause is the longest pause between two events that the route allows, 0 if it sets
 	// none.
 	MaxPause time.Duration
@@ -72,6 +75,9 @@
 	LateStreams float64
 	// PauseLevel is that of the upstream, see admission.Pauses.
 	PauseLevel float64
+	// OverMemory is set if no upstream has the memory for the call besides the calls in
+	// flight.
+	OverMemory bool
 	// Candidates is the number of upstreams that were compared.
 	Candidates int
 	// Lapsed is the time since the upstream lost its registration, 0 if it is
@@ -93,7 +99,7 @@
 func (b *Balancer) best(q *Query, lastResort bool) (Choice, bool) {
 	var best, c Choice
 	var chosen *upstreamState
-	bestScore := math.Inf(1)
+	bestScore, bestHolds := math.Inf(1), false
 	candidates := 0
 	common := b.prepare(q)
 	for _, e := range b.service[q.Service] {
@@ -104,13 +110,14 @@
 		b.predict(e, q, &common, &c)
 		prefill := c.PrefillSeconds * e.slowness.factor()
 		score := c.FirstEvent + engineTimeWeight*prefill + failurePenalty*e.health.failureRate + b.zoneCost(e, q.Now) + admission.PauseCost(c.PauseLevel, c.LateStreams)
-		if score < bestScore {
-			best, bestScore, chosen = c, score, e
+		if holds := e.holds(q); holds == bestHolds && score < bestScore || holds && !bestHolds {
+			best, bestScore, bestHolds, chosen = c, score, holds, e
 		}
 	}
 	if chosen == nil {
 		return Choice{}, false
 	}
+	best.OverMemory = !bestHolds
 	best.Upstream, best.Candidates = chosen.Upstream, candidates
 	if !chosen.unregisteredAt.IsZero() {
 		best.Lapsed = q.Now.Sub(chosen.unregisteredAt)
--- a/placement/pauses.go
+++ b/placement/pauses.go
@@ -82,5 +82,5 @@
 
 // negated returns the load that takes l back.
 func (l Load) negated() Load {
-	return Load{Calls: -l.Calls, PrefillSeconds: -l.PrefillSeconds, Running: -l.Running, Streams: -l.Streams}
+	return Load{Calls: -l.Calls, PrefillSeconds: -l.PrefillSeconds, Running: -l.Running, Streams: -l.Streams, Tokens: -l.Tokens}
 }
--- a/routing/configuration.go
+++ b/routing/configuration.go
@@ -79,6 +79,9 @@
 	Models []Model
 	// Slots is the batch size of one engine, 0 for other services.
 	Slots int
+	// KvTokens is the number of prompt and generated tokens of the requests in progress that
+	// the memory of one engine holds, 0 if it is not known.
+	KvTokens int
 }
 
 // Price returns the price of 1,000 generated tokens of a model, 0 if the service does not
