--- a/cmd/savoryctl/explain.go
+++ b/cmd/savoryctl/explain.go
@@ -130,6 +130,7 @@
 func (l *logs) printRequest(w io.Writer, id string) error {
 	var cause string
 	var last, lastCall, noUpstream, quarantined, closed logLine
+	var admission string
 	ended, panicked := 0, false
 	for _, line := range l.lines {
 		if line.Request != id {
@@ -145,6 +146,8 @@
 			noUpstream = line
 		case "quarantined":
 			quarantined = line
+		case "refused by prediction", "exceeds memory", "over fair part":
+			admission = line.describeAdmission()
 		case "upstream ended":
 			ended++
 		case "connection closed":
@@ -162,7 +165,7 @@
 	if cause == "" {
 		cause = "no line tells how the request ended: the log ends before, the process was killed, or its own interface answered it"
 	}
-	fmt.Fprintf(w, "cause: %s%s%s%s%s\n", cause, quarantined.describeQuarantine(), describeEnds(ended), closed.describeClose(), describePanic(panicked))
+	fmt.Fprintf(w, "cause: %s%s%s%s%s%s\n", cause, admission, quarantined.describeQuarantine(), describeEnds(ended), closed.describeClose(), describePanic(panicked))
 	return nil
 }
 
@@ -229,6 +232,17 @@
 	return fmt.Sprintf("; %v upstreams had ended under prompts with the part %v", l.fields["upstreams_ended"], l.fields["part"])
 }
 
+// describeAdmission describes what the load of the engines meant for a request.
+func (l *logLine) describeAdmission() string {
+	switch l.Message {
+	case "refused by prediction":
+		return fmt.Sprintf("; its first event was expected after %v ms, %v ms were left, and %v calls were in flight at engines with %v slots", l.fields["expected"], l.fields["left"], l.fields["calls"], l.fields["slots"])
+	case "exceeds memory":
+		return fmt.Sprintf("; engines hold %v tokens, and its prompt has %v", l.fields["kv_tokens"], l.fields["tokens"])
+	}
+	return fmt.Sprintf("; its organisation had used %v s of engine time, above its fair part of %v s, so that others were served first", l.fields["use"], l.fields["fair"])
+}
+
 // describeClose describes what of its response a client can have received whose connection
 // was closed. It returns nothing for a zero line.
 func (l *logLine) describeClose() string {
--- a/cmd/savoryctl/explain_test.go
+++ b/cmd/savoryctl/explain_test.go
@@ -146,6 +146,24 @@
 	}
 }
 
+// Guards against a request whose outcome followed from the load of the engines being explained
+// without it.
+func TestExplainAdmission(t *testing.T) {
+	for line, want := range map[string]string{
+		`"msg":"refused by prediction","expected":5200.5,"left":3000,"calls":90,"slots":64`: "its first event was expected after 5200.5 ms, 3000 ms were left, and 90 calls were in flight at engines with 64 slots",
+		`"msg":"exceeds memory","tokens":9000,"kv_tokens":8000`:                             "engines hold 8000 tokens, and its prompt has 9000",
+		`"msg":"over fair part","use":6.5,"fair":2.25`:                                      "its organisation had used 6.5 s of engine time, above its fair part of 2.25 s, so that others were served first",
+	} {
+		lines := `{"ts":"2026-06-06T08:00:01.000Z","vm":"vm-1","request":"r1",` + line + "}\n" +
+			`{"ts":"2026-06-06T08:00:01.001Z","msg":"request","vm":"vm-1","request":"r1","status":503,"reason":"deadline_too_short"}` + "\n"
+		file := filepath.Join(t.TempDir(), "1.log")
+		assert.NilError(t, os.WriteFile(file, []byte(lines), 0o600))
+		var out, errOut strings.Builder
+		assert.Equal(t, execute(t.Context(), []string{"explain", "--request", "r1", file}, &out, &errOut), exitOK, errOut.String())
+		assert.Assert(t, strings.Contains(out.String(), "cause: status 503, deadline_too_short; "+want+"\n"), "%s", out.String())
+	}
+}
+
 // Guards against a response of a daemon that did not reach its caller, or a panic, of which
 // neither the explanation nor the list of failures says anything.
 func TestExplainUnfinishedResponse(t *testing.T) {
