admission: long prompts make streams late whenever they are read, from a level of 0.25 on

The level of the pauses is the share of the seconds with a late pause. It was also taken as the chance that a prompt makes the streams beside it late, which is several times higher, because an engine reads a long prompt every few seconds only.

--- a/admission/pauses.go
+++ b/admission/pauses.go
@@ -16,7 +16,11 @@
 	soundPause = 0.85
 	latePause  = 1.1
 	// freeLevel is the level up to which pauses cost nothing: single long pauses are chance.
+	// From fullLevel on, a prompt is taken to make streams late whenever it is read for as
+	// long as they may pause: engines read such a prompt every few seconds, so that a pause
+	// in each of them is a level of about this.
 	freeLevel = 0.05
+	fullLevel = 0.25
 	// latenessCost is the cost in seconds of a stream that becomes late, which has lost most
 	// of its value.
 	latenessCost = 3.0
@@ -81,7 +85,7 @@
 	if level <= freeLevel {
 		return 0
 	}
-	return (level - freeLevel) * float64(streams) * min(1, share)
+	return min(1, (level-freeLevel)/(fullLevel-freeLevel)) * float64(streams) * min(1, share)
 }
 
 // PauseCost returns the cost in seconds of a request at an engine by pauses: those that its
