--- a/admission/fairness.go
+++ b/admission/fairness.go
@@ -16,8 +16,9 @@
 	// fairQuantum is the share of its fair part by which an organisation may exceed it, so
 	// that organisations with about equal use are not told apart by single requests.
 	fairQuantum = 0.1
-	// peerUseLifetime is the age at which the report of a peer expires.
-	peerUseLifetime = 1500 * time.Millisecond
+	// peerUseLifetime is the age at which the report of a peer expires. Peers report every
+	// 0.7 s, and delegates pass their reports on at the same interval.
+	peerUseLifetime = 3 * time.Second
 	// maxReportedUses bounds the organisations in a report. Those with the largest use are
 	// reported; the others are hardly beyond a fair part.
 	maxReportedUses = 16
--- a/entry/control.go
+++ b/entry/control.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/savoryshift/savoryshift/fleet"
+	"github.com/savoryshift/savoryshift/internal/clientlimit"
 	"github.com/savoryshift/savoryshift/mirror"
 	"github.com/savoryshift/savoryshift/platform"
 	"github.com/savoryshift/savoryshift/rollout"
@@ -35,6 +36,7 @@
 	if err != nil {
 		return oops.Wrapf(err, "listening at %s", e.opts.Settings.Peer)
 	}
+	listener = clientlimit.PeerListener(listener, int(peerDescriptorShare*float64(clientlimit.SocketDescriptors(e.opts.Settings.Descriptors))))
 	g.Add(func() error {
 		if err := e.fleet.Serve(listener); !errors.Is(err, net.ErrClosed) {
 			return oops.Wrapf(err, "serving peers")
@@ -55,12 +57,14 @@
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
+			e.updateRoster(now)
 			e.budget.SetVMs(e.fleet.Size(now))
 			e.writeProgress(ctx, now)
 			e.writeFindings(ctx, now)
 			if n%ticksPerSweep == 0 {
 				e.pool.Sweep()
 				e.balancer.Sweep(now)
+				e.logCold(now)
 				e.listEngines(now)
 				e.quarantine.Sweep(now)
 				e.rollouts.Sweep(now)
@@ -88,7 +92,7 @@
 // failure the change remains due and is retried. The write is conditional on the
 // expected revision, so that only one of several writes takes effect.
 func (e *Entry) commitProgress(ctx context.Context, w rollout.Write) {
-	revision, err := e.store.CommitProgress(ctx, w)
+	position, err := e.store.CommitProgress(ctx, w)
 	fields := []zap.Field{
 		zap.String("service", w.Progress.Service), zap.String("release", w.Progress.Release),
 		zap.String("state", string(w.Progress.State)), zap.Int64("expected", w.ExpectedRevision),
@@ -97,12 +101,13 @@
 		e.log.Warn("rollout state not written", append(fields, zap.Error(err))...)
 		return
 	}
-	e.log.Info("rollout state written", append(fields, zap.Int64("revision", revision))...)
-	e.rollouts.SetProgress(w.Progress, revision, time.Now())
+	e.log.Info("rollout state written", append(fields, zap.Int64("revision", position.Revision), zap.Int64("era", position.Era))...)
+	e.rollouts.SetWritten(w, position.Era, position.Revision, time.Now())
 }
 
 // statusChanged applies the rollout progress in the status table.
 func (e *Entry) statusChanged(c mirror.Change) {
+	e.rollouts.BeginEra(c.Era, c.Base)
 	list, problems := platform.DecodeProgress(c.Rows)
 	e.setIgnored(tableStatus, problems, zap.ErrorLevel, "rollout progress ignored")
 	for _, p := range problems {
@@ -128,10 +133,11 @@
 	}
 	r.Leaving = e.balancer.LeavingSince(now.Add(-recentWindow), now)
 	r.Quarantine = e.quarantine.Report(recentWindow, evidence, now)
-	r.Organisations = e.fairness.Report(now)
 	if evidence {
 		r.Leaving = e.balancer.LeavingSince(time.Time{}, now)
 		r.Rollouts = e.rollouts.Evidence()
+		organisations := e.fairness.Report(now)
+		r.Organisations = &organisations
 	}
 	return r
 }
@@ -146,7 +152,9 @@
 		}
 	}
 	e.quarantine.Merge(r.Quarantine, now)
-	e.fairness.SetPeer(source, r.Organisations, now)
+	if r.Organisations != nil {
+		e.fairness.SetPeer(source, *r.Organisations, now)
+	}
 	e.rollouts.AddSessions(r.Sessions, now)
 	e.rollouts.Merge(source, r.Rollouts)
 }
@@ -160,33 +168,36 @@
 	// newest is a revision newer than the copy that a peer has reported, nil if there
 	// is none.
 	newest atomic.Pointer[newerRevision]
+	// reported is the last state of a peer that may know more than the restored store,
+	// nil before one does.
+	reported atomic.Pointer[mirror.State]
 	// fetching is set while the table is being fetched from a peer.
 	fetching atomic.Bool
 	ignored  ignoredRows
 }
 
-// newerRevision is the first revision newer than the copy that a peer has reported,
-// and the time of that report.
+// newerRevision is the position of the first copy newer than that of this VM that a peer
+// has reported, and the time of that report.
 type newerRevision struct {
-	revision int64
+	position mirror.Position
 	since    time.Time
 }
 
-// behindSince records the revision of a peer's copy. It reports whether that
-// revision is newer than the copy of this VM, and since when a newer revision has
-// been known. A peer without a newer revision does not reset that time, because it
+// behindSince records the position of a peer's copy. It reports whether that
+// position is newer than the copy of this VM, and since when a newer one has
+// been known. A peer without a newer one does not reset that time, because it
 // may be as far behind as this VM.
-func (t *table) behindSince(theirs, own int64, now time.Time) (since time.Time, behind bool) {
+func (t *table) behindSince(theirs, own mirror.Position, now time.Time) (since time.Time, behind bool) {
 	known := t.newest.Load()
-	if known != nil && known.revision <= own {
+	if known != nil && !own.Before(known.position) {
 		known = nil
 		t.newest.Store(nil)
 	}
-	if theirs <= own {
+	if !own.Before(theirs) {
 		return time.Time{}, false
 	}
 	if known == nil {
-		known = &newerRevision{revision: theirs, since: now}
+		known = &newerRevision{position: theirs, since: now}
 		t.newest.Store(known)
 	}
 	return known.since, true
@@ -213,6 +224,19 @@
 	return false
 }
 
+// lacksRows reports whether a peer may know rows, better than a store that was restored, that
+// this VM has not fetched.
+func (e *Entry) lacksRows() bool {
+	for _, t := range e.tables {
+		if reported := t.reported.Load(); reported != nil {
+			if _, lacks := t.Lacks(*reported); lacks {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // ownReadDelay is how long a VM that reads a table from the store waits for the
 // store's answer before it fetches a newer copy from a peer.
 const ownReadDelay = 400 * time.Millisecond
@@ -222,14 +246,25 @@
 	now := time.Now()
 	for name, t := range e.tables {
 		theirs, known := tables[name]
-		if !known || t.Confirm(theirs) {
+		if !known {
+			continue
+		}
+		if own, loaded := t.State(); theirs.Held != 0 || loaded && theirs.Era < own.Era {
+			t.reported.Store(&theirs)
+		}
+		confirmed := t.Confirm(theirs)
+		if after, lacks := t.Lacks(theirs); lacks {
+			e.fetchTable(vm, name, t, after)
+			continue
+		}
+		if confirmed {
 			continue
 		}
 		own, loaded := t.State()
 		if !loaded {
 			own.Revision = -1
 		}
-		since, behind := t.behindSince(theirs.Changed, own.Revision, now)
+		since, behind := t.behindSince(mirror.Position{Era: theirs.Era, Revision: theirs.Changed}, own.Position(), now)
 		if !behind {
 			continue
 		}
@@ -237,7 +272,7 @@
 		if loaded && !lost && !t.passive() && now.Sub(since) < ownReadDelay {
 			continue
 		}
-		e.fetchTable(vm, name, t)
+		e.fetchTable(vm, name, t, own.Position())
 	}
 }
 
@@ -248,27 +283,28 @@
 		return fleet.TableReply{}
 	}
 	c, ok := t.Copy()
-	if !ok || r.Loaded && c.Revision <= r.After {
+	after := mirror.Position{Era: r.Era, Revision: r.After}
+	holds := r.Held && r.Era == c.Era
+	if !ok || r.Loaded && !after.Before(c.Position()) && !holds {
 		return fleet.TableReply{}
 	}
-	after := r.After
 	if !r.Loaded {
-		after = -1
+		after.Revision = -1
 	}
 	page, whole := t.ChangesSince(after)
 	return fleet.TableReply{Newer: true, Whole: whole, Page: page}
 }
 
-// fetchTable fetches from a peer, in the background, the changes of a table that
-// this VM lacks. At most one fetch of a table runs at a time.
-func (e *Entry) fetchTable(vm, name string, t *table) {
+// fetchTable fetches from a peer, in the background, the changes of a table after a position
+// and the rows that the peer holds. At most one fetch of a table runs at a time.
+func (e *Entry) fetchTable(vm, name string, t *table, after mirror.Position) {
 	if !t.fetching.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer t.fetching.Store(false)
-		c, loaded := t.Copy()
-		reply, err := e.fleet.FetchTable(vm, fleet.TableRequest{Table: name, After: c.Revision, Loaded: loaded})
+		request := fleet.TableRequest{Table: name, After: after.Revision, Loaded: after.Revision >= 0, Era: after.Era, Held: true}
+		reply, err := e.fleet.FetchTable(vm, request)
 		if err != nil {
 			e.log.Info("table not fetched", zap.String("table", name), zap.String("peer", vm), zap.String("cause", err.Error()))
 			return
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -45,20 +46,12 @@
 	// bufferedShare is the fraction of the VM's memory for response bodies that are
 	// being read.
 	bufferedShare = 0.12
-	// requestBodyShare is the fraction of the VM's memory for bodies of requests in progress.
-	requestBodyShare = 0.5
 	// receivedShare is the fraction of the VM's memory for long messages of peers that are
 	// being received.
 	receivedShare = 0.08
 	// gcPercent is the GOGC value. It is above the default of 100, which trades
 	// memory for less CPU time of the garbage collector; the heap is small.
 	gcPercent = 200
-	// headerTimeout limits the time for reading a request header, and idleTimeout
-	// the time between two requests on a connection. The timeouts of the operator's
-	// configuration are not applied to the servers. Clients reuse connections that
-	// were idle for most of the configured timeout.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 60 * time.Second
 	// maxPeerWait bounds the time for which a starting VM is not ready because it has not
 	// heard from a peer.
 	maxPeerWait = time.Second
@@ -105,6 +98,7 @@
 	fairness *admission.Fairness
 	fleet    *fleet.Fleet
 	idle     *idleconn.Closer
+	clients  *clients
 	started  time.Time
 
 	orders, upstreams, status, findings *mirror.Mirror
@@ -112,21 +106,32 @@
 
 	configurationLoaded atomic.Bool
 	upstreamsLoaded     atomic.Bool
-	// configurationRevision is the revision of the last configuration row that was
-	// decoded, valid or not. Only ordersChanged uses it, which is never called
-	// concurrently.
-	configurationRevision int64
-	statusLoaded          atomic.Bool
-	findingsLoaded        atomic.Bool
+	// configurationAt is the position of the last configuration row that was decoded,
+	// valid or not. Only ordersChanged uses it, which is never called concurrently.
+	configurationAt mirror.Position
+	// drained holds the upstreams that were seen draining. Only upstreamsChanged uses it,
+	// which is never called concurrently.
+	drained        drainedUpstreams
+	statusLoaded   atomic.Bool
+	findingsLoaded atomic.Bool
 	// streamed holds the services of streamed requests by name, nil before the first
 	// configuration.
 	streamed atomic.Pointer[map[string]bool]
+	// registrations decodes the table of upstreams. Only upstreamsChanged uses it, which is
+	// never called concurrently.
+	registrations platform.UpstreamDecoder
 	// registered holds the upstreams that are registered until the quarantine knows them.
 	registered atomic.Pointer[[]placement.Upstream]
+	// oddEvacuations holds the malformed rows of evacuations.
+	oddEvacuations ignoredRows
+	// releasesMu serialises setReleases, so that older counts do not replace newer ones.
+	releasesMu sync.Mutex
 	// nextFindings is the time from which findings of the quarantine may be written again.
 	// Only the periodic tasks use it.
 	nextFindings time.Time
 	stopping     atomic.Bool
+	// cold holds the upstreams that were logged as cold. Only the periodic tasks use it.
+	cold map[placement.Instance]bool
 	// heard is set once this VM has heard from a peer, or no longer waits for one.
 	heard atomic.Bool
 }
@@ -138,43 +143,48 @@
 		opts: opts, log: opts.Log, started: time.Now(), metrics: gateway.NewMetrics(), pool: exchange.NewPool(),
 		balancer: placement.NewBalancer(placement.Options{
 			AvailabilityZone: s.AvailabilityZone, CacheLifetime: s.Bounds.CacheLifetime,
-			LapseGrace: min(placement.DefaultLapseGrace, s.Bounds.Drain*3/4),
+			LapseGrace: lapseGrace(s.Bounds),
 		}),
-		budget: newRetryBudget(s.Bounds),
+		budget: newRetryBudget(s.Bounds), drained: drainedUpstreams{},
 	}
+	e.clients = e.newClients()
 	e.store = platform.NewStore(s.StoreAddress, e.recordStoreCall)
 	e.rollouts = rollout.New(rollout.Options{SessionIdle: s.Bounds.SessionIdle, Exposure: s.Bounds.ExposureShare, Log: opts.Log})
 	e.fleet = fleet.New(fleet.Options{
 		Self:        fleet.Member{VM: s.VM, AvailabilityZone: s.AvailabilityZone, Address: s.Peer, Capacity: s.Cores},
 		Incarnation: e.started.UnixNano(), Seeds: s.Seeds, Node: e, Log: opts.Log, MaxReceived: int64(receivedShare * float64(s.MemoryBytes)),
 	})
+	e.updateRoster(e.started)
 	e.quarantine = e.newQuarantine()
 	e.fairness = admission.NewFairness()
 	e.gateway = gateway.New(gateway.Options{
-		Codec: platform.Codec{}, Balancer: e.balancer, Pool: e.pool, Splitter: e.rollouts, RetryBudget: e.budget, Log: opts.Log, Metrics: e.metrics, Quarantine: e.quarantine, Fairness: e.fairness, Announce: e.fleet.Announce,
-		MaxBuffered: int64(bufferedShare * float64(s.MemoryBytes)), MaxRequestBodies: int64(requestBodyShare * float64(s.MemoryBytes)),
+		Codec: platform.Codec{}, Balancer: e.balancer, Pool: e.pool, Splitter: e.rollouts, RetryBudget: e.budget, Log: opts.Log, Metrics: e.metrics, Quarantine: e.quarantine, Fairness: e.fairness, Announce: e.fleet.Announce, Outdated: e.ordersOutdated,
+		MaxBuffered: int64(bufferedShare * float64(s.MemoryBytes)),
 	})
 	e.tables = map[string]*table{}
 	ages := copyAgesFor(s.Bounds)
-	clock, reach := &mirror.Clock{}, &mirror.Reach{}
+	holds := holdTimesFor(s.Bounds)
+	clock, reach, eras := &mirror.Clock{}, &mirror.Reach{}, &mirror.Eras{}
 	sharedBy := func() float64 { return e.fleet.SharedBy(time.Now(), readersPerZone) }
 	e.orders = e.addMirror(mirror.Options{
-		Name: tableOrders, Table: e.store.Orders(), Passive: e.isPassive, Changed: e.ordersChanged,
-		Wait: ages.confirm, MaxAge: ages.most, Clock: clock, Reach: reach, SharedBy: sharedBy,
+		Name: tableOrders, Table: e.store.Orders(), Passive: e.isPassive, Changed: e.ordersChanged, Hold: holds.orders, Compare: platform.CompareOrders,
+		Wait: ages.confirm, MaxAge: ages.most, Clock: clock, Reach: reach, Eras: eras, SharedBy: sharedBy,
 	})
 	e.upstreams = e.addMirror(mirror.Options{
-		Name: tableUpstreams, Table: e.store.Upstreams(), Passive: e.isPassive, Changed: e.upstreamsChanged,
-		BatchDelay: upstreamBatchDelay, Wait: ages.confirm, MaxAge: ages.most, Clock: clock, Reach: reach, SharedBy: sharedBy,
+		Name: tableUpstreams, Table: e.store.Upstreams(), Passive: e.isPassive, Changed: e.upstreamsChanged, Hold: holds.registrations, Compare: platform.CompareRegistrations,
+		BatchDelay: upstreamBatchDelay, Wait: ages.confirm, MaxAge: ages.most, Clock: clock, Reach: reach, Eras: eras, SharedBy: sharedBy,
 	})
 	// The VM of rank 0 writes the progress of rollouts and needs to see it at once;
-	// the others receive the status table from peers.
+	// the others receive the status table from peers. The manager of the rollouts keeps
+	// what it knows of them when the store is restored, so that no row is held.
 	passive := func() bool { return e.fleet.Rank(time.Now()) > 0 }
 	e.status = e.addMirror(mirror.Options{
 		Name: tableStatus, Table: e.store.Status(), Passive: passive, Changed: e.statusChanged,
-		Wait: confirmStatusAfter, MaxAge: maxStatusAge, Clock: clock, Reach: reach, SharedBy: sharedBy,
+		Wait: confirmStatusAfter, MaxAge: maxStatusAge, Clock: clock, Reach: reach, Eras: eras, SharedBy: sharedBy,
 	})
 	e.findings = e.addMirror(mirror.Options{
-		Name: tableFindings, Table: e.store.Findings(), Passive: passive, Changed: e.findingsChanged, Clock: clock, Reach: reach, SharedBy: sharedBy,
+		Name: tableFindings, Table: e.store.Findings(), Passive: passive, Changed: e.findingsChanged, Hold: holds.orders,
+		Clock: clock, Reach: reach, Eras: eras, SharedBy: sharedBy,
 	})
 	e.registerGauges(e.metrics.Set())
 	return e
@@ -235,10 +245,9 @@
 	s := e.opts.Settings
 	e.idle = idleconn.New()
 	front := &http.Server{
-		Handler: e.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(e.log), ConnContext: cutoff.ConnContext, ConnState: e.idle.ConnState,
+		Handler: e.gateway, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(e.log), ConnContext: cutoff.ConnContext,
 	}
-	ready := &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(e.log)}
+	ready := &http.Server{Handler: http.HandlerFunc(e.serveReady), MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(e.log)}
 	for _, l := range []struct {
 		server  *http.Server
 		address string
@@ -248,7 +257,9 @@
 			return oops.Wrapf(err, "listening at %s", l.address)
 		}
 		if l.server == front {
-			listener = e.idle.Listener(listener)
+			listener = e.clients.front.Setup(front, listener, e.idle, refuseClient)
+		} else {
+			listener = e.clients.probes.Setup(ready, listener, idleconn.New(), refuseClient)
 		}
 		addServer(g, l.server, listener)
 	}
@@ -276,38 +287,50 @@
 }
 
 func (e *Entry) ready() bool {
-	return e.configurationLoaded.Load() && e.upstreamsLoaded.Load() && !e.stopping.Load() && e.knowsPeers()
+	return e.configurationLoaded.Load() && e.upstreamsLoaded.Load() && !e.stopping.Load() && e.knowsPeers() && !e.ordersOutdated(time.Now())
 }
 
 // knowsPeers reports whether this VM has heard from a peer and has read the findings of the
 // quarantine, or has waited long enough. Before that it does not know which prompts are kept
-// from upstreams.
+// from upstreams, nor what peers know better than a store that was restored.
 func (e *Entry) knowsPeers() bool {
-	if !e.heard.Load() && (e.fleet.Heard() && e.findingsLoaded.Load() || time.Since(e.started) > maxPeerWait) {
+	if !e.heard.Load() && (e.fleet.Heard() && e.findingsLoaded.Load() && !e.lacksRows() || time.Since(e.started) > maxPeerWait) {
 		e.heard.Store(true)
 	}
 	return e.heard.Load()
 }
 
-// ordersChanged applies the operator's rollout orders and configuration. An invalid
+// ordersChanged applies the operator's evacuations, rollout orders and configuration. The
+// evacuations come first, because the VM may be ready once it has a configuration. An invalid
 // configuration leaves the previous one in force.
 func (e *Entry) ordersChanged(c mirror.Change) {
+	e.applyEvacuations(c)
 	orders, problems := platform.DecodeOrders(c.Rows)
 	e.setIgnored(tableOrders, problems, zap.ErrorLevel, "rollout order ignored")
 	for _, o := range orders {
+		if o.Era == c.Era {
+			o.Base = c.Base
+		}
 		e.rollouts.SetOrder(o, c.At)
 	}
 	row, ok := c.Rows[platform.ConfigurationKey]
-	if !ok || row.Revision == e.configurationRevision {
+	if !ok || row.Position() == e.configurationAt {
 		return
 	}
-	e.configurationRevision = row.Revision
+	e.configurationAt = row.Position()
 	snapshot, err := platform.DecodeConfiguration(row.Value)
 	if err != nil {
 		e.log.Error("configuration refused; the last one stays in force", zap.Int64("revision", row.Revision), zap.Error(err))
 		return
 	}
+	if e.isOlderConfiguration(c, row, snapshot.Version) {
+		e.log.Warn("configuration of the restored store ignored; the last one stays in force", zap.Int64("configuration", snapshot.Version),
+			zap.Int64("in_force", e.gateway.Version()), zap.Int64("era", row.Era), zap.Int64("revision", row.Revision))
+		return
+	}
 	e.streamed.Store(streamedServices(snapshot))
+	e.balancer.SetColdLimits(coldLimits(snapshot, e.opts.Settings.Bounds))
+	e.clients.setTimeouts(snapshot.Limits)
 	e.gateway.SetState(&gateway.State{Snapshot: snapshot, Revision: row.Revision})
 	e.configurationLoaded.Store(true)
 	e.log.Info("configuration in force", zap.Int64("configuration", snapshot.Version), zap.Int64("revision", row.Revision), zap.Int("routes", len(snapshot.Routes)))
@@ -316,20 +339,12 @@
 // upstreamsChanged applies the registrations of upstreams. Invalid registrations are
 // ignored.
 func (e *Entry) upstreamsChanged(c mirror.Change) {
-	list, problems := platform.DecodeUpstreams(c.Rows)
+	list, problems := e.registrations.Decode(c.Rows)
 	e.setIgnored(tableUpstreams, problems, zap.WarnLevel, "registration ignored")
+	e.keepDraining(list, c)
 	e.balancer.SetUpstreams(list, c.ConfirmedAt, c.At)
-	releases := map[string]map[string]int{}
-	for _, u := range list {
-		if releases[u.Service] == nil {
-			releases[u.Service] = map[string]int{}
-		}
-		releases[u.Service][u.Release]++
-	}
-	for service, r := range releases {
-		e.rollouts.SetReleases(service, r)
-	}
 	e.registered.Store(&list)
+	e.setReleases()
 	e.upstreamsLoaded.Store(true)
 	e.log.Info("upstreams changed", zap.Int("upstreams", len(list)), zap.Int("ignored", len(problems)), zap.Int64("revision", c.Revision))
 }
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -31,26 +31,22 @@
 }
 
 // due returns the peers with which an exchange is due and marks them as being in
-// an exchange. It removes peers that have been silent for forgetAfter.
+// an exchange.
 func (f *Fleet) due(now time.Time) []*peer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	members, self := f.reachable(now), f.self()
+	topology, self := f.reachable(now), f.self()
 	var list []*peer
-	for address, p := range f.peers {
-		if p.inExchange || now.Before(p.nextExchange) {
-			continue
-		}
-		if now.Sub(maxTime(maxTime(p.lastExchange, p.lastRelayed), p.discovered)) > forgetAfter && !slices.Contains(f.opts.Seeds, address) {
-			delete(f.peers, address)
-			continue
-		}
-		if !f.initiates(members, self, p, now) {
+	for _, p := range f.partnersBy(topology, &self, now) {
+		if p.inExchange || now.Before(p.nextExchange) || !f.initiates(topology, &self, p, now) {
 			continue
 		}
 		wait := exchangeInterval
-		if p.AvailabilityZone != self.AvailabilityZone {
+		switch {
+		case p.AvailabilityZone != self.AvailabilityZone:
 			wait = time.Duration(crossZoneFactor * float64(wait))
+		case !topology.isMesh():
+			wait = zoneInterval
 		}
 		p.inExchange, p.urgent, p.nextExchange = true, false, now.Add(max(wait, p.backoff))
 		list = append(list, p)
@@ -58,14 +54,36 @@
 	return list
 }
 
+// partnersBy returns the peers with which this VM exchanges digests. It removes peers that have
+// been silent for forgetAfter. The caller must hold f.mu.
+func (f *Fleet) partnersBy(topology *topology, self *Member, now time.Time) []*peer {
+	if f.partnersIn == topology {
+		return f.partners
+	}
+	f.partners, f.partnersIn = nil, topology
+	for address, p := range f.peers {
+		if !p.inExchange && now.Sub(maxTime(maxTime(p.lastExchange, p.lastRelayed), p.discovered)) > forgetAfter && !slices.Contains(f.opts.Seeds, address) {
+			delete(f.peers, address)
+			f.byName = nil
+			continue
+		}
+		// The VM at a seed address is unknown until the first exchange, which also yields the
+		// other members.
+		if p.VM == "" || topology.exchangeDirectly(self, &p.Member) {
+			f.partners = append(f.partners, p)
+		}
+	}
+	return f.partners
+}
+
 // initiates reports whether this VM initiates the exchange with a peer.
-func (f *Fleet) initiates(members []Member, self Member, p *peer, now time.Time) bool {
+func (f *Fleet) initiates(topology *topology, self *Member, p *peer, now time.Time) bool {
 	if p.VM == "" {
 		// The VM at a seed address is unknown until the first exchange, which
 		// also yields the other members.
 		return true
 	}
-	if !exchangeDirectly(members, self, p.Member) {
+	if !topology.exchangeDirectly(self, &p.Member) {
 		return false
 	}
 	return self.Address < p.Address || p.urgent || now.Sub(p.lastExchange) > silentAfter
@@ -77,9 +95,9 @@
 	to := p.Member
 	f.mu.Unlock()
 	var reply Digest
-	err := f.call(p, "Exchange", f.digest(to), &reply)
+	err := f.call(p, "Exchange", f.digest(to, time.Now()), &reply)
 	if err == nil {
-		f.applyDigest(reply)
+		f.applyDigest(reply, time.Now())
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -88,6 +106,7 @@
 		return
 	}
 	if p.backoff == 0 {
+		f.topology = nil
 		f.opts.Log.Info("peer lost", zap.String("peer", p.VM), zap.String("address", p.Address), zap.String("cause", err.Error()))
 	}
 	p.backoff = min(maxBackoff, max(exchangeInterval, 2*p.backoff))
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"net"
+	"reflect"
 	"slices"
 	"sync"
 	"testing"
@@ -37,10 +38,11 @@
 // also with those of other zones.
 func TestPartnersInLargeFleet(t *testing.T) {
 	members := fleetOf(30, "a", "b", "c")
+	topology := newTopology(members)
 	for _, m := range members {
 		partners := 0
 		for _, o := range members {
-			if m.VM != o.VM && exchangeDirectly(members, m, o) {
+			if m.VM != o.VM && topology.exchangeDirectly(&m, &o) {
 				partners++
 			}
 		}
@@ -56,10 +58,11 @@
 // In a small fleet every VM exchanges its own report with every other VM.
 func TestSmallFleetIsAMesh(t *testing.T) {
 	members := fleetOf(3, "a", "b", "c")
+	topology := newTopology(members)
 	for _, m := range members {
 		for _, o := range members {
-			assert.Assert(t, exchangeDirectly(members, m, o))
-			assert.Equal(t, scope(members, m, o), OwnScope)
+			assert.Assert(t, topology.exchangeDirectly(&m, &o))
+			assert.Equal(t, topology.scope(&m, &o), OwnScope)
 		}
 	}
 }
@@ -68,13 +71,13 @@
 // not a store reader of its zone.
 func TestDelegatesAreReplaced(t *testing.T) {
 	members := fleetOf(10, "a", "b")
-	assert.DeepEqual(t, delegates(members, "a"), []string{"a-00", "a-01"})
+	assert.DeepEqual(t, newTopology(members).delegates["a"], []string{"a-00", "a-01"})
 	members[0].Stopping = true
-	assert.DeepEqual(t, delegates(members, "a"), []string{"a-01", "a-02"})
+	assert.DeepEqual(t, newTopology(members).delegates["a"], []string{"a-01", "a-02"})
 	members[1].Lost = true
-	assert.DeepEqual(t, storeReaders(members, "a", 2), []string{"a-02", "a-03"})
-	assert.DeepEqual(t, storeReaders(members, "b", 2), []string{"b-00", "b-01"})
-	assert.DeepEqual(t, storeReaders(members, "a", 1), []string{"a-02"})
+	assert.DeepEqual(t, newTopology(members).storeReaders("a", 2), []string{"a-02", "a-03"})
+	assert.DeepEqual(t, newTopology(members).storeReaders("b", 2), []string{"b-00", "b-01"})
+	assert.DeepEqual(t, newTopology(members).storeReaders("a", 1), []string{"a-02"})
 }
 
 func loads(calls int) []LoadReport {
@@ -105,10 +108,33 @@
 	own := Report{Loads: loads(1000)}
 	assert.Equal(t, totalCalls(rs.zoneSum(own, false, now)), 1011)
 	assert.Equal(t, totalCalls(rs.othersSum(own, "a-2", false, now)), 1101)
+	// A report that arrives after the sums were made must not be taken off them.
+	rs.record(digestFrom("a-2", "a", OwnScope, 70), "a-2@1", "a", now)
+	rs.record(digestFrom("a-3", "a", OwnScope, 5), "a-3@1", "a", now)
+	assert.Equal(t, totalCalls(rs.othersSum(own, "a-2", false, now)), 1101)
+	assert.Equal(t, totalCalls(rs.othersSum(own, "a-3", false, now)), 1111)
+	assert.Equal(t, totalCalls(rs.othersSum(own, "a-2", false, now.Add(sumsInterval))), 1106)
 	later := now.Add(reportLifetime + time.Millisecond)
 	assert.Equal(t, totalCalls(rs.othersSum(own, "a-2", false, later)), 1000, "old reports no longer count")
 }
 
+// Guards against a field of a load that is added to a sum, but not taken off for the VM that
+// reported it.
+func TestAllFieldsOfALoadAreTakenOff(t *testing.T) {
+	var load LoadReport
+	v := reflect.ValueOf(&load).Elem()
+	for i := range v.NumField() {
+		if v.Field(i).CanInt() {
+			v.Field(i).SetInt(int64(i))
+		}
+	}
+	sum := load
+	sum.add(load, 1)
+	assert.Assert(t, sum != load)
+	sum.add(load, -2)
+	assert.Equal(t, sum, LoadReport{})
+}
+
 func evidence(bad uint64) []rollout.Evidence {
 	s := guard.Stratum{Class: "r", Signal: guard.Errors}
 	return []rollout.Evidence{{Service: "s", Order: 1, Counts: guard.Counts{
@@ -233,7 +259,7 @@
 	})
 	fleets[4].SetStopping()
 	eventually(t, "a stopping VM still reads the store for others", func() bool {
-		names := storeReaders(fleets[0].alive(time.Now()), "z", 2)
+		names := newTopology(fleets[0].alive(time.Now())).storeReaders("z", 2)
 		return names[0] != "vm4" && names[1] != "vm4"
 	})
 }
@@ -248,7 +274,7 @@
 	})
 	receive := func() {
 		for i, vm := range []string{"vm0", "vm1"} {
-			f.applyDigest(Digest{From: Member{VM: vm, AvailabilityZone: "z", Address: fmt.Sprint("127.0.0.1:", i+2), Capacity: 1}})
+			f.applyDigest(Digest{From: Member{VM: vm, AvailabilityZone: "z", Address: fmt.Sprint("127.0.0.1:", i+2), Capacity: 1}}, time.Now())
 		}
 	}
 	receive()
@@ -281,10 +307,34 @@
 			return n.leaving[instance]
 		})
 	}
-	own := Report{Leaving: []placement.Instance{instance}}
-	rs := newReportStore()
-	assert.DeepEqual(t, rs.zoneSum(own, false, time.Unix(100, 0)).Leaving, own.Leaving)
-	assert.DeepEqual(t, rs.othersSum(own, "vm", false, time.Unix(100, 0)).Leaving, own.Leaving)
+	now := time.Now()
+	delegate := delegateOf(&node{leaving: map[placement.Instance]bool{instance: true}}, now)
+	for to, scope := range map[string]Scope{"a-01": OwnScope, "a-05": OthersScope, "b-00": ZoneScope} {
+		d := delegate.digest(memberOf(delegate, to), now)
+		assert.Equal(t, d.Scope, scope)
+		assert.DeepEqual(t, d.Report.Leaving, []placement.Instance{instance})
+	}
+}
+
+// Guards against delegates that are sent lists of the whole fleet by each VM, and against a VM
+// that does not tell its delegate of one that the delegate does not know.
+func TestMembersListWhatTheirDelegateLacks(t *testing.T) {
+	now := time.Now()
+	f := delegateOf(&node{}, now)
+	delegate, member, other := memberOf(f, "a-01"), memberOf(f, "a-05"), memberOf(f, "b-00")
+	f.opts.Self = Member{VM: "a-10", AvailabilityZone: "a", Address: "a-10"}
+	listed := func() []Member {
+		f.peers["a-01"].fullDigest = time.Time{}
+		return f.digest(delegate, now).Members
+	}
+	assert.Equal(t, len(listed()), 19, "the delegate has listed none")
+	f.applyDigest(Digest{From: delegate, Members: []Member{delegate, other, f.opts.Self}}, now)
+	f.applyDigest(Digest{From: delegate}, now)
+	assert.Equal(t, len(listed()), 17)
+	f.applyDigest(Digest{From: delegate, Members: f.alive(now)}, now)
+	assert.Equal(t, len(listed()), 0)
+	f.peers["a-05"].fullDigest = time.Time{}
+	assert.Equal(t, len(f.digest(member, now).Members), 20, "a VM that is no delegate is listed all")
 }
 
 // Guards against digests without bound after many upstreams have left.
@@ -294,7 +344,7 @@
 		n.tell(placement.Instance{ID: fmt.Sprint("u", i)})
 	}
 	f := New(Options{Self: Member{VM: "vm0", Address: "127.0.0.1:1"}, Node: n, Log: zap.NewNop()})
-	assert.Equal(t, len(f.digest(Member{VM: "vm1", Address: "127.0.0.1:2"}).Report.Leaving), maxDigestLeaving)
+	assert.Equal(t, len(f.digest(Member{VM: "vm1", Address: "127.0.0.1:2"}, time.Now()).Report.Leaving), maxDigestLeaving)
 }
 
 // Guards against a report that VMs of the build before Report.Leaving cannot decode, and
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -64,9 +64,9 @@
 	// Quarantine is what the sender knows of parts of prompts that end upstreams, also
 	// from its peers. Builds before this field ignore it.
 	Quarantine quarantine.Report
-	// Organisations is the engine time that organisations used lately. Builds before this
-	// field ignore it.
-	Organisations admission.Report
+	// Organisations is the engine time that organisations used lately, nil in digests that are
+	// not full. Builds before this field ignore it.
+	Organisations *admission.Report
 }
 
 // Digest is the message that two VMs send each other in an exchange.
@@ -82,6 +82,12 @@
 	// Tables are the states of the sender's copies of the store's tables, by table
 	// name.
 	Tables map[string]mirror.State
+	// NewsTo is the position up to which the receiver knows the uses of prompt prefixes and
+	// sessions with this digest, and Heard the position up to which the sender knows those of
+	// the receiver. Builds before these fields ignore them and are sent the recent uses in
+	// each digest.
+	NewsTo int64
+	Heard  NewsMark
 }
 
 // TableRequest requests the changes of a table.
@@ -91,10 +97,15 @@
 	// true, which means that the caller has a copy.
 	After  int64
 	Loaded bool
+	// Era is that of After. Held asks for the rows that the callee holds, also if it has no
+	// newer revision. Builds before these fields send neither.
+	Era  int64
+	Held bool
 }
 
 // TableReply holds the changes of a table, or the whole table if Whole is set.
-// Newer is false, and the page empty, if the callee has no newer revision.
+// Newer is false, and the page empty, if the callee has no newer revision and no held rows
+// were asked for.
 type TableReply struct {
 	Newer, Whole bool
 	Page         mirror.Page
--- a/placement/book.go
+++ b/placement/book.go
@@ -54,6 +54,15 @@
 	l.Tokens += o.Tokens
 }
 
+// subtract takes off a load that was added. Without calls nothing is left, not even what the
+// addition of fractions has rounded.
+func (l *Load) subtract(o Load) {
+	l.add(o.negated())
+	if l.Calls == 0 {
+		*l = Load{}
+	}
+}
+
 type upstreamState struct {
 	Upstream
 	own      Load
@@ -76,6 +85,9 @@
 	probedAt time.Time
 	// notices are those of the registered instance, nil if there are none.
 	notices *notices
+	cold    *coldState
+	// evacuated is set while the availability zone of the upstream is evacuated.
+	evacuated bool
 }
 
 type cacheKey struct {
@@ -111,13 +123,29 @@
 type Balancer struct {
 	options Options
 
-	mu         sync.Mutex
-	upstreams  map[string]*upstreamState
-	notices    map[Instance]*notices
-	service    map[string][]*upstreamState
-	peers      map[string]peerState
-	recentUses []cacheEvent
-	zones      map[string]*zone
+	mu        sync.Mutex
+	upstreams map[string]*upstreamState
+	notices   map[Instance]*notices
+	service   map[string][]*upstreamState
+	peers     map[string]peerState
+	// peersComputedAt is the time at which the loads of all peers were summed, zero if the
+	// sums lack an upstream.
+	peersComputedAt time.Time
+	recentUses      []cacheEvent
+	zones           map[string]*zone
+	// evacuated is the set of evacuated availability zones.
+	evacuated map[string]bool
+	// coldLimits holds the limits of cold upstreams by service, colds the cold states of
+	// instances, and coldSlow the slowness of cold upstreams by service.
+	coldLimits map[string]ColdLimit
+	colds      map[Instance]*coldState
+	coldSlow   map[string]*slowness
+	// roster holds the names of the VMs, of which self is this one. rosterVersion grows with
+	// each roster.
+	self          string
+	roster        []string
+	rosterState   Roster
+	rosterVersion uint64
 	// pauses are the last levels of the pauses at all upstreams of a service.
 	pauses map[string]servicePauses
 	// listSetAt is the time of the last SetUpstreams call.
@@ -135,6 +163,7 @@
 	return &Balancer{
 		options: options, upstreams: map[string]*upstreamState{}, service: map[string][]*upstreamState{},
 		notices: map[Instance]*notices{}, peers: map[string]peerState{}, zones: map[string]*zone{}, pauses: map[string]servicePauses{},
+		colds: map[Instance]*coldState{}, coldSlow: map[string]*slowness{}, rosterVersion: 1,
 	}
 }
 
@@ -145,16 +174,24 @@
 func (b *Balancer) SetUpstreams(list []Upstream, previousAt, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	first := b.listSetAt.IsZero()
 	b.listSetAt = now
 	registered := make(map[string]bool, len(list))
 	for _, u := range list {
 		registered[u.ID] = true
 		e := b.upstreams[u.ID]
 		if e == nil || e.Instance() != u.Instance() {
-			e = &upstreamState{cachedAt: map[cacheKey]time.Time{}, notices: b.notices[u.Instance()]}
+			e = &upstreamState{cachedAt: map[cacheKey]time.Time{}, notices: b.notices[u.Instance()], cold: b.coldOf(u.Instance())}
 			b.upstreams[u.ID] = e
+			b.peersComputedAt = time.Time{}
+			if !first {
+				e.cold.mark(ColdNew, now)
+			}
 		}
-		e.Upstream, e.unregisteredAt = u, time.Time{}
+		if e.Revision != u.Revision || e.ColdLeft != u.ColdLeft {
+			e.cold.told(u.ColdLeft, ColdRegistered, now)
+		}
+		e.Upstream, e.unregisteredAt, e.evacuated = u, time.Time{}, b.evacuated[u.AvailabilityZone]
 	}
 	for id, e := range b.upstreams {
 		if registered[id] {
@@ -222,14 +259,34 @@
 func (b *Balancer) SetPeer(vm string, loads map[string]Load, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	previous := b.peers[vm].loads
 	b.peers[vm] = peerState{receivedAt: now, loads: loads}
 	clear(b.pauses)
-	b.recomputePeerLoads(now)
+	if now.Sub(b.peersComputedAt) >= peerLoadsInterval {
+		b.recomputePeerLoads(now)
+		return
+	}
+	for id, l := range loads {
+		if e := b.upstreams[id]; e != nil {
+			e.peers.add(l)
+		}
+	}
+	for id, l := range previous {
+		if e := b.upstreams[id]; e != nil {
+			e.peers.subtract(l)
+		}
+	}
 }
 
+// peerLoadsInterval is the interval at which the loads of all peers are summed anew. In between
+// a report changes only the sums of its upstreams, because a delegate receives several hundred
+// reports a second. It is the longest time for which an expired report still counts.
+const peerLoadsInterval = 100 * time.Millisecond
+
 // recomputePeerLoads drops expired load reports and sums the remaining ones for
 // each upstream.
 func (b *Balancer) recomputePeerLoads(now time.Time) {
+	b.peersComputedAt = now
 	for _, e := range b.upstreams {
 		e.peers = Load{}
 	}
@@ -282,10 +339,15 @@
 
 // Usable reports whether a call may still be sent to an instance that Choose
 // returned earlier: the instance may since have started to drain, have lost its
-// registration, have been replaced, or have said that it wants no calls.
+// registration, have been replaced, or have said that it wants no calls, and its zone may
+// have been evacuated.
 func (b *Balancer) Usable(i Instance, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.usableInstance(i, now)
+}
+
+func (b *Balancer) usableInstance(i Instance, now time.Time) bool {
 	e := b.upstreams[i.ID]
 	return e != nil && e.Instance() == i && e.acceptsCalls(now) && !b.isGone(e, now)
 }
@@ -296,10 +358,10 @@
 	return !e.unregisteredAt.IsZero() && now.Sub(e.unregisteredAt) >= b.options.LapseGrace
 }
 
-// acceptsCalls reports whether neither the registration nor an answer of the upstream
-// rules out new calls of this VM.
+// acceptsCalls reports whether neither the registration, nor an answer of the upstream, nor
+// the evacuation of its zone rules out new calls of this VM.
 func (e *upstreamState) acceptsCalls(now time.Time) bool {
-	return !e.Draining && !e.notices.leaving() && e.notices.pauseLeft(now) == 0
+	return !e.evacuated && !e.Draining && !e.notices.leaving() && e.notices.pauseLeft(now) == 0
 }
 
 // Replaced reports whether another process has the ID or the address of an instance.
@@ -323,7 +385,7 @@
 	q := &Query{Allow: allow, Now: now}
 	n := 0
 	for _, e := range b.service[service] {
-		if e.ID != exclude && b.usable(e, q, false) && (e.AvailabilityZone == b.options.AvailabilityZone || !b.zones[e.AvailabilityZone].suspected(now)) {
+		if e.ID != exclude && b.usable(e, q, ordinary) && (e.AvailabilityZone == b.options.AvailabilityZone || !b.zones[e.AvailabilityZone].suspected(now)) {
 			n++
 		}
 	}
--- a/placement/census.go
+++ b/placement/census.go
@@ -12,6 +12,10 @@
 	// have lost their registration. OtherRelease ones run a release that is not allowed
 	// for the request.
 	Tried, Leaving, Lapsed, OtherRelease int
+	// Evacuated upstreams are in an evacuated availability zone.
+	Evacuated int
+	// Cold upstreams have started recently, and this VM may not send them a request now.
+	Cold int
 	// Paused upstreams asked this VM for no calls until a time.
 	Paused int
 	// Unreachable upstreams accepted no connection or sent no byte recently.
@@ -33,6 +37,8 @@
 		switch {
 		case q.Exclude[e.ID]:
 			c.Tried++
+		case e.evacuated:
+			c.Evacuated++
 		case !e.unregisteredAt.IsZero():
 			c.Lapsed++
 		case e.Draining || e.notices.leaving():
@@ -43,6 +49,8 @@
 			c.Paused++
 		case e.health.isUnreachable(q.Now):
 			c.Unreachable++
+		case !b.coldAllows(e, coldAlone, q.Now):
+			c.Cold++
 		case e.health.ejected(q.Now):
 			c.Failing++
 		}
--- a/placement/prospects.go
+++ b/placement/prospects.go
@@ -18,18 +18,21 @@
 func (b *Balancer) Prospects(q *Query) Prospects {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if p := b.prospects(q, false); p.Candidates > 0 {
-		return p
+	last := b.lastTier()
+	for t := ordinary; t < last; t++ {
+		if p := b.prospects(q, t); p.Candidates > 0 {
+			return p
+		}
 	}
-	return b.prospects(q, true)
+	return b.prospects(q, last)
 }
 
-func (b *Balancer) prospects(q *Query, lastResort bool) Prospects {
+func (b *Balancer) prospects(q *Query, t tier) Prospects {
 	p := Prospects{Soonest: math.Inf(1)}
 	common := b.prepare(q)
 	var c Choice
 	for _, e := range b.service[q.Service] {
-		if !b.usable(e, q, lastResort) {
+		if !b.usable(e, q, t) {
 			continue
 		}
 		calls := e.own.Calls + e.peers.Calls
