placement: the assumed slowness of cold upstreams counts before the first observation

Cause: the cached factor of the learned slowness was 1 before an observation, so that the assumed slowness of cold upstreams had no effect after the merge of the two. placement:TestColdUpstreamIsPredictedSlow failed (2 of 4 calls placed at the warm engine, 3 wanted) and passes now.

--- a/placement/speed.go
+++ b/placement/speed.go
@@ -25,13 +25,13 @@
 type slowness struct {
 	logFactor    float64
 	observations float64
-	// exp is the exponential of logFactor once there is an observation.
+	// exp is the exponential of logFactor, 0 before the first observation.
 	exp float64
 }
 
 func (s *slowness) factor() float64 {
-	if s.observations == 0 {
-		return 1
+	if s.exp == 0 {
+		return math.Exp(s.logFactor)
 	}
 	return s.exp
 }
