--- a/entry/control.go
+++ b/entry/control.go
@@ -136,6 +136,8 @@
 	if evidence {
 		r.Leaving = e.balancer.LeavingSince(time.Time{}, now)
 		r.Rollouts = e.rollouts.Evidence()
+		organisations := e.fairness.Report(now)
+		r.Organisations = &organisations
 	}
 	return r
 }
@@ -150,6 +152,9 @@
 		}
 	}
 	e.quarantine.Merge(r.Quarantine, now)
+	if r.Organisations != nil {
+		e.fairness.SetPeer(source, *r.Organisations, now)
+	}
 	e.rollouts.AddSessions(r.Sessions, now)
 	e.rollouts.Merge(source, r.Rollouts)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/samber/oops"
 	"go.uber.org/zap"
 
+	"github.com/savoryshift/savoryshift/admission"
 	"github.com/savoryshift/savoryshift/exchange"
 	"github.com/savoryshift/savoryshift/fleet"
 	"github.com/savoryshift/savoryshift/gateway"
@@ -93,10 +94,12 @@
 	rollouts *rollout.Manager
 	// quarantine holds the parts of prompts that end upstreams.
 	quarantine *quarantine.Tracker
-	fleet      *fleet.Fleet
-	idle       *idleconn.Closer
-	clients    *clients
-	started    time.Time
+	// fairness holds the engine time that organisations use.
+	fairness *admission.Fairness
+	fleet    *fleet.Fleet
+	idle     *idleconn.Closer
+	clients  *clients
+	started  time.Time
 
 	orders, upstreams, status, findings *mirror.Mirror
 	tables                              map[string]*table
@@ -153,8 +156,9 @@
 	})
 	e.updateRoster(e.started)
 	e.quarantine = e.newQuarantine()
+	e.fairness = admission.NewFairness()
 	e.gateway = gateway.New(gateway.Options{
-		Codec: platform.Codec{}, Balancer: e.balancer, Pool: e.pool, Splitter: e.rollouts, RetryBudget: e.budget, Log: opts.Log, Metrics: e.metrics, Quarantine: e.quarantine, Announce: e.fleet.Announce, Outdated: e.ordersOutdated,
+		Codec: platform.Codec{}, Balancer: e.balancer, Pool: e.pool, Splitter: e.rollouts, RetryBudget: e.budget, Log: opts.Log, Metrics: e.metrics, Quarantine: e.quarantine, Fairness: e.fairness, Announce: e.fleet.Announce, Outdated: e.ordersOutdated,
 		MaxBuffered: int64(bufferedShare * float64(s.MemoryBytes)),
 	})
 	e.tables = map[string]*table{}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/savoryshift/savoryshift/admission"
 	"github.com/savoryshift/savoryshift/mirror"
 	"github.com/savoryshift/savoryshift/placement"
 	"github.com/savoryshift/savoryshift/quarantine"
@@ -31,6 +32,9 @@
 	// ReadingMs is placement.Load.PrefillSeconds in ms, and RunningPct is
 	// placement.Load.Running in hundredths.
 	ReadingMs, RunningPct int
+	// Streams is placement.Load.Streams, and PausedPct is placement.Load.Paused in
+	// hundredths. Tokens is placement.Load.Tokens. Builds before these fields ignore them.
+	Streams, PausedPct, Tokens int
 }
 
 // Scope tells whose state the report of a digest covers.
@@ -60,6 +64,9 @@
 	// Quarantine is what the sender knows of parts of prompts that end upstreams, also
 	// from its peers. Builds before this field ignore it.
 	Quarantine quarantine.Report
+	// Organisations is the engine time that organisations used lately, nil in digests that are
+	// not full. Builds before this field ignore it.
+	Organisations *admission.Report
 }
 
 // Digest is the message that two VMs send each other in an exchange.
@@ -108,7 +115,7 @@
 func EncodeLoads(loads map[string]placement.Load) []LoadReport {
 	out := make([]LoadReport, 0, len(loads))
 	for id, l := range loads {
-		out = append(out, LoadReport{Upstream: id, Calls: l.Calls, ReadingMs: int(l.PrefillSeconds * 1000), RunningPct: int(l.Running * 100)})
+		out = append(out, LoadReport{Upstream: id, Calls: l.Calls, ReadingMs: int(l.PrefillSeconds * 1000), RunningPct: int(l.Running * 100), Streams: l.Streams, PausedPct: int(l.Paused * 100), Tokens: l.Tokens})
 	}
 	return out
 }
@@ -117,7 +124,7 @@
 func DecodeLoads(list []LoadReport) map[string]placement.Load {
 	out := make(map[string]placement.Load, len(list))
 	for _, l := range list {
-		out[l.Upstream] = placement.Load{Calls: l.Calls, PrefillSeconds: float64(l.ReadingMs) / 1000, Running: float64(l.RunningPct) / 100}
+		out[l.Upstream] = placement.Load{Calls: l.Calls, PrefillSeconds: float64(l.ReadingMs) / 1000, Running: float64(l.RunningPct) / 100, Streams: l.Streams, Paused: float64(l.PausedPct) / 100, Tokens: l.Tokens}
 	}
 	return out
 }
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/savoryshift/savoryshift/admission"
 	"github.com/savoryshift/savoryshift/placement"
 	"github.com/savoryshift/savoryshift/rollout"
 )
@@ -65,6 +66,7 @@
 func (rs *reportStore) record(d Digest, incarnation string, zone string, now time.Time) {
 	switch {
 	case d.Scope == OwnScope && d.From.AvailabilityZone == zone:
+		d.Report.Organisations = lastOrganisations(d.Report, rs.vms[d.From.VM])
 		rs.vms[d.From.VM] = &receivedReport{d.Report, now}
 		rs.recordUses(d.From.VM, &d.Report, now)
 		if len(d.Report.Rollouts) > 0 {
@@ -72,6 +74,7 @@
 		}
 	case d.Scope == ZoneScope:
 		source := zonePrefix + d.From.AvailabilityZone
+		d.Report.Organisations = lastOrganisations(d.Report, rs.zones[d.From.AvailabilityZone])
 		rs.zones[d.From.AvailabilityZone] = &receivedReport{d.Report, now}
 		rs.recordUses(source, &d.Report, now)
 		if len(d.Report.Rollouts) > 0 {
@@ -80,6 +83,15 @@
 	}
 }
 
+// lastOrganisations returns the engine time of organisations in a report, or in the one before
+// it of the same source: only full digests tell it.
+func lastOrganisations(r Report, previous *receivedReport) *admission.Report {
+	if r.Organisations == nil && previous != nil {
+		return previous.report.Organisations
+	}
+	return r.Organisations
+}
+
 // recordUses stores the uses in a report of a source, which is empty for this VM.
 func (rs *reportStore) recordUses(source string, r *Report, now time.Time) {
 	for _, u := range r.Uses {
@@ -157,10 +169,35 @@
 	out := Report{Leaving: own.Leaving, Quarantine: own.Quarantine}
 	if evidence {
 		out.Rollouts = rs.evidenceSum(own.Rollouts, except, zones)
+		out.Organisations = rs.organisationsSum(own.Organisations, except, zones)
 	}
 	return out
 }
 
+// organisationsSum returns the sum of the engine time that organisations used at the VMs of a
+// sum.
+func (rs *reportStore) organisationsSum(own *admission.Report, except string, zones bool) *admission.Report {
+	var uses []admission.Report
+	add := func(r *admission.Report) {
+		if r != nil {
+			uses = append(uses, *r)
+		}
+	}
+	add(own)
+	for vm, p := range rs.vms {
+		if vm != except {
+			add(p.report.Organisations)
+		}
+	}
+	if zones {
+		for _, p := range rs.zones {
+			add(p.report.Organisations)
+		}
+	}
+	sum := admission.SumReports(uses...)
+	return &sum
+}
+
 // loadSums returns the sums of the loads, which are at most sumsInterval old. own is the load of
 // this VM.
 func (rs *reportStore) loadSums(own []LoadReport, now time.Time) *loadSums {
@@ -230,6 +267,9 @@
 	l.Calls += times * o.Calls
 	l.ReadingMs += times * o.ReadingMs
 	l.RunningPct += times * o.RunningPct
+	l.Streams += times * o.Streams
+	l.PausedPct += times * o.PausedPct
+	l.Tokens += times * o.Tokens
 }
 
 // evidenceSum returns the sum of the evidence of all VMs, including those that are
--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/savoryshift/savoryshift/admission"
 	"github.com/savoryshift/savoryshift/errkind"
 	"github.com/savoryshift/savoryshift/internal/bodybudget"
 	"github.com/savoryshift/savoryshift/placement"
@@ -88,6 +89,11 @@
 	anyCallFailed bool
 	// lastUnsent is set if no byte of the last call was written.
 	lastUnsent bool
+	// admission is the decision that keeps the request from its first call, nil if there is
+	// none.
+	admission *admission.Admission
+	// tooLarge is set if no engine can hold the prompt.
+	tooLarge bool
 	// mayHaveRun is set once a call ran or may have run. The client must then not
 	// be told that the request was not run.
 	mayHaveRun bool
@@ -193,6 +199,10 @@
 		exec.refuseForStop()
 	case !exec.mayHaveRun && exec.quarantined.Refused:
 		exec.refuseQuarantined()
+	case !exec.mayHaveRun && exec.tooLarge:
+		exec.refuseTooLarge()
+	case !exec.mayHaveRun && exec.admission != nil:
+		exec.refuseLate(time.Now())
 	case exec.mayHaveRun:
 		exec.logNoUpstream()
 		exec.fail(errkind.UpstreamFailed)
@@ -282,9 +292,13 @@
 	}
 	q := &placement.Query{
 		Service: exec.service.Name, Model: model, Rank: rank, Tokens: exec.req.PromptTokens, Parts: exec.req.Parts,
-		Exclude: exec.excluded, Now: now,
+		OutputTokens: exec.req.expectedOutput(), KvTokens: exec.service.KvTokens,
+		Exclude: exec.excluded, MaxPause: exec.route.MaxPause, Now: now,
 	}
-	choice, call := exec.startCall(q)
+	if exec.exceedsMemory(q) {
+		return nil
+	}
+	choice, call := exec.startCall(q, now)
 	if call == nil || !exec.passesQuarantine(now) {
 		if call != nil {
 			call.End(placement.Neutral, now)
@@ -299,6 +313,7 @@
 	a.prompt = exec.srv.opts.Quarantine.Start(choice.Instance().String(), quarantine.HashRequest(exec.req.ID), exec.parts, exec.resumes(), now)
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	exec.lastUpstream = choice.ID
+	a.logMemory()
 	return a
 }
 
@@ -307,10 +322,10 @@
 const maxChoices = 4
 
 // startCall chooses an upstream and registers the call there. It returns nil if none can take it.
-func (exec *execution) startCall(q *placement.Query) (placement.Choice, *placement.Call) {
+func (exec *execution) startCall(q *placement.Query, now time.Time) (placement.Choice, *placement.Call) {
 	for range maxChoices {
 		choice, ok := exec.choose(q)
-		if !ok {
+		if !ok || exec.refusesLate(q, choice, now) {
 			break
 		}
 		if call := exec.srv.opts.Balancer.Start(choice, q); call != nil {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -32,6 +32,18 @@
 	m.set.GetOrCreateCounter(`savoryshift_call_events_total{event="` + sanitizeLabel(event) + `"}`).Inc()
 }
 
+func (m *Metrics) countRefusedLate(route string) {
+	m.set.GetOrCreateCounter(`savoryshift_refused_by_prediction_total{route="` + sanitizeLabel(route) + `"}`).Inc()
+}
+
+func (m *Metrics) countOverFairPart(route string) {
+	m.set.GetOrCreateCounter(`savoryshift_over_fair_part_total{route="` + sanitizeLabel(route) + `"}`).Inc()
+}
+
+func (m *Metrics) countLatePause(route string) {
+	m.set.GetOrCreateCounter(`savoryshift_late_pauses_total{route="` + sanitizeLabel(route) + `"}`).Inc()
+}
+
 func (m *Metrics) countEndedByStop(route string) {
 	m.set.GetOrCreateCounter(`savoryshift_requests_ended_by_stop_total{route="` + sanitizeLabel(route) + `"}`).Inc()
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/savoryshift/savoryshift/admission"
 	"github.com/savoryshift/savoryshift/cascade"
 	"github.com/savoryshift/savoryshift/errkind"
 	"github.com/savoryshift/savoryshift/exchange"
@@ -47,6 +48,9 @@
 	// Quarantine holds the parts of prompts that end upstreams. Default: one without
 	// peers.
 	Quarantine *quarantine.Tracker
+	// Fairness holds the engine time that organisations use, with that of peers. Default: one
+	// without peers.
+	Fairness *admission.Fairness
 	// Outdated reports whether this VM may lack orders of the operator that must be in
 	// force: it makes no calls then. It may be nil.
 	Outdated func(now time.Time) bool
@@ -82,6 +86,7 @@
 	received   atomic.Int64
 	valuations valuations
 	durations  routeDurations
+	accuracies accuracies
 	// buffers is the memory for responses, bodies that for the bodies of requests.
 	buffers, bodies *bodybudget.Budget
 	ends            endExaminer
@@ -96,6 +101,9 @@
 	if opts.Quarantine == nil {
 		opts.Quarantine = quarantine.New(quarantine.Options{})
 	}
+	if opts.Fairness == nil {
+		opts.Fairness = admission.NewFairness()
+	}
 	if opts.MaxBuffered == 0 {
 		opts.MaxBuffered = defaultMaxBuffered
 	}
@@ -125,6 +133,7 @@
 	exists := func(route string) bool { return names[route] }
 	srv.durations.keep(exists)
 	srv.valuations.keep(st.Snapshot, exists)
+	srv.accuracies.keep(func(service string) bool { return st.Snapshot.Service(service) != nil })
 }
 
 // Version returns the version of the configuration in force, 0 before there is one.
--- a/placement/book.go
+++ b/placement/book.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"github.com/savoryshift/savoryshift/admission"
 )
 
 const (
@@ -34,18 +36,28 @@
 	// Running counts the streams that have had their first event, weighted by the
 	// engine time of their model.
 	Running float64
+	// Streams counts the calls that have had their first event. Paused is the sum over them
+	// of the level of the upstream's pauses, see admission.Pauses.
+	Streams int
+	Paused  float64
+	// Tokens counts the prompt tokens and the expected generated tokens of the calls, which
+	// take memory of the engine.
+	Tokens int
 }
 
 func (l *Load) add(o Load) {
 	l.Calls += o.Calls
 	l.PrefillSeconds += o.PrefillSeconds
 	l.Running += o.Running
+	l.Streams += o.Streams
+	l.Paused += o.Paused
+	l.Tokens += o.Tokens
 }
 
 // subtract takes off a load that was added. Without calls nothing is left, not even what the
 // addition of fractions has rounded.
 func (l *Load) subtract(o Load) {
-	l.add(Load{Calls: -o.Calls, PrefillSeconds: -o.PrefillSeconds, Running: -o.Running})
+	l.add(o.negated())
 	if l.Calls == 0 {
 		*l = Load{}
 	}
@@ -56,6 +68,7 @@
 	own      Load
 	peers    Load
 	slowness slowness
+	pauses   admission.Pauses
 	health   health
 	// cachedAt maps a prompt part and a model to the time of the last prefill.
 	cachedAt map[cacheKey]time.Time
@@ -133,6 +146,8 @@
 	roster        []string
 	rosterState   Roster
 	rosterVersion uint64
+	// pauses are the last levels of the pauses at all upstreams of a service.
+	pauses map[string]servicePauses
 	// listSetAt is the time of the last SetUpstreams call.
 	listSetAt time.Time
 }
@@ -147,7 +162,7 @@
 	}
 	return &Balancer{
 		options: options, upstreams: map[string]*upstreamState{}, service: map[string][]*upstreamState{},
-		notices: map[Instance]*notices{}, peers: map[string]peerState{}, zones: map[string]*zone{},
+		notices: map[Instance]*notices{}, peers: map[string]peerState{}, zones: map[string]*zone{}, pauses: map[string]servicePauses{},
 		colds: map[Instance]*coldState{}, coldSlow: map[string]*slowness{}, rosterVersion: 1,
 	}
 }
@@ -246,6 +261,7 @@
 	defer b.mu.Unlock()
 	previous := b.peers[vm].loads
 	b.peers[vm] = peerState{receivedAt: now, loads: loads}
+	clear(b.pauses)
 	if now.Sub(b.peersComputedAt) >= peerLoadsInterval {
 		b.recomputePeerLoads(now)
 		return
@@ -294,7 +310,7 @@
 	out := map[string]Load{}
 	for id, e := range b.upstreams {
 		if e.own.Calls > 0 {
-			out[id] = e.own
+			out[id] = e.ownLoad()
 		}
 	}
 	return out
--- a/placement/call.go
+++ b/placement/call.go
@@ -37,7 +37,7 @@
 	call := &Call{
 		b: b, upstream: upstream, model: q.Model, parts: q.Parts, predictedFirstEvent: c.FirstEvent, predictedPrefill: c.PrefillSeconds,
 		runningWeight: prefillSeconds(prefillTokensPerSecond, q.Rank), startedAt: q.Now,
-		load: Load{Calls: 1, PrefillSeconds: c.PrefillSeconds},
+		load: Load{Calls: 1, PrefillSeconds: c.PrefillSeconds, Tokens: q.memory()},
 	}
 	if !call.reserve(q.Now) {
 		return nil
@@ -173,7 +173,7 @@
 	c.hasFirstEvent = true
 	c.upstream.lastByteAt = now
 	c.b.zone(c.upstream.AvailabilityZone).lastByteAt = now
-	next := Load{Calls: 1, Running: c.runningWeight}
+	next := Load{Calls: 1, Running: c.runningWeight, Streams: 1, Tokens: c.load.Tokens}
 	c.setLoad(next)
 	if c.predictedPrefill >= minSlownessSample {
 		c.learn(now)
@@ -189,7 +189,7 @@
 }
 
 func (c *Call) setLoad(next Load) {
-	c.upstream.own.add(Load{Calls: -c.load.Calls, PrefillSeconds: -c.load.PrefillSeconds, Running: -c.load.Running})
+	c.upstream.own.add(c.load.negated())
 	if c.upstream.own.Calls+next.Calls == 0 {
 		c.upstream.own = Load{}
 	}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/savoryshift/savoryshift/admission"
 )
 
 const (
@@ -41,7 +43,13 @@
 	Exclude map[string]bool
 	// Allow reports whether a release may serve the call; nil allows all.
 	Allow func(release string) bool
-	Now   time.Time
+	// OutputTokens is the expected number of generated tokens. KvTokens is the number of
+	// tokens that an engine holds in its memory, 0 if it is not known.
+	OutputTokens, KvTokens int
+	// MaxPause is the longest pause between two events that the route allows, 0 if it sets
+	// none.
+	MaxPause time.Duration
+	Now      time.Time
 }
 
 // Choice is a chosen upstream with the predictions for the call.
@@ -61,6 +69,15 @@
 	Wait float64
 	// UncachedTokens is the number of prompt tokens that need a prefill.
 	UncachedTokens float64
+	// Streams is the number of streams that run at the upstream, and LateStreams how many of
+	// them the call is expected to make late by pauses, see admission.LateStreams.
+	Streams     int
+	LateStreams float64
+	// PauseLevel is that of the upstream, see admission.Pauses.
+	PauseLevel float64
+	// OverMemory is set if no upstream has the memory for the call besides the calls in
+	// flight.
+	OverMemory bool
 	// Candidates is the number of upstreams that were compared.
 	Candidates int
 	// Lapsed is the time since the upstream lost its registration, 0 if it is
@@ -76,10 +93,7 @@
 func (b *Balancer) Choose(q *Query) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	last := lastResort
-	if b.rosterState == RosterAlone {
-		last = coldAlone
-	}
+	last := b.lastTier()
 	for t := ordinary; t < last; t++ {
 		if c, ok := b.best(q, t); ok {
 			return c, true
@@ -88,26 +102,58 @@
 	return b.best(q, last)
 }
 
+// lastTier returns the tier of the upstreams that are compared last.
+func (b *Balancer) lastTier() tier {
+	if b.rosterState == RosterAlone {
+		return coldAlone
+	}
+	return lastResort
+}
+
 func (b *Balancer) best(q *Query, t tier) (Choice, bool) {
-	var best Choice
-	bestScore := math.Inf(1)
+	var best, c Choice
+	var chosen *upstreamState
+	bestScore, bestHolds := math.Inf(1), false
 	candidates := 0
+	common := b.prepare(q)
 	for _, e := range b.service[q.Service] {
 		if !b.usable(e, q, t) {
 			continue
 		}
 		candidates++
-		c := b.predict(e, q)
-		score := c.FirstEvent + engineTimeWeight*c.PrefillSeconds*b.slow(e, c.Cold) + failurePenalty*e.health.failureRate + b.zoneCost(e, q.Now)
-		if score < bestScore {
-			best, bestScore = c, score
+		b.predict(e, q, &common, &c)
+		prefill := c.PrefillSeconds * b.slow(e, c.Cold)
+		score := c.FirstEvent + engineTimeWeight*prefill + failurePenalty*e.health.failureRate + b.zoneCost(e, q.Now) + admission.PauseCost(c.PauseLevel, c.LateStreams)
+		if holds := e.holds(q); holds == bestHolds && score < bestScore || holds && !bestHolds {
+			best, bestScore, bestHolds, chosen = c, score, holds, e
 		}
 	}
-	best.Candidates = candidates
-	if e := b.upstreams[best.ID]; candidates > 0 && !e.unregisteredAt.IsZero() {
-		best.Lapsed = q.Now.Sub(e.unregisteredAt)
+	if chosen == nil {
+		return Choice{}, false
 	}
-	return best, candidates > 0
+	best.OverMemory = !bestHolds
+	best.Upstream, best.Candidates = chosen.Upstream, candidates
+	if !chosen.unregisteredAt.IsZero() {
+		best.Lapsed = q.Now.Sub(chosen.unregisteredAt)
+	}
+	return best, true
+}
+
+// terms are what the predictions of a call for all upstreams have in common.
+type terms struct {
+	// tokenSeconds is the prefill time of a prompt token.
+	tokenSeconds float64
+	// pauseLevel is that of the pauses at all upstreams of the service, pausesPerSecond the
+	// number of allowed pauses in a second.
+	pauseLevel, pausesPerSecond float64
+}
+
+func (b *Balancer) prepare(q *Query) terms {
+	t := terms{tokenSeconds: prefillSeconds(1, q.Rank), pauseLevel: b.pauseLevel(q), pausesPerSecond: 1}
+	if q.MaxPause > 0 {
+		t.pausesPerSecond = 1 / q.MaxPause.Seconds()
+	}
+	return t
 }
 
 // zoneCost returns the penalty, in seconds, for the availability zone of an
@@ -126,7 +172,7 @@
 // calls, and unreachable ones, are excluded even as a last resort: refusing a request at
 // once is better than waiting for a connection.
 func (b *Balancer) usable(e *upstreamState, q *Query, t tier) bool {
-	if !e.acceptsCalls(q.Now) || q.Exclude[e.ID] || q.Allow != nil && !q.Allow(e.Release) || e.health.isUnreachable(q.Now) || !b.coldAllows(e, t, q.Now) {
+	if !e.acceptsCalls(q.Now) || len(q.Exclude) > 0 && q.Exclude[e.ID] || q.Allow != nil && !q.Allow(e.Release) || e.health.isUnreachable(q.Now) || !b.coldAllows(e, t, q.Now) {
 		return false
 	}
 	if !e.unregisteredAt.IsZero() {
@@ -135,25 +181,29 @@
 	return t >= lastResort || !e.health.ejected(q.Now)
 }
 
-// predict returns the predicted times for a call if it is placed at an upstream.
-func (b *Balancer) predict(e *upstreamState, q *Query) Choice {
-	total := e.own
-	total.add(e.peers)
-	c := Choice{Upstream: e.Upstream, Cold: b.isCold(e, q.Now)}
+// predict sets the predicted times for a call if it is placed at an upstream.
+func (b *Balancer) predict(e *upstreamState, q *Query, common *terms, c *Choice) {
+	own, peers := &e.own, &e.peers
+	c.Cold = b.isCold(e, q.Now)
 	slow := b.slow(e, c.Cold)
 	if q.Model == "" {
-		perSlot := float64(total.Calls+1) / float64(max(1, e.Slots))
+		perSlot := float64(own.Calls+peers.Calls+1) / float64(max(1, e.Slots))
 		c.NominalFirstEvent = plainServiceSeconds * (1 + perSlot)
 		c.FirstEvent = slow * c.NominalFirstEvent
-		return c
+		return
 	}
+	c.Streams, c.PauseLevel = own.Streams+peers.Streams, 0
+	queued := own.PrefillSeconds + peers.PrefillSeconds
 	c.UncachedTokens = float64(max(minPrefillTokens, q.Tokens-e.cachedTokens(q, b.options.CacheLifetime)))
-	c.PrefillSeconds = prefillSeconds(c.UncachedTokens, q.Rank)
-	slowdown := 1 + runningSlowdown*total.Running
-	c.Wait = total.PrefillSeconds * slowdown * slow
-	c.NominalFirstEvent = firstEventFloor + (total.PrefillSeconds+c.PrefillSeconds)*slowdown
+	c.PrefillSeconds = c.UncachedTokens * common.tokenSeconds
+	slowdown := 1 + runningSlowdown*(own.Running+peers.Running)
+	c.Wait = queued * slowdown * slow
+	c.NominalFirstEvent = firstEventFloor + (queued+c.PrefillSeconds)*slowdown
 	c.FirstEvent = slow * c.NominalFirstEvent
-	return c
+	if paused := e.paused(); paused > 0 && c.Streams > 0 {
+		c.PauseLevel = paused / float64(c.Streams)
+	}
+	c.LateStreams = admission.LateStreams(c.PrefillSeconds*slow*common.pausesPerSecond, c.Streams, common.pauseLevel)
 }
 
 // minPrefillTokens is the least number of tokens that any prompt needs prefilled,
