exchange: the end of a connection ends a body only after the whole request

A response without a length counted as complete although its upstream had reset the connection during the upload. Linux reports the error of a reset once. When the goroutine that writes the request body gets it, the read of the response gets EOF, as after an orderly close.

The end of the connection now ends such a body only if the request was written without an error and all of it is acknowledged. A body whose read has failed stays failed.

--- a/exchange/send.go
+++ b/exchange/send.go
@@ -62,8 +62,10 @@
 	framing        Framing
 	// bodyBegun is set once a byte of the body was read, complete once its end was.
 	bodyBegun, complete bool
-	reused              bool
-	closeOnce           sync.Once
+	// endErr is the error with which the body ended, io.EOF if it is complete.
+	endErr    error
+	reused    bool
+	closeOnce sync.Once
 }
 
 // Send writes the request once and returns when the response header has arrived.
@@ -209,7 +211,8 @@
 func (r *Reply) Reused() bool { return r.reused }
 
 // Complete reports whether the whole body was read without an error. With ByConnection it
-// is whole as far as can be known.
+// is whole as far as can be known: the upstream closed the connection in order after it had
+// received the whole request.
 func (r *Reply) Complete() bool { return r.complete }
 
 // Close returns the connection to the pool if the response was read completely
