placement: engine time that held parts save counts for the calls behind too

Cause: a held part was worth its own prefill time twice, which a queue of a few calls outweighs. Under load every call then reads its shared parts again, which keeps the queues long. Change: weigh is a pure function of a prompt and an engine. What an engine holds, surely or by the hash, counts four times more, at most at the speed of a usual engine, so that a slow one does not gain by its slowness. Calls without shared parts are placed as before.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -70,8 +70,6 @@
 	Cold bool
 	// ByHash is set if the upstream was chosen because the hash of a prompt part names it.
 	ByHash bool
-	// slow is the predicted slowness, and slowdown that by the streams that are generated.
-	slow, slowdown float64
 }
 
 // Choose returns the best upstream for a call. Ejected and recently unregistered
@@ -104,8 +102,7 @@
 		}
 		candidates++
 		homes.add(e)
-		c := b.predict(e, q)
-		if score := b.score(e, q, &c); score < bestScore {
+		if c, score := b.predict(e, q, 0); score < bestScore {
 			best, bestScore = c, score
 		}
 	}
@@ -113,8 +110,8 @@
 		if e == nil {
 			break
 		}
-		c := b.predict(e, q)
-		if score := b.score(e, q, &c) - homes.bonus(i, &c); score < bestScore {
+		hashed := homeChances[i] * math.Max(0, float64(homes.tokens)-e.heldTokens(b.query))
+		if c, score := b.predict(e, q, hashed); score < bestScore {
 			best, bestScore = c, score
 			best.ByHash = true
 		}
@@ -126,11 +123,6 @@
 	return best, candidates > 0
 }
 
-// score returns the predicted cost of a choice in seconds.
-func (b *Balancer) score(e *upstreamState, q *Query, c *Choice) float64 {
-	return c.FirstEvent + engineTimeWeight*c.PrefillSeconds*c.slow + failurePenalty*e.health.failureRate + b.zoneCost(e, q.Now)
-}
-
 // zoneCost returns the penalty, in seconds, for the availability zone of an
 // upstream: 0 for the zone of this VM.
 func (b *Balancer) zoneCost(e *upstreamState, now time.Time) float64 {
@@ -156,27 +148,28 @@
 	return t >= lastResort || !e.health.ejected(q.Now)
 }
 
-// predict returns the predicted times for a call if it is placed at an upstream.
-func (b *Balancer) predict(e *upstreamState, q *Query) Choice {
+// predict returns the predicted times for a call if it is placed at an upstream, and the score.
+// hashed is the expected number of prompt tokens that the upstream holds beyond those that are
+// known.
+func (b *Balancer) predict(e *upstreamState, q *Query, hashed float64) (Choice, float64) {
 	total := e.own
 	total.add(e.peers)
 	c := Choice{Upstream: e.Upstream, Cold: b.isCold(e, q.Now)}
 	slow := b.slow(e, c.Cold)
-	c.slow = slow
+	extra := failurePenalty*e.health.failureRate + b.zoneCost(e, q.Now)
 	if q.Model == "" {
 		perSlot := float64(total.Calls+1) / float64(max(1, e.Slots))
 		c.NominalFirstEvent = plainServiceSeconds * (1 + perSlot)
 		c.FirstEvent = slow * c.NominalFirstEvent
-		return c
+		return c, c.FirstEvent + extra
 	}
-	c.UncachedTokens = math.Max(minPrefillTokens, float64(q.Tokens)-e.heldTokens(b.query))
-	c.PrefillSeconds = prefillSeconds(c.UncachedTokens, q.Rank)
-	slowdown := 1 + runningSlowdown*total.Running
-	c.slowdown = slowdown
-	c.Wait = total.PrefillSeconds * slowdown * slow
-	c.NominalFirstEvent = firstEventFloor + (total.PrefillSeconds+c.PrefillSeconds)*slowdown
-	c.FirstEvent = slow * c.NominalFirstEvent
-	return c
+	p := promptView{tokens: float64(q.Tokens), secondsPerToken: prefillSeconds(1, q.Rank)}
+	w := weigh(&p, &engineView{
+		held: e.heldTokens(b.query), hashed: hashed, backlog: total.PrefillSeconds, running: total.Running, slowness: slow, extra: extra,
+	})
+	c.UncachedTokens, c.PrefillSeconds, c.Wait = w.uncached, w.prefill, w.wait
+	c.NominalFirstEvent, c.FirstEvent = w.nominalFirstEvent, w.firstEvent
+	return c, w.score
 }
 
 // minPrefillTokens is the least number of tokens that any prompt needs prefilled,
--- a/placement/held.go
+++ b/placement/held.go
@@ -215,14 +215,12 @@
 	key    uint64
 	// tokens is the length of the prompt up to the part, 0 if no part can be shared.
 	tokens int
-	// rank is that of the model, and total the length of the prompt.
-	rank, total int
 }
 
 // newHomes prepares the order for the longest part of the prompt that other requests may
 // share.
 func newHomes(q *Query) homes {
-	h := homes{rank: q.Rank, total: q.Tokens}
+	h := homes{}
 	if q.Model == "" {
 		return h
 	}
@@ -256,13 +254,3 @@
 		}
 	}
 }
-
-// bonus returns what the choice of the upstream of a rank is expected to save, in seconds, in
-// addition to its predictions.
-func (h *homes) bonus(rank int, c *Choice) float64 {
-	unknown := float64(h.tokens-h.total) + c.UncachedTokens
-	if unknown <= 0 {
-		return 0
-	}
-	return homeChances[rank] * prefillSeconds(unknown, h.rank) * c.slow * (c.slowdown + engineTimeWeight)
-}
--- /dev/null
+++ b/placement/weigh.go
@@ -0,0 +1,58 @@
+package placement
+
+import "math"
+
+const (
+	// savingWeight is the weight of the engine time that held parts save, in addition to that of
+	// the call's own time. Engine time that is not used shortens the wait of the calls behind, and
+	// a part that is read at one more engine takes memory of other parts there. With more, the
+	// calls of popular parts queue at one engine (docs/design/prompt-cache.md).
+	savingWeight = 4.0
+)
+
+// promptView is what the decision knows of a prompt.
+type promptView struct {
+	tokens float64
+	// secondsPerToken is the prefill time of a token at the assumed prefill rate.
+	secondsPerToken float64
+}
+
+// engineView is what the decision knows of an engine that may read a prompt.
+type engineView struct {
+	// held is the expected number of tokens of the prompt that the engine holds.
+	held float64
+	// hashed is the expected number of further tokens that it holds, or will be asked for by
+	// other VMs, because the hash of a part names it.
+	hashed float64
+	// backlog is the prefill time of the calls before this one, in seconds at the assumed
+	// prefill rate, and running the weighted number of generated streams.
+	backlog, running float64
+	slowness         float64
+	// extra is the cost of the zone and of failures in seconds.
+	extra float64
+}
+
+// weighed is the outcome for an engine: the predictions for the call, in seconds, and the score,
+// of which the least is best.
+type weighed struct {
+	uncached, prefill, wait, nominalFirstEvent, firstEvent, score float64
+}
+
+// weigh weighs the prefill time that is saved by what an engine holds of a prompt against the
+// wait there, its slowness and its zone. It handles loads of prompts that share parts, and is
+// made for each engine and request. A belief that is wrong costs at most the time in which the
+// held and hashed tokens are read, once for the call and engineTimeWeight+savingWeight times for
+// the calls behind it.
+func weigh(p *promptView, e *engineView) weighed {
+	uncached := math.Max(minPrefillTokens, p.tokens-e.held)
+	prefill := uncached * p.secondsPerToken
+	slowdown := 1 + runningSlowdown*e.running
+	w := weighed{uncached: uncached, prefill: prefill, wait: e.backlog * slowdown * e.slowness}
+	w.nominalFirstEvent = firstEventFloor + (e.backlog+prefill)*slowdown
+	w.firstEvent = e.slowness * w.nominalFirstEvent
+	// What a slow engine saves is what another one would need.
+	saved := (e.held + e.hashed) * p.secondsPerToken * math.Min(1, e.slowness)
+	hashed := e.hashed * p.secondsPerToken * e.slowness
+	w.score = w.firstEvent - hashed*slowdown + engineTimeWeight*(prefill*e.slowness-hashed) - savingWeight*saved + e.extra
+	return w
+}
