placement: the chance that a part is held follows from the engine's memory

Cause: a part counted as held for CacheLifetime after its last use, whatever the memory of the engine: too short for engines that read little, too long for those that read much. Change: KvTokens of the service's Engine is decoded (routing.Service.KVTokens). With it, the chance falls with the age of the last use relative to the time in which the engine reads as many tokens as fit into its memory beside the calls in flight, to 0 at three times CacheLifetime at the latest. Each VM estimates what an engine reads from its own calls, the number of VMs and that of engines. Services without KvTokens are treated as before.

Tested: go test of placement, platform, routing and entry, green.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -331,6 +331,7 @@
 	}
 	e.streamed.Store(streamedServices(snapshot))
 	e.balancer.SetColdLimits(coldLimits(snapshot, e.opts.Settings.Bounds))
+	e.balancer.SetMemory(engineMemory(snapshot))
 	e.gateway.SetState(&gateway.State{Snapshot: snapshot, Revision: row.Revision})
 	e.configurationLoaded.Store(true)
 	e.log.Info("configuration in force", zap.Int64("configuration", snapshot.Version), zap.Int64("revision", row.Revision), zap.Int("routes", len(snapshot.Routes)))
--- a/placement/book.go
+++ b/placement/book.go
@@ -126,7 +126,9 @@
 	holders map[cacheKey][]holder
 	query   uint64
 	touched []*upstreamState
-	zones   map[string]*zone
+	// memory holds what is known of the memory of engines by service.
+	memory map[string]*memoryState
+	zones  map[string]*zone
 	// evacuated is the set of evacuated availability zones.
 	evacuated map[string]bool
 	// coldLimits holds the limits of cold upstreams by service, colds the cold states of
--- a/placement/call.go
+++ b/placement/call.go
@@ -24,6 +24,8 @@
 	reserved *coldState
 	// writtenAt is the time at which the request was written, zero before.
 	writtenAt time.Time
+	// tokens is the length of the prompt, and uncached the part of it that is expected to be read.
+	tokens, uncached float64
 }
 
 // Start records a call that is about to be sent to the chosen upstream. It
@@ -39,6 +41,7 @@
 	call := &Call{
 		b: b, upstream: upstream, model: q.Model, parts: q.Parts, predictedFirstEvent: c.FirstEvent, predictedPrefill: c.PrefillSeconds,
 		runningWeight: prefillSeconds(prefillTokensPerSecond, q.Rank), startedAt: q.Now,
+		tokens: float64(q.Tokens), uncached: c.UncachedTokens,
 		load: Load{Calls: 1, PrefillSeconds: c.PrefillSeconds},
 	}
 	if !call.reserve(q.Now) {
--- a/placement/held.go
+++ b/placement/held.go
@@ -34,9 +34,10 @@
 
 // heldPrompt is what an upstream is believed to hold of the prompt of a query.
 type heldPrompt struct {
-	query  uint64
-	usedAt time.Time
-	tokens float64
+	query     uint64
+	usedAt    time.Time
+	retention retention
+	tokens    float64
 }
 
 // heldTokens returns the expected number of tokens of the prompt that the upstream holds.
@@ -56,21 +57,27 @@
 	if q.Model == "" {
 		return
 	}
+	m, rate := b.memory[q.Service], 0.0
+	if m != nil {
+		rate = b.engineReadRate(q.Service, m, q.Now)
+	}
 	for i := len(q.Parts) - 1; i >= 0; i-- {
 		p := q.Parts[i]
 		for _, h := range b.holders[cacheKey{q.Model, p.ID}] {
 			e := h.upstream
 			if e.held.query != b.query {
-				e.held = heldPrompt{query: b.query, usedAt: h.at}
+				e.held = heldPrompt{query: b.query, usedAt: h.at, retention: retention{after: b.options.CacheLifetime}}
+				if m != nil {
+					inUse := float64(e.own.Calls+e.peers.Calls) * m.read.meanPrompt()
+					e.held.retention = retentionOf(m.tokens, inUse, rate, maxRetention*b.options.CacheLifetime)
+				}
 				b.touched = append(b.touched, e)
 			} else if h.at.After(e.held.usedAt) {
 				e.held.usedAt = h.at
 			}
 		}
 		for _, e := range b.touched {
-			if q.Now.Sub(e.held.usedAt) <= b.options.CacheLifetime {
-				e.held.tokens += float64(p.Tokens)
-			}
+			e.held.tokens += float64(p.Tokens) * e.held.retention.chance(q.Now.Sub(e.held.usedAt))
 		}
 	}
 }
@@ -97,7 +104,7 @@
 	for key, list := range b.holders {
 		kept := list[:0]
 		for _, h := range list {
-			if !h.upstream.dropped && now.Sub(h.at) <= b.options.CacheLifetime {
+			if !h.upstream.dropped && now.Sub(h.at) <= b.longestHeld(h.upstream.Service) {
 				kept = append(kept, h)
 			}
 		}
@@ -117,6 +124,9 @@
 		return
 	}
 	c.writtenAt = now
+	if m := c.b.memory[c.upstream.Service]; m != nil && c.model != "" {
+		m.read.add(c.uncached, c.tokens, now)
+	}
 	c.recordUse(now)
 }
 
--- a/placement/held_load_test.go
+++ b/placement/held_load_test.go
@@ -119,6 +119,8 @@
 	for v := range vms {
 		vms[v] = NewBalancer(Options{AvailabilityZone: fmt.Sprint("z", v%3)})
 		vms[v].SetUpstreams(list, now, now)
+		vms[v].SetRoster(fmt.Sprint("vm", v), make([]string, l.vms), RosterKnown)
+		vms[v].SetMemory(map[string]int{"s": l.memory})
 		// The order among equal upstreams is that of a map. Here it follows from the seed.
 		order := vms[v].service["s"]
 		slices.SortFunc(order, func(a, b *upstreamState) int { return cmp.Compare(a.ID, b.ID) })
--- a/placement/held_test.go
+++ b/placement/held_test.go
@@ -98,3 +98,51 @@
 	c, _ := peer.Choose(sharedPrompt("s0", "y"))
 	assert.Equal(t, c.UncachedTokens, 12000.0-512-4870)
 }
+
+// use records that an engine used the parts of a session some time ago.
+func use(b *Balancer, engine, session string, age time.Duration) {
+	b.AddUses([]CacheUse{{Upstream: engine, Model: "m", Part: session, Age: age}}, now)
+}
+
+// Guards against beliefs that expire while the engine still holds the part, and against those
+// that outlive it: the chance follows from the memory of the engine and from what it reads.
+func TestRetentionFollowsMemory(t *testing.T) {
+	const shared = 512 + 4870
+	for _, tc := range []struct {
+		name        string
+		memory      int
+		age         time.Duration
+		calls       int
+		least, most float64
+	}{
+		{"memory not known, within the lifetime", 0, 9 * time.Second, 0, shared, shared},
+		{"memory not known, after the lifetime", 0, 11 * time.Second, 0, 0, 0},
+		{"much memory, after the lifetime", 1_000_000, 11 * time.Second, 0, shared, shared},
+		{"much memory, long after", 1_000_000, 31 * time.Second, 0, 0, 0},
+		{"little memory, recent", 60_000, time.Second, 0, shared, shared},
+		{"little memory, within the lifetime", 60_000, 7 * time.Second, 0, 1, shared - 1},
+		{"little memory, older", 60_000, 12 * time.Second, 0, 0, 0},
+		{"full of calls in flight", 60_000, time.Second, 5, 0, 0},
+	} {
+		b := engines(1)
+		b.SetMemory(map[string]int{"s": tc.memory})
+		// The engine reads 12,000 tokens a second.
+		for i := range 20 {
+			q := query(12000, Part{"own", 12000})
+			q.Now = now.Add(time.Duration(i-20) * time.Second)
+			b.matchHeld(q)
+			c, _ := b.predict(b.upstreams["e0"], q, 0)
+			c.UncachedTokens = 12000
+			call := b.Start(c, q)
+			call.Admit(q.Now)
+			call.FirstEvent(q.Now)
+			call.End(Answered, q.Now)
+		}
+		b.SetPeer("p", map[string]Load{"e0": {Calls: tc.calls}}, now)
+		use(b, "e0", "s", tc.age)
+		b.Sweep(now)
+		c, _ := b.Choose(sharedPrompt("s", "x"))
+		held := 12000 - c.UncachedTokens
+		assert.Assert(t, held >= tc.least && held <= tc.most, "%s: %v", tc.name, held)
+	}
+}
--- a/routing/configuration.go
+++ b/routing/configuration.go
@@ -83,6 +83,9 @@
 	Models []Model
 	// Slots is the batch size of one engine, 0 for other services.
 	Slots int
+	// KVTokens is the memory of one engine for prompts and generated tokens, 0 if it is not
+	// known.
+	KVTokens int
 }
 
 // Price returns the price of 1,000 generated tokens of a model, 0 if the service does not
