placement: late reports of a restarted engine's previous instance are ignored

Cause: a report of a use names the engine and not its incarnation. One that arrived after the restart was taken for a use of the new instance, which holds nothing. Change: uses from before this VM learned of the instance say nothing.

Tested: TestRestartedEngineHoldsNothing fails without the change (6,618 tokens instead of 12,000); go test of placement, green.

--- a/placement/book.go
+++ b/placement/book.go
@@ -63,6 +63,9 @@
 	// to hold of the prompt of the current query.
 	hash uint64
 	held heldPrompt
+	// since is the time at which this VM learned of the instance, zero if it was in the first
+	// list.
+	since time.Time
 	// dropped is set once another instance has taken the place of the upstream, or its state
 	// has been removed.
 	dropped bool
@@ -183,6 +186,7 @@
 			b.peersComputedAt = time.Time{}
 			if !first {
 				e.cold.mark(ColdNew, now)
+				e.since = now
 			}
 		}
 		if e.Revision != u.Revision || e.ColdLeft != u.ColdLeft {
--- a/placement/held.go
+++ b/placement/held.go
@@ -207,13 +207,15 @@
 	return out
 }
 
-// AddUses merges cache uses that were reported by peers.
+// AddUses merges cache uses that were reported by peers. Uses from before this VM learned of
+// the instance may be those of the previous one, and say nothing.
 func (b *Balancer) AddUses(uses []CacheUse, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, u := range uses {
-		if e := b.upstreams[u.Upstream]; e != nil {
-			b.setHeld(e, cacheKey{u.Model, u.Part}, now.Add(-u.Age))
+		at := now.Add(-u.Age)
+		if e := b.upstreams[u.Upstream]; e != nil && !at.Before(e.since) {
+			b.setHeld(e, cacheKey{u.Model, u.Part}, at)
 		}
 	}
 }
--- a/placement/held_test.go
+++ b/placement/held_test.go
@@ -146,3 +146,22 @@
 		assert.Assert(t, held >= tc.least && held <= tc.most, "%s: %v", tc.name, held)
 	}
 }
+
+// Guards against beliefs that survive a restart: what this VM knew, and what peers report late,
+// is about the previous instance.
+func TestRestartedEngineHoldsNothing(t *testing.T) {
+	b := engines(1)
+	use(b, "e0", "s", 0)
+	restarted := Upstream{ID: "e0", Service: "s", Address: "a", AvailabilityZone: "z", Release: "v1", Slots: 4, Incarnation: 2}
+	b.SetUpstreams([]Upstream{restarted}, now, after(time.Second))
+	b.AddUses([]CacheUse{{Upstream: "e0", Model: "m", Part: "s", Age: 600 * time.Millisecond}}, after(1500*time.Millisecond))
+	q := sharedPrompt("s", "x")
+	q.Now = after(2 * time.Second)
+	c, _ := b.Choose(q)
+	assert.Equal(t, c.UncachedTokens, 12000.0)
+	b.AddUses([]CacheUse{{Upstream: "e0", Model: "m", Part: "s", Age: 600 * time.Millisecond}}, after(2*time.Second))
+	c, _ = b.Choose(q)
+	assert.Equal(t, c.UncachedTokens, 12000.0-512-4870)
+	b.Sweep(q.Now)
+	assert.Equal(t, len(b.holders[cacheKey{"m", "s"}]), 1)
+}
