placement: a choice computes only scores for the engines that it does not take

What each choice reads of all upstreams stands together, ages are computed once, and the predictions are made for the chosen upstream only.

Tested: go test of placement, green.

--- a/placement/book.go
+++ b/placement/book.go
@@ -54,24 +54,30 @@
 }
 
 type upstreamState struct {
-	Upstream
-	own      Load
-	peers    Load
+	// The first fields are those that each choice reads of all upstreams.
+	own   Load
+	peers Load
+	// held is what the upstream is believed to hold of the prompt of the current query, and
+	// hash orders the upstreams for a prompt part.
+	held     heldPrompt
+	hash     uint64
 	slowness slowness
 	health   health
-	// hash orders the upstreams for a prompt part, and held is what the upstream is believed
-	// to hold of the prompt of the current query.
-	hash uint64
-	held heldPrompt
-	// since is the time at which this VM learned of the instance, zero if it was in the first
-	// list.
-	since time.Time
+	// notices are those of the registered instance, nil if there are none.
+	notices *notices
+	cold    *coldState
+	// evacuated is set while the availability zone of the upstream is evacuated.
+	evacuated bool
 	// dropped is set once another instance has taken the place of the upstream, or its state
 	// has been removed.
 	dropped bool
 	// unregisteredAt is the earliest time at which the registration may have
 	// disappeared, zero while the upstream is registered.
 	unregisteredAt time.Time
+	Upstream
+	// since is the time at which this VM learned of the instance, zero if it was in the first
+	// list.
+	since time.Time
 	// lastByteAt is the time at which this VM last received a byte from the
 	// upstream.
 	lastByteAt time.Time
@@ -80,11 +86,6 @@
 	unconnectableAt time.Time
 	// probedAt is the time at which this VM last probed the upstream.
 	probedAt time.Time
-	// notices are those of the registered instance, nil if there are none.
-	notices *notices
-	cold    *coldState
-	// evacuated is set while the availability zone of the upstream is evacuated.
-	evacuated bool
 }
 
 type peerState struct {
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -95,7 +95,7 @@
 
 func (b *Balancer) best(q *Query, t tier) (Choice, bool) {
 	var best *upstreamState
-	var w weighed
+	least := math.Inf(1)
 	candidates, byHash := 0, false
 	homes := newHomes(q)
 	p := newPromptView(q)
@@ -105,8 +105,8 @@
 		}
 		candidates++
 		homes.add(e)
-		if next := b.weigh(e, q, &p, 0); best == nil || next.score < w.score {
-			best, w = e, next
+		if next := b.score(e, q, &p, 0); next < least {
+			best, least = e, next
 		}
 	}
 	for i, e := range homes.first {
@@ -114,13 +114,14 @@
 			break
 		}
 		hashed := homeChances[i] * math.Max(0, float64(homes.tokens)-e.heldTokens(b.query))
-		if next := b.weigh(e, q, &p, hashed); next.score < w.score {
-			best, w, byHash = e, next, true
+		if next := b.score(e, q, &p, hashed); next < least {
+			best, least, byHash = e, next, true
 		}
 	}
 	if best == nil {
 		return Choice{}, false
 	}
+	w := b.weigh(best, q, &p)
 	c := Choice{
 		Upstream: best.Upstream, PrefillSeconds: w.prefill, FirstEvent: w.firstEvent, NominalFirstEvent: w.nominalFirstEvent, Wait: w.wait,
 		UncachedTokens: w.uncached, Candidates: candidates, Cold: b.isCold(best, q.Now), ByHash: byHash,
@@ -159,22 +160,42 @@
 	return t >= lastResort || !e.health.ejected(q.Now)
 }
 
-// weigh returns the predictions for a call if it is placed at an upstream, and the score. hashed
-// is the expected number of prompt tokens that the upstream holds beyond those that are known.
-func (b *Balancer) weigh(e *upstreamState, q *Query, p *promptView, hashed float64) weighed {
-	slow := b.slow(e, b.isCold(e, q.Now))
-	extra := failurePenalty*e.health.failureRate + b.zoneCost(e, q.Now)
+// score returns the score of an upstream for a call. hashed is the expected number of prompt
+// tokens that the upstream holds beyond those that are known.
+func (b *Balancer) score(e *upstreamState, q *Query, p *promptView, hashed float64) float64 {
 	if q.Model == "" {
-		perSlot := float64(e.own.Calls+e.peers.Calls+1) / float64(max(1, e.Slots))
-		w := weighed{nominalFirstEvent: plainServiceSeconds * (1 + perSlot)}
-		w.firstEvent = slow * w.nominalFirstEvent
-		w.score = w.firstEvent + extra
+		return b.plainFirstEvent(e)*b.slow(e, b.isCold(e, q.Now)) + b.extraCost(e, q.Now)
+	}
+	v := b.view(e, q, hashed)
+	return score(p, &v)
+}
+
+// weigh returns the predictions for a call if it is placed at an upstream.
+func (b *Balancer) weigh(e *upstreamState, q *Query, p *promptView) weighed {
+	if q.Model == "" {
+		w := weighed{nominalFirstEvent: b.plainFirstEvent(e)}
+		w.firstEvent = w.nominalFirstEvent * b.slow(e, b.isCold(e, q.Now))
 		return w
 	}
-	return weigh(p, &engineView{
-		held: e.heldTokens(b.query), hashed: hashed, slowness: slow, extra: extra,
+	v := b.view(e, q, 0)
+	return weigh(p, &v)
+}
+
+// plainFirstEvent returns the predicted time in seconds of a call to a service without models.
+func (b *Balancer) plainFirstEvent(e *upstreamState) float64 {
+	return plainServiceSeconds * (1 + float64(e.own.Calls+e.peers.Calls+1)/float64(max(1, e.Slots)))
+}
+
+func (b *Balancer) view(e *upstreamState, q *Query, hashed float64) engineView {
+	return engineView{
+		held: e.heldTokens(b.query), hashed: hashed, slowness: b.slow(e, b.isCold(e, q.Now)), extra: b.extraCost(e, q.Now),
 		backlog: e.own.PrefillSeconds + e.peers.PrefillSeconds, running: e.own.Running + e.peers.Running,
-	})
+	}
+}
+
+// extraCost returns the cost of failures and of the zone in seconds.
+func (b *Balancer) extraCost(e *upstreamState, now time.Time) float64 {
+	return failurePenalty*e.health.failureRate + b.zoneCost(e, now)
 }
 
 // minPrefillTokens is the least number of tokens that any prompt needs prefilled,
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -162,6 +162,9 @@
 // coldLeft returns the time for which the upstream remains cold, 0 if it is not or if the
 // service has no limit.
 func (b *Balancer) coldLeft(e *upstreamState, now time.Time) time.Duration {
+	if len(b.coldLimits) == 0 {
+		return 0
+	}
 	l, limited := b.coldLimits[e.Service]
 	if !limited {
 		return 0
--- a/placement/held.go
+++ b/placement/held.go
@@ -35,7 +35,7 @@
 // heldPrompt is what an upstream is believed to hold of the prompt of a query.
 type heldPrompt struct {
 	query     uint64
-	usedAt    time.Time
+	age       time.Duration
 	retention retention
 	tokens    float64
 }
@@ -65,19 +65,20 @@
 		p := q.Parts[i]
 		for _, h := range b.holders[cacheKey{q.Model, p.ID}] {
 			e := h.upstream
+			age := q.Now.Sub(h.at)
 			if e.held.query != b.query {
-				e.held = heldPrompt{query: b.query, usedAt: h.at, retention: retention{after: b.options.CacheLifetime}}
+				e.held = heldPrompt{query: b.query, age: age, retention: retention{after: b.options.CacheLifetime}}
 				if m != nil {
 					inUse := float64(e.own.Calls+e.peers.Calls) * m.read.meanPrompt()
 					e.held.retention = retentionOf(m.tokens, inUse, rate, maxRetention*b.options.CacheLifetime)
 				}
 				b.touched = append(b.touched, e)
-			} else if h.at.After(e.held.usedAt) {
-				e.held.usedAt = h.at
+			} else {
+				e.held.age = min(e.held.age, age)
 			}
 		}
 		for _, e := range b.touched {
-			e.held.tokens += float64(p.Tokens) * e.held.retention.chance(q.Now.Sub(e.held.usedAt))
+			e.held.tokens += float64(p.Tokens) * e.held.retention.chance(e.held.age)
 		}
 	}
 }
--- a/placement/weigh.go
+++ b/placement/weigh.go
@@ -1,7 +1,5 @@
 package placement
 
-import "math"
-
 const (
 	// savingWeight is the weight of the engine time that held parts save, in addition to that of
 	// the call's own time. Engine time that is not used shortens the wait of the calls behind, and
@@ -48,15 +46,23 @@
 // held and hashed tokens are read, once for the call and engineTimeWeight+savingWeight times for
 // the calls behind it.
 func weigh(p *promptView, e *engineView) weighed {
-	uncached := math.Max(minPrefillTokens, p.tokens-e.held)
-	prefill := uncached * p.secondsPerToken
+	w := weighed{uncached: max(minPrefillTokens, p.tokens-e.held)}
+	w.prefill = w.uncached * p.secondsPerToken
 	slowdown := 1 + runningSlowdown*e.running
-	w := weighed{uncached: uncached, prefill: prefill, wait: e.backlog * slowdown * e.slowness}
-	w.nominalFirstEvent = firstEventFloor + (e.backlog+prefill)*slowdown
+	w.wait = e.backlog * slowdown * e.slowness
+	w.nominalFirstEvent = firstEventFloor + (e.backlog+w.prefill)*slowdown
 	w.firstEvent = e.slowness * w.nominalFirstEvent
-	// What a slow engine saves is what another one would need.
-	saved := (e.held + e.hashed) * p.secondsPerToken * math.Min(1, e.slowness)
-	hashed := e.hashed * p.secondsPerToken * e.slowness
-	w.score = w.firstEvent - hashed*slowdown + engineTimeWeight*(prefill*e.slowness-hashed) - savingWeight*saved + e.extra
+	w.score = score(p, e)
 	return w
 }
+
+// score returns the score of an engine, of which the least is best. It is apart from weigh
+// because each choice computes it for all engines.
+func score(p *promptView, e *engineView) float64 {
+	prefill := max(minPrefillTokens, p.tokens-e.held) * p.secondsPerToken
+	hashed := e.hashed * p.secondsPerToken
+	// What a slow engine saves is what another one would need.
+	saved := (e.held + e.hashed) * p.secondsPerToken * min(1, e.slowness)
+	own := firstEventFloor + (e.backlog+prefill-hashed)*(1+runningSlowdown*e.running) + engineTimeWeight*(prefill-hashed)
+	return e.slowness*own - savingWeight*saved + e.extra
+}
