--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -141,7 +141,7 @@
 	s := newSystem(t, registration(a, "v1")).configure()
 	to := []routing.Destination{{Service: "svc", Weight: 1}}
 	c, err := routing.Compile(routing.Configuration{
-		Services: []routing.Service{{Name: "svc", KvTokens: 1000, Models: []routing.Model{{Name: "small"}}}},
+		Services: []routing.Service{{Name: "svc", KVTokens: 1000, Models: []routing.Model{{Name: "small"}}}},
 		Routes:   []routing.Route{{Name: "stream", Host: "h", Prefix: "/stream/", Kind: routing.Stream, MaxAttempts: 2, Models: []string{"small"}, Destinations: to, Resumable: true}},
 	})
 	assert.NilError(t, err)
--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -292,7 +292,7 @@
 	}
 	q := &placement.Query{
 		Service: exec.service.Name, Model: model, Rank: rank, Tokens: exec.req.PromptTokens, Parts: exec.req.Parts,
-		OutputTokens: exec.req.expectedOutput(), KvTokens: exec.service.KvTokens,
+		OutputTokens: exec.req.expectedOutput(), KVTokens: exec.service.KVTokens,
 		Exclude: exec.excluded, MaxPause: exec.route.MaxPause, Now: now,
 	}
 	if exec.exceedsMemory(q) {
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -19,7 +19,7 @@
 func (exec *execution) refuseTooLarge() {
 	exec.srv.opts.Metrics.countCallEvent("exceeds memory")
 	exec.srv.opts.Log.Info("exceeds memory",
-		zap.String("request", exec.req.ID), zap.String("service", exec.service.Name), zap.Int("tokens", exec.req.PromptTokens), zap.Int("kv_tokens", exec.service.KvTokens))
+		zap.String("request", exec.req.ID), zap.String("service", exec.service.Name), zap.Int("tokens", exec.req.PromptTokens), zap.Int("kv_tokens", exec.service.KVTokens))
 	exec.reject(errkind.NoCapacity)
 }
 
@@ -27,6 +27,6 @@
 // of all others may not either.
 func (a *attempt) logMemory() {
 	if a.choice.OverMemory {
-		a.logEvent("over memory", zap.Int("tokens", a.exec.req.PromptTokens), zap.Int("kv_tokens", a.exec.service.KvTokens))
+		a.logEvent("over memory", zap.Int("tokens", a.exec.req.PromptTokens), zap.Int("kv_tokens", a.exec.service.KVTokens))
 	}
 }
--- a/placement/book.go
+++ b/placement/book.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/savoryshift/savoryshift/admission"
 )
 
@@ -64,17 +66,31 @@
 }
 
 type upstreamState struct {
-	Upstream
-	own      Load
-	peers    Load
+	// The first fields are those that each choice reads of all upstreams.
+	own   Load
+	peers Load
+	// held is what the upstream is believed to hold of the prompt of the current query, and
+	// hash orders the upstreams for a prompt part.
+	held     heldPrompt
+	hash     uint64
 	slowness slowness
 	pauses   admission.Pauses
 	health   health
-	// cachedAt maps a prompt part and a model to the time of the last prefill.
-	cachedAt map[cacheKey]time.Time
+	// notices are those of the registered instance, nil if there are none.
+	notices *notices
+	cold    *coldState
+	// evacuated is set while the availability zone of the upstream is evacuated.
+	evacuated bool
+	// dropped is set once another instance has taken the place of the upstream, or its state
+	// has been removed.
+	dropped bool
 	// unregisteredAt is the earliest time at which the registration may have
 	// disappeared, zero while the upstream is registered.
 	unregisteredAt time.Time
+	Upstream
+	// since is the time at which this VM learned of the instance, zero if it was in the first
+	// list.
+	since time.Time
 	// lastByteAt is the time at which this VM last received a byte from the
 	// upstream.
 	lastByteAt time.Time
@@ -83,16 +99,6 @@
 	unconnectableAt time.Time
 	// probedAt is the time at which this VM last probed the upstream.
 	probedAt time.Time
-	// notices are those of the registered instance, nil if there are none.
-	notices *notices
-	cold    *coldState
-	// evacuated is set while the availability zone of the upstream is evacuated.
-	evacuated bool
-}
-
-type cacheKey struct {
-	model string
-	part  string
 }
 
 type peerState struct {
@@ -132,7 +138,14 @@
 	// sums lack an upstream.
 	peersComputedAt time.Time
 	recentUses      []cacheEvent
-	zones           map[string]*zone
+	// holders maps prompt parts to the upstreams that are believed to hold them. query counts
+	// the queries, and touched holds the upstreams that hold a part of the current one.
+	holders map[cacheKey][]holder
+	query   uint64
+	touched []*upstreamState
+	// memory holds what is known of the memory of engines by service.
+	memory map[string]*memoryState
+	zones  map[string]*zone
 	// evacuated is the set of evacuated availability zones.
 	evacuated map[string]bool
 	// coldLimits holds the limits of cold upstreams by service, colds the cold states of
@@ -163,7 +176,7 @@
 	return &Balancer{
 		options: options, upstreams: map[string]*upstreamState{}, service: map[string][]*upstreamState{},
 		notices: map[Instance]*notices{}, peers: map[string]peerState{}, zones: map[string]*zone{}, pauses: map[string]servicePauses{},
-		colds: map[Instance]*coldState{}, coldSlow: map[string]*slowness{}, rosterVersion: 1,
+		holders: map[cacheKey][]holder{}, colds: map[Instance]*coldState{}, coldSlow: map[string]*slowness{}, rosterVersion: 1,
 	}
 }
 
@@ -181,11 +194,15 @@
 		registered[u.ID] = true
 		e := b.upstreams[u.ID]
 		if e == nil || e.Instance() != u.Instance() {
-			e = &upstreamState{cachedAt: map[cacheKey]time.Time{}, notices: b.notices[u.Instance()], cold: b.coldOf(u.Instance())}
+			if e != nil {
+				e.dropped = true
+			}
+			e = &upstreamState{hash: xxhash.Sum64String(u.ID), notices: b.notices[u.Instance()], cold: b.coldOf(u.Instance())}
 			b.upstreams[u.ID] = e
 			b.peersComputedAt = time.Time{}
 			if !first {
 				e.cold.mark(ColdNew, now)
+				e.since = now
 			}
 		}
 		if e.Revision != u.Revision || e.ColdLeft != u.ColdLeft {
@@ -201,6 +218,7 @@
 			e.unregisteredAt = removalTime(previousAt, now)
 		}
 		if e.own.Calls == 0 && now.Sub(e.unregisteredAt) > unregisteredRetention {
+			e.dropped = true
 			delete(b.upstreams, id)
 		}
 	}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -43,9 +43,9 @@
 	Exclude map[string]bool
 	// Allow reports whether a release may serve the call; nil allows all.
 	Allow func(release string) bool
-	// OutputTokens is the expected number of generated tokens. KvTokens is the number of
+	// OutputTokens is the expected number of generated tokens. KVTokens is the number of
 	// tokens that an engine holds in its memory, 0 if it is not known.
-	OutputTokens, KvTokens int
+	OutputTokens, KVTokens int
 	// MaxPause is the longest pause between two events that the route allows, 0 if it sets
 	// none.
 	MaxPause time.Duration
@@ -85,6 +85,10 @@
 	Lapsed time.Duration
 	// Cold is set if the upstream is cold.
 	Cold bool
+	// HeldTokens is the expected number of prompt tokens that the upstream holds.
+	HeldTokens float64
+	// ByHash is set if the upstream was chosen because the hash of a prompt part names it.
+	ByHash bool
 }
 
 // Choose returns the best upstream for a call. Ejected and recently unregistered
@@ -93,6 +97,7 @@
 func (b *Balancer) Choose(q *Query) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.matchHeld(q)
 	last := b.lastTier()
 	for t := ordinary; t < last; t++ {
 		if c, ok := b.best(q, t); ok {
@@ -111,49 +116,54 @@
 }
 
 func (b *Balancer) best(q *Query, t tier) (Choice, bool) {
-	var best, c Choice
-	var chosen *upstreamState
-	bestScore, bestHolds := math.Inf(1), false
-	candidates := 0
-	common := b.prepare(q)
+	var best *upstreamState
+	least, bestFits := math.Inf(1), false
+	candidates, byHash := 0, false
+	homes := newHomes(q)
+	p := b.newPromptView(q)
+	// An upstream without the memory for the call is chosen only if none has it.
+	better := func(e *upstreamState, next float64) bool {
+		fits := e.hasMemoryFor(q)
+		if fits == bestFits && next >= least || bestFits && !fits {
+			return false
+		}
+		best, least, bestFits = e, next, fits
+		return true
+	}
 	for _, e := range b.service[q.Service] {
 		if !b.usable(e, q, t) {
 			continue
 		}
 		candidates++
-		b.predict(e, q, &common, &c)
-		prefill := c.PrefillSeconds * b.slow(e, c.Cold)
-		score := c.FirstEvent + engineTimeWeight*prefill + failurePenalty*e.health.failureRate + b.zoneCost(e, q.Now) + admission.PauseCost(c.PauseLevel, c.LateStreams)
-		if holds := e.holds(q); holds == bestHolds && score < bestScore || holds && !bestHolds {
-			best, bestScore, bestHolds, chosen = c, score, holds, e
+		homes.add(e)
+		better(e, b.score(e, q, &p, 0))
+	}
+	for i, e := range homes.first {
+		if e == nil {
+			break
+		}
+		hashed := homeChances[i] * math.Max(0, float64(homes.tokens)-e.heldTokens(b.query))
+		if better(e, b.score(e, q, &p, hashed)) {
+			byHash = true
 		}
 	}
-	if chosen == nil {
+	if best == nil {
 		return Choice{}, false
 	}
-	best.OverMemory = !bestHolds
-	best.Upstream, best.Candidates = chosen.Upstream, candidates
-	if !chosen.unregisteredAt.IsZero() {
-		best.Lapsed = q.Now.Sub(chosen.unregisteredAt)
+	w := b.weigh(best, q, &p)
+	c := Choice{
+		Upstream: best.Upstream, PrefillSeconds: w.prefill, FirstEvent: w.firstEvent, NominalFirstEvent: w.nominalFirstEvent, Wait: w.wait,
+		UncachedTokens: w.uncached, Candidates: candidates, Cold: b.isCold(best, q.Now), ByHash: byHash, OverMemory: !bestFits,
 	}
-	return best, true
-}
-
-// terms are what the predictions of a call for all upstreams have in common.
-type terms struct {
-	// tokenSeconds is the prefill time of a prompt token.
-	tokenSeconds float64
-	// pauseLevel is that of the pauses at all upstreams of the service, pausesPerSecond the
-	// number of allowed pauses in a second.
-	pauseLevel, pausesPerSecond float64
-}
-
-func (b *Balancer) prepare(q *Query) terms {
-	t := terms{tokenSeconds: prefillSeconds(1, q.Rank), pauseLevel: b.pauseLevel(q), pausesPerSecond: 1}
-	if q.MaxPause > 0 {
-		t.pausesPerSecond = 1 / q.MaxPause.Seconds()
+	if q.Model != "" {
+		c.HeldTokens = best.heldTokens(b.query)
+		c.Streams, c.PauseLevel = best.streams(), best.pauseLevel()
+		c.LateStreams = p.lateStreams(best, c.HeldTokens, b.slow(best, c.Cold))
+	}
+	if !best.unregisteredAt.IsZero() {
+		c.Lapsed = q.Now.Sub(best.unregisteredAt)
 	}
-	return t
+	return c, true
 }
 
 // zoneCost returns the penalty, in seconds, for the availability zone of an
@@ -181,45 +191,45 @@
 	return t >= lastResort || !e.health.ejected(q.Now)
 }
 
-// predict sets the predicted times for a call if it is placed at an upstream.
-func (b *Balancer) predict(e *upstreamState, q *Query, common *terms, c *Choice) {
-	own, peers := &e.own, &e.peers
-	c.Cold = b.isCold(e, q.Now)
-	slow := b.slow(e, c.Cold)
+// score returns the score of an upstream for a call. hashed is the expected number of prompt
+// tokens that the upstream holds beyond those that are known.
+func (b *Balancer) score(e *upstreamState, q *Query, p *promptView, hashed float64) float64 {
 	if q.Model == "" {
-		perSlot := float64(own.Calls+peers.Calls+1) / float64(max(1, e.Slots))
-		c.NominalFirstEvent = plainServiceSeconds * (1 + perSlot)
-		c.FirstEvent = slow * c.NominalFirstEvent
-		return
+		return b.plainFirstEvent(e)*b.slow(e, b.isCold(e, q.Now)) + b.extraCost(e, q.Now)
 	}
-	c.Streams, c.PauseLevel = own.Streams+peers.Streams, 0
-	queued := own.PrefillSeconds + peers.PrefillSeconds
-	c.UncachedTokens = float64(max(minPrefillTokens, q.Tokens-e.cachedTokens(q, b.options.CacheLifetime)))
-	c.PrefillSeconds = c.UncachedTokens * common.tokenSeconds
-	slowdown := 1 + runningSlowdown*(own.Running+peers.Running)
-	c.Wait = queued * slowdown * slow
-	c.NominalFirstEvent = firstEventFloor + (queued+c.PrefillSeconds)*slowdown
-	c.FirstEvent = slow * c.NominalFirstEvent
-	if paused := e.paused(); paused > 0 && c.Streams > 0 {
-		c.PauseLevel = paused / float64(c.Streams)
+	v := b.view(e, q, p, hashed)
+	return score(p, &v)
+}
+
+// weigh returns the predictions for a call if it is placed at an upstream.
+func (b *Balancer) weigh(e *upstreamState, q *Query, p *promptView) weighed {
+	if q.Model == "" {
+		w := weighed{nominalFirstEvent: b.plainFirstEvent(e)}
+		w.firstEvent = w.nominalFirstEvent * b.slow(e, b.isCold(e, q.Now))
+		return w
 	}
-	c.LateStreams = admission.LateStreams(c.PrefillSeconds*slow*common.pausesPerSecond, c.Streams, common.pauseLevel)
+	v := b.view(e, q, p, 0)
+	return weigh(p, &v)
 }
 
-// minPrefillTokens is the least number of tokens that any prompt needs prefilled,
-// because its last part is never shared with another prompt.
-const minPrefillTokens = 16
+// plainFirstEvent returns the predicted time in seconds of a call to a service without models.
+func (b *Balancer) plainFirstEvent(e *upstreamState) float64 {
+	return plainServiceSeconds * (1 + float64(e.own.Calls+e.peers.Calls+1)/float64(max(1, e.Slots)))
+}
 
-// cachedTokens counts the leading tokens of the prompt that the upstream has
-// prefilled for the same model within lifetime.
-func (e *upstreamState) cachedTokens(q *Query, lifetime time.Duration) int {
-	tokens := 0
-	for _, p := range q.Parts {
-		at, ok := e.cachedAt[cacheKey{q.Model, p.ID}]
-		if !ok || q.Now.Sub(at) > lifetime {
-			break
-		}
-		tokens += p.Tokens
+func (b *Balancer) view(e *upstreamState, q *Query, p *promptView, hashed float64) engineView {
+	held, slow := e.heldTokens(b.query), b.slow(e, b.isCold(e, q.Now))
+	return engineView{
+		held: held, hashed: hashed, slowness: slow, backlog: e.own.PrefillSeconds + e.peers.PrefillSeconds, running: e.own.Running + e.peers.Running,
+		extra: b.extraCost(e, q.Now) + admission.PauseCost(e.pauseLevel(), p.lateStreams(e, held, slow)),
 	}
-	return tokens
 }
+
+// extraCost returns the cost of failures and of the zone in seconds.
+func (b *Balancer) extraCost(e *upstreamState, now time.Time) float64 {
+	return failurePenalty*e.health.failureRate + b.zoneCost(e, now)
+}
+
+// minPrefillTokens is the least number of tokens that any prompt needs prefilled,
+// because its last part is never shared with another prompt.
+const minPrefillTokens = 16
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -162,6 +162,9 @@
 // coldLeft returns the time for which the upstream remains cold, 0 if it is not or if the
 // service has no limit.
 func (b *Balancer) coldLeft(e *upstreamState, now time.Time) time.Duration {
+	if len(b.coldLimits) == 0 {
+		return 0
+	}
 	l, limited := b.coldLimits[e.Service]
 	if !limited {
 		return 0
@@ -293,12 +296,14 @@
 	e.connected(now)
 	l, limited := b.coldLimits[e.Service]
 	if !limited {
+		c.recordWritten(now)
 		return Admitted
 	}
 	cold := b.isCold(e, now)
 	if cold && b.coldRoom(e, now) == 0 {
 		return ShareSpent
 	}
+	c.recordWritten(now)
 	// Requests to a warm upstream are remembered in case that it becomes cold.
 	e.cold.recordWritten(now, int(min(l.Bound, maxShare))+1)
 	if cold {
--- a/placement/memory_test.go
+++ b/placement/memory_test.go
@@ -47,7 +47,7 @@
 			q.Tokens = 40_000
 		}
 		if checks {
-			q.KvTokens = memory
+			q.KVTokens = memory
 		}
 		vm := vms[r.IntN(2)]
 		c, _ := vm.Choose(q)
@@ -84,7 +84,7 @@
 func TestMemoryOfEngines(t *testing.T) {
 	b := engines(2)
 	q := query(5000)
-	q.OutputTokens, q.KvTokens = 1000, 20_000
+	q.OutputTokens, q.KVTokens = 1000, 20_000
 	b.SetPeer("p", map[string]Load{"e0": {Tokens: 14_001}, "e1": {Tokens: 14_000, PrefillSeconds: 2}}, now)
 	call, c := place(t, b, q)
 	assert.Assert(t, c.ID == "e1" && !c.OverMemory, "%+v", c)
@@ -101,6 +101,6 @@
 		q.Tokens = tokens
 		assert.Equal(t, q.FitsMemory(), fits, "%d", tokens)
 	}
-	q.KvTokens = 0
-	assert.Assert(t, q.FitsMemory() && b.upstreams["e0"].holds(q), "the memory is not known")
+	q.KVTokens = 0
+	assert.Assert(t, q.FitsMemory() && b.upstreams["e0"].hasMemoryFor(q), "the memory is not known")
 }
--- a/placement/pauses.go
+++ b/placement/pauses.go
@@ -84,3 +84,15 @@
 func (l Load) negated() Load {
 	return Load{Calls: -l.Calls, PrefillSeconds: -l.PrefillSeconds, Running: -l.Running, Streams: -l.Streams, Paused: -l.Paused, Tokens: -l.Tokens}
 }
+
+// streams returns the number of streams of all VMs that run at the upstream.
+func (e *upstreamState) streams() int { return e.own.Streams + e.peers.Streams }
+
+// pauseLevel returns the level of the pauses of the streams at the upstream.
+func (e *upstreamState) pauseLevel() float64 {
+	paused, streams := e.paused(), e.streams()
+	if paused <= 0 || streams <= 0 {
+		return 0
+	}
+	return paused / float64(streams)
+}
--- a/placement/prospects.go
+++ b/placement/prospects.go
@@ -18,6 +18,7 @@
 func (b *Balancer) Prospects(q *Query) Prospects {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.matchHeld(q)
 	last := b.lastTier()
 	for t := ordinary; t < last; t++ {
 		if p := b.prospects(q, t); p.Candidates > 0 {
@@ -29,8 +30,7 @@
 
 func (b *Balancer) prospects(q *Query, t tier) Prospects {
 	p := Prospects{Soonest: math.Inf(1)}
-	common := b.prepare(q)
-	var c Choice
+	view := b.newPromptView(q)
 	for _, e := range b.service[q.Service] {
 		if !b.usable(e, q, t) {
 			continue
@@ -40,8 +40,7 @@
 		p.Calls += calls
 		p.Slots += e.Slots
 		p.IdleRoom = p.IdleRoom || e.Slots <= 0 || calls < e.Slots
-		b.predict(e, q, &common, &c)
-		p.Soonest = min(p.Soonest, c.FirstEvent)
+		p.Soonest = min(p.Soonest, b.weigh(e, q, &view).firstEvent)
 	}
 	return p
 }
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -25,15 +25,16 @@
 type slowness struct {
 	logFactor    float64
 	observations float64
-	// exp is the exponential of logFactor, 0 before the first observation.
-	exp float64
+	// computed is the factor of computedOf, 0 if there is none yet. It is kept because each
+	// choice compares the factors of all upstreams.
+	computed, computedOf float64
 }
 
 func (s *slowness) factor() float64 {
-	if s.exp == 0 {
-		return math.Exp(s.logFactor)
+	if s.computed == 0 || s.computedOf != s.logFactor {
+		s.computed, s.computedOf = math.Exp(s.logFactor), s.logFactor
 	}
-	return s.exp
+	return s.computed
 }
 
 // observe updates the learned slowness with a measured and a predicted time.
@@ -46,7 +47,6 @@
 	s.observations++
 	s.logFactor += gain * math.Log(ratio)
 	s.logFactor = math.Max(math.Log(minSlowness), math.Min(math.Log(maxSlowness), s.logFactor))
-	s.exp = math.Exp(s.logFactor)
 }
 
 const (
