--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -96,6 +96,9 @@
 	case placement.AdmittedCold:
 		a.exec.srv.opts.Metrics.countCallEvent("cold")
 	}
+	if a.model != "" {
+		a.exec.srv.opts.Metrics.countPlaced(&a.choice)
+	}
 	return nil
 }
 
@@ -234,6 +237,7 @@
 		zap.String("request", a.exec.req.ID), zap.String("event", event), zap.String("upstream", a.choice.ID),
 		zap.String("release", a.choice.Release), zap.String("model", a.model), zap.Int32("status", a.status.Load()),
 		zap.Int("candidates", a.choice.Candidates), zap.Float64("predicted", a.choice.FirstEvent), zap.Bool("cold", a.choice.Cold),
+		zap.Float64("held_tokens", a.choice.HeldTokens), zap.Float64("uncached_tokens", a.choice.UncachedTokens), zap.Bool("by_hash", a.choice.ByHash),
 		zap.Duration("lapsed", a.choice.Lapsed), zap.Duration("took", time.Since(a.start)),
 	}, fields...)...)
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/savoryshift/savoryshift/placement"
 )
 
 // Metrics counts requests and calls. It is safe for concurrent use.
@@ -40,6 +42,21 @@
 	m.set.GetOrCreateCounter(`savoryshift_connections_closed_total{reason="` + sanitizeLabel(reason) + `"}`).Inc()
 }
 
+// countPlaced counts a call to a model by what decided its upstream, and the tokens of its prompt
+// by whether the upstream is expected to hold them.
+func (m *Metrics) countPlaced(c *placement.Choice) {
+	by := "load"
+	switch {
+	case c.ByHash:
+		by = "hash"
+	case c.HeldTokens > 0:
+		by = "held part"
+	}
+	m.set.GetOrCreateCounter(`savoryshift_model_calls_total{chosen_by="` + by + `"}`).Inc()
+	m.set.GetOrCreateCounter(`savoryshift_prompt_tokens_total{held="true"}`).Add(int(c.HeldTokens))
+	m.set.GetOrCreateCounter(`savoryshift_prompt_tokens_total{held="false"}`).Add(int(c.UncachedTokens))
+}
+
 // sanitizeLabel replaces the characters that must be escaped in a label value.
 func sanitizeLabel(text string) string {
 	out := []byte(text)
