exchange: a response with a status below 100 ends its call at once

The parser of net/http takes any three characters that are a number, also "+20" and "-00", so the statuses 000 to 099 were skipped like interim responses. The call then waited until its deadline for a final response that never came.

--- a/exchange/send.go
+++ b/exchange/send.go
@@ -166,6 +166,10 @@
 		if err != nil {
 			return nil, oops.Wrapf(err, "reading the response of %s", c.address)
 		}
+		if resp.StatusCode < http.StatusContinue {
+			// The parser takes any three characters that are a number.
+			return nil, oops.Errorf("%s responded with the invalid status %.3q", c.address, resp.Status)
+		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, oops.Errorf("%s changed the protocol with status 101", c.address)
 		}
