placement: what each choice reads of an engine is not copied

Zones are looked up once for each list of upstreams, and the view of an engine is filled in place.

Tested: go test of placement and fleet, green, and of placement with the race detector.

--- a/placement/book.go
+++ b/placement/book.go
@@ -66,6 +66,8 @@
 	// notices are those of the registered instance, nil if there are none.
 	notices *notices
 	cold    *coldState
+	// zone is the state of the availability zone.
+	zone *zone
 	// evacuated is set while the availability zone of the upstream is evacuated.
 	evacuated bool
 	// dropped is set once another instance has taken the place of the upstream, or its state
@@ -193,6 +195,7 @@
 		if e.Revision != u.Revision || e.ColdLeft != u.ColdLeft {
 			e.cold.told(u.ColdLeft, ColdRegistered, now)
 		}
+		e.zone = b.zone(u.AvailabilityZone)
 		e.Upstream, e.unregisteredAt, e.evacuated = u, time.Time{}, b.evacuated[u.AvailabilityZone]
 	}
 	for id, e := range b.upstreams {
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -141,7 +141,7 @@
 	switch {
 	case e.AvailabilityZone == b.options.AvailabilityZone:
 		return 0
-	case b.zones[e.AvailabilityZone].suspected(now):
+	case e.zone.suspected(now):
 		return suspectPenalty
 	}
 	return zonePenalty
@@ -151,7 +151,7 @@
 // calls, and unreachable ones, are excluded even as a last resort: refusing a request at
 // once is better than waiting for a connection.
 func (b *Balancer) usable(e *upstreamState, q *Query, t tier) bool {
-	if !e.acceptsCalls(q.Now) || q.Exclude[e.ID] || q.Allow != nil && !q.Allow(e.Release) || e.health.isUnreachable(q.Now) || !b.coldAllows(e, t, q.Now) {
+	if !e.acceptsCalls(q.Now) || len(q.Exclude) > 0 && q.Exclude[e.ID] || q.Allow != nil && !q.Allow(e.Release) || e.health.isUnreachable(q.Now) || !b.coldAllows(e, t, q.Now) {
 		return false
 	}
 	if !e.unregisteredAt.IsZero() {
@@ -166,7 +166,8 @@
 	if q.Model == "" {
 		return b.plainFirstEvent(e)*b.slow(e, b.isCold(e, q.Now)) + b.extraCost(e, q.Now)
 	}
-	v := b.view(e, q, hashed)
+	v := engineView{hashed: hashed}
+	b.view(&v, e, q)
 	return score(p, &v)
 }
 
@@ -177,7 +178,8 @@
 		w.firstEvent = w.nominalFirstEvent * b.slow(e, b.isCold(e, q.Now))
 		return w
 	}
-	v := b.view(e, q, 0)
+	var v engineView
+	b.view(&v, e, q)
 	return weigh(p, &v)
 }
 
@@ -186,11 +188,14 @@
 	return plainServiceSeconds * (1 + float64(e.own.Calls+e.peers.Calls+1)/float64(max(1, e.Slots)))
 }
 
-func (b *Balancer) view(e *upstreamState, q *Query, hashed float64) engineView {
-	return engineView{
-		held: e.heldTokens(b.query), hashed: hashed, slowness: b.slow(e, b.isCold(e, q.Now)), extra: b.extraCost(e, q.Now),
-		backlog: e.own.PrefillSeconds + e.peers.PrefillSeconds, running: e.own.Running + e.peers.Running,
-	}
+// view sets what is known of an upstream, apart from the hash. It does not return a copy,
+// because each choice needs the views of all upstreams.
+func (b *Balancer) view(v *engineView, e *upstreamState, q *Query) {
+	v.held = e.heldTokens(b.query)
+	v.backlog = e.own.PrefillSeconds + e.peers.PrefillSeconds
+	v.running = e.own.Running + e.peers.Running
+	v.slowness = b.slow(e, b.isCold(e, q.Now))
+	v.extra = b.extraCost(e, q.Now)
 }
 
 // extraCost returns the cost of failures and of the zone in seconds.
--- a/placement/held.go
+++ b/placement/held.go
@@ -67,7 +67,8 @@
 			e := h.upstream
 			age := q.Now.Sub(h.at)
 			if e.held.query != b.query {
-				e.held = heldPrompt{query: b.query, age: age, retention: retention{after: b.options.CacheLifetime}}
+				e.held.query, e.held.age, e.held.tokens = b.query, age, 0
+				e.held.retention.estimated, e.held.retention.after = false, b.options.CacheLifetime
 				if m != nil {
 					inUse := float64(e.own.Calls+e.peers.Calls) * m.read.meanPrompt()
 					e.held.retention = retentionOf(m.tokens, inUse, rate, maxRetention*b.options.CacheLifetime)
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -145,7 +145,7 @@
 	if z == nil {
 		return false
 	}
-	if now.Sub(z.lastFailureAt) < zoneFailureLifetime && !z.lastByteAt.After(z.lastFailureAt) {
+	if !z.lastFailureAt.IsZero() && now.Sub(z.lastFailureAt) < zoneFailureLifetime && !z.lastByteAt.After(z.lastFailureAt) {
 		return true
 	}
 	return z.calls >= minZoneCalls && now.Sub(z.lastByteAt) > maxZoneSilence && now.Sub(z.busySince) > maxZoneSilence
