--- a/placement/choose.go
+++ b/placement/choose.go
@@ -172,7 +172,7 @@
 	switch {
 	case e.AvailabilityZone == b.options.AvailabilityZone:
 		return 0
-	case b.zones[e.AvailabilityZone].suspected(now):
+	case e.zone.suspected(now):
 		return suspectPenalty
 	}
 	return zonePenalty
@@ -197,7 +197,8 @@
 	if q.Model == "" {
 		return b.plainFirstEvent(e)*b.slow(e, b.isCold(e, q.Now)) + b.extraCost(e, q.Now)
 	}
-	v := b.view(e, q, p, hashed)
+	v := engineView{hashed: hashed}
+	b.view(&v, e, q, p)
 	return score(p, &v)
 }
 
@@ -208,7 +209,8 @@
 		w.firstEvent = w.nominalFirstEvent * b.slow(e, b.isCold(e, q.Now))
 		return w
 	}
-	v := b.view(e, q, p, 0)
+	var v engineView
+	b.view(&v, e, q, p)
 	return weigh(p, &v)
 }
 
@@ -217,12 +219,14 @@
 	return plainServiceSeconds * (1 + float64(e.own.Calls+e.peers.Calls+1)/float64(max(1, e.Slots)))
 }
 
-func (b *Balancer) view(e *upstreamState, q *Query, p *promptView, hashed float64) engineView {
-	held, slow := e.heldTokens(b.query), b.slow(e, b.isCold(e, q.Now))
-	return engineView{
-		held: held, hashed: hashed, slowness: slow, backlog: e.own.PrefillSeconds + e.peers.PrefillSeconds, running: e.own.Running + e.peers.Running,
-		extra: b.extraCost(e, q.Now) + admission.PauseCost(e.pauseLevel(), p.lateStreams(e, held, slow)),
-	}
+// view sets what is known of an upstream, apart from the hash. It does not return a copy,
+// because each choice needs the views of all upstreams.
+func (b *Balancer) view(v *engineView, e *upstreamState, q *Query, p *promptView) {
+	v.held = e.heldTokens(b.query)
+	v.backlog = e.own.PrefillSeconds + e.peers.PrefillSeconds
+	v.running = e.own.Running + e.peers.Running
+	v.slowness = b.slow(e, b.isCold(e, q.Now))
+	v.extra = b.extraCost(e, q.Now) + admission.PauseCost(e.pauseLevel(), p.lateStreams(e, v.held, v.slowness))
 }
 
 // extraCost returns the cost of failures and of the zone in seconds.
