upstream: a response with a status below 200 ends its call as invalid

The transport of net/http hands on 101 and any three characters that are a number, so 000, 001, 099, +20 and -00 of a service reached the handler, which panicked in WriteHeader. 101 reached the caller.

--- a/proxy/cut_test.go
+++ b/proxy/cut_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -27,6 +28,8 @@
 	chunked         bool
 	// unframed is set if only the end of the connection ends the body.
 	unframed bool
+	// status replaces 200 if it is not empty.
+	status string
 }
 
 var framings = map[string]framing{
@@ -60,7 +63,7 @@
 // response returns the head and the body of the response to a request.
 func (f framing) response(k cutKind, r *http.Request) (head, body string) {
 	whole := strings.Join(k.parts, "")
-	head = "HTTP/" + f.version + " 200 OK\r\nContent-Type: " + k.contentType + "\r\n"
+	head = "HTTP/" + f.version + " " + cmp.Or(f.status, "200") + " OK\r\nContent-Type: " + k.contentType + "\r\n"
 	for _, name := range []string{upstream.HeaderRequestID, upstream.HeaderAttemptID, upstream.HeaderVersion} {
 		head += name + ": " + r.Header.Get(name) + "\r\n"
 	}
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -61,6 +61,13 @@
 		defer x.release()
 		return nil, x.fail(err)
 	}
+	if x.resp.StatusCode < http.StatusOK {
+		// The transport skips interim responses. It hands on 101, which is never asked for,
+		// and any three characters that are a number, such as 000 and +20.
+		x.closeConn()
+		defer x.release()
+		return nil, x.fail(invalidResponse("answer has the invalid status %.3q", x.resp.Status))
+	}
 	return x, nil
 }
 
