--- a/upstream/send.go
+++ b/upstream/send.go
@@ -87,7 +87,7 @@
 		ctx, x.cancelDeadline = context.WithDeadline(ctx, out.deadline)
 	}
 	x.ctx, x.cancel = context.WithCancelCause(ctx)
-	x.gate = &gate{check: out.beforeWrite, repeatable: out.repeatable, cancel: x.cancel}
+	x.gate = &gate{check: out.beforeWrite, repeatable: out.repeatable, bodyBytes: len(out.body), cancel: x.cancel}
 	return x
 }
 
