infra: a reply to a write without a length does not prove the write

A platform that answers 200 without a length during the upload of an object, and ends the connection, left an object that counts as stored although it was not sent whole. Such a reply to a write now has an unknown outcome. Replies of Go servers have a length or chunks.

Before, TestObjectCountsAsStoredDuringItsUpload failed in 8 of 8 writes whose upstream ended its sending side. go test ./infra passes.

--- a/infra/client.go
+++ b/infra/client.go
@@ -30,6 +30,15 @@
 // errReplyTooLong is returned for a reply that exceeds maxReplyBytes.
 var errReplyTooLong = errors.New("the reply of the platform is too long")
 
+// errReplyUnproved is returned for a reply to a write that only the end of its connection
+// ended. The connection may have ended during the upload, which the end does not show.
+var errReplyUnproved = errors.New("the reply of the platform to a write has neither a length nor chunks")
+
+// endsWithConnection reports whether only the end of the connection ends the body of a reply.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // Options configures a Client.
 type Options struct {
 	// URL is the base URL of the platform, for example http://127.0.0.1:7000.
@@ -101,8 +110,11 @@
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
-	if err == nil && len(data) > maxReplyBytes {
+	switch {
+	case err == nil && len(data) > maxReplyBytes:
 		err = errReplyTooLong
+	case err == nil && r.write && endsWithConnection(resp):
+		err = errReplyUnproved
 	}
 	if err != nil {
 		return response{}, store.TransportError(err, r.write)
