--- a/gateway/upload_test.go
+++ b/gateway/upload_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -83,3 +84,32 @@
 		}
 	}
 }
+
+// Guards against a resumed stream that looks whole although the upstream that continued it
+// reset its connection during the upload.
+func TestResetDuringAResumedUploadLooksWhole(t *testing.T) {
+	for _, size := range []int{1 << 20, 3 << 20} {
+		t.Run(fmt.Sprintf("%d MiB", size>>20), func(t *testing.T) {
+			var calls atomic.Int64
+			u := startEarlyUpstream(t, "u1", func(r *http.Request, conn *net.TCPConn) {
+				head, body := framings["none"].response("stream", r.Header.Get("Id"))
+				parts := strings.SplitAfter(body, "\n\n")
+				if r.Header.Get("Last") == "" {
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(conn, head+parts[0]+"id: 2\n")
+					return
+				}
+				calls.Add(1)
+				_, _ = io.WriteString(conn, head+parts[1])
+				_ = conn.SetLinger(0)
+			})
+			s := newSystem(t, registration(u, "v1")).configure()
+			for range 8 {
+				s.budget.left = 100
+				r := s.callWithBody("/stream/x", size)
+				assert.Check(t, !r.looksWhole(), "%d %q", r.status, r.body)
+			}
+			assert.Assert(t, calls.Load() > 0)
+		})
+	}
+}
