--- a/gateway/upload_test.go
+++ b/gateway/upload_test.go
@@ -105,7 +105,6 @@
 			})
 			s := newSystem(t, registration(u, "v1")).configure()
 			for range 8 {
-				s.budget.left = 100
 				r := s.callWithBody("/stream/x", size)
 				assert.Check(t, !r.looksWhole(), "%d %q", r.status, r.body)
 			}
