soak: evacuations, withdrawn keys, cold upstreams and a restored store

Seeds from 70000 on evacuate zones and take them back, start cold upstreams and restore the store from an older copy while planned work is done; odd seeds also disrupt VMs. The plans of the other seeds are the same as before.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -154,6 +154,9 @@
 	bodyTime time.Duration
 	// direct means that the caller bypasses the balancer.
 	direct bool
+	// key is the version of the configuration whose key the caller uses, 0 for the key
+	// that is always valid.
+	key int
 }
 
 // call sends one request and closes its connection if the response is not complete
@@ -161,7 +164,7 @@
 func (c *loadGenerator) call(transport http.RoundTripper, r request) Call {
 	c.mu.Lock()
 	c.sent++
-	call := Call{ID: fmt.Sprintf("r%d", c.sent), Route: r.route, Direct: r.direct}
+	call := Call{ID: fmt.Sprintf("r%d", c.sent), Route: r.route, Direct: r.direct, Key: r.key}
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), r.timeout)
 	defer cancel()
@@ -178,7 +181,7 @@
 	if err != nil {
 		panic(err) // not reached: the URL is valid
 	}
-	req.Header = standin.ClientHeader(call.ID, standin.Key, "s"+call.ID)
+	req.Header = standin.ClientHeader(call.ID, keyOf(r.key), "s"+call.ID)
 	call.Sent = time.Now()
 	if resp, err := transport.RoundTrip(req); err == nil {
 		body, err := io.ReadAll(resp.Body)
--- a/soak/leaving.go
+++ b/soak/leaving.go
@@ -16,7 +16,7 @@
 	}
 	for _, change := range r.Changes {
 		for _, run := range r.Runs {
-			if run.Upstream == change.Upstream && run.Started.Sub(change.At) > drainBound && r.History.UndisruptedFor(change.At, run.Started, vms[run.Attempt], run.Upstream) {
+			if run.Upstream == change.Upstream && run.Started.After(r.inForce(change.At, drainBound)) && r.History.UndisruptedFor(change.At, run.Started, vms[run.Attempt], run.Upstream) {
 				violations = append(violations, fmt.Sprintf("an upstream that left %v before received work: %+v", run.Started.Sub(change.At), run))
 			}
 		}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -68,6 +68,13 @@
 	UpstreamPart        StepKind = "upstream breaks streams off right after whole events"
 )
 
+// These steps are events that a sound platform may see at any time.
+const (
+	ZoneEvacuate StepKind = "zone evacuated and taken back"
+	ColdStart    StepKind = "cold upstream starts"
+	StoreRestore StepKind = "store restored from an older copy"
+)
+
 // UpstreamRefuseLate and UpstreamBreak are in no plan. They are parts of other steps.
 const (
 	UpstreamRefuseLate StepKind = "upstream refuses late"
@@ -94,6 +101,9 @@
 // breakingOff are faults that excuse only the requests whose upstream broke them off.
 var breakingOff = []StepKind{UpstreamPauseBroken, UpstreamCutHead, UpstreamNoBody, UpstreamPart}
 
+// platformEvents are events of the platform, which callers must not notice.
+var platformEvents = []StepKind{ZoneEvacuate, ColdStart, StoreRestore}
+
 // vmDisruptions disrupt one VM; the other VMs must keep all guarantees.
 var vmDisruptions = []StepKind{StoreHold, StoreSilence, VMPause, VMKill, CallerDelay, CallerReset, CallerHold}
 
@@ -102,7 +112,7 @@
 
 // Disrupts reports whether callers may notice the step.
 func (k StepKind) Disrupts() bool {
-	return !k.Planned() && !slices.Contains(slices.Concat(benign, benignAnswers, breakingOff), k)
+	return !k.Planned() && !slices.Contains(slices.Concat(benign, benignAnswers, breakingOff, platformEvents), k)
 }
 
 // Step is one entry of a plan.
@@ -130,6 +140,9 @@
 	Engines bool
 	// DirectCalls makes callers connect straight to a VM that stops as planned.
 	DirectCalls bool
+	// Platform sets the bounds of evacuations and cold upstreams and makes callers use
+	// withdrawn keys.
+	Platform bool
 }
 
 const (
@@ -175,11 +188,16 @@
 	// firstUnsentSeed is the first seed whose plan has streams that break off right after
 	// whole events, beside series of changes, leaving upstreams and planned stops.
 	firstUnsentSeed = 60_000
+	// firstPlatformSeed is the first seed whose plan has evacuations, cold upstreams and
+	// restored stores beside planned work, and disruptions of VMs if the seed is odd.
+	firstPlatformSeed = 70_000
 )
 
 // ofSeed returns the shape with what the plans of the seed need.
 func (s Shape) ofSeed(seed uint64) Shape {
 	switch {
+	case seed >= firstPlatformSeed:
+		s.Platform, s.Upstreams, s.Length = true, platformUpstreams, max(s.Length, minPlatformLength)
 	case seed >= firstUnsentSeed:
 		s.DirectCalls, s.Upstreams = true, max(s.Upstreams, maxAttempts["stream"])
 	case seed >= firstAnswerSeed:
@@ -198,6 +216,8 @@
 func NewPlan(seed uint64, s Shape) []Step {
 	r := rand.New(rand.NewPCG(seed, 0))
 	switch {
+	case seed >= firstPlatformSeed:
+		return newPlatformPlan(seed, r, s)
 	case seed >= firstUnsentSeed:
 		return newUnsentPlan(seed, r, s)
 	case seed >= firstRestartSeed:
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -83,3 +83,18 @@
 	}
 	assert.Assert(t, shape.ofSeed(firstStopSeed).DirectCalls)
 }
+
+// Guards against plans with events of the platform that lack a kind of step, or that disrupt
+// more than the first VMs.
+func TestPlatformPlansSpareSomeVMs(t *testing.T) {
+	seen := map[StepKind]bool{}
+	for seed := uint64(firstPlatformSeed); seed < firstPlatformSeed+30; seed++ {
+		for _, step := range NewPlan(seed, shape.ofSeed(seed)) {
+			seen[step.Kind] = true
+			assert.Assert(t, !step.Kind.Disrupts() || seed%2 == 1 && step.Target < shape.VMs-undisruptedVMs, "seed %d has %+v", seed, step)
+		}
+	}
+	for _, kind := range slices.Concat(platformEvents, plannedWork, []StepKind{VMPause, VMKill, StoreHold, StoreSilence}) {
+		assert.Assert(t, seen[kind], "%s is in no plan", kind)
+	}
+}
--- a/soak/promises.go
+++ b/soak/promises.go
@@ -14,6 +14,9 @@
 // Call is one request of a caller and what the caller received.
 type Call struct {
 	ID, Route, VM string
+	// Key is the version of the configuration whose key the caller uses, 0 for the key
+	// that is always valid.
+	Key int
 	// Direct means that the caller chose the VM itself, not the balancer.
 	Direct      bool
 	Sent, Ended time.Time
@@ -41,6 +44,8 @@
 	// Service is the service to which a new configuration sends the bookings, Upstream
 	// the upstream that drains; the other one is empty.
 	Service, Upstream string
+	// Version is that of the new configuration.
+	Version int
 }
 
 // Record is what was observed during a run: by callers, by upstreams, and the
@@ -55,6 +60,10 @@
 	// OddConnections is the number of connections to the address of registrations that
 	// name no upstream.
 	OddConnections int
+	// ColdStarts are the starts of cold upstreams.
+	ColdStarts  []ColdPeriod
+	Evacuations []Evacuation
+	Restores    []Restore
 }
 
 const (
@@ -100,7 +109,7 @@
 	for _, c := range r.Calls {
 		runsOfCall := runs[c.ID]
 		delete(runs, c.ID)
-		for _, check := range []func(Call, []standin.Run) string{checkBookingRunsOnce, checkRefusal, checkAnswer, checkRequestUnchanged, r.checkAttempts, r.checkNoLostAnswer, r.checkEventIsSent, r.checkNoFailure, r.checkNoRunRefused, checkRetryAfter, r.checkConfiguration} {
+		for _, check := range []func(Call, []standin.Run) string{checkBookingRunsOnce, checkRefusal, checkAnswer, checkRequestUnchanged, r.checkAttempts, r.checkNoLostAnswer, r.checkEventIsSent, r.checkNoFailure, r.checkNoRunRefused, checkRetryAfter, r.checkConfiguration, r.checkWithdrawnKey} {
 			if problem := check(c, runsOfCall); problem != "" {
 				violations = append(violations, fmt.Sprintf("%s: %+v, runs %+v", problem, c, runsOfCall))
 			}
@@ -121,7 +130,7 @@
 	if r.OddConnections > 0 {
 		violations = append(violations, fmt.Sprintf("registrations that name no upstream received %d connections", r.OddConnections))
 	}
-	return slices.Concat(violations, r.checkDrainedUpstreams(), r.checkLeavingUpstreams(), r.checkAskedPauses())
+	return slices.Concat(violations, r.checkDrainedUpstreams(), r.checkLeavingUpstreams(), r.checkAskedPauses(), r.checkEvacuations(), r.checkColdUpstreams())
 }
 
 // refused reports whether the status promises that the request has not run.
@@ -143,7 +152,7 @@
 	switch {
 	case c.Route == "book" && c.refused() && len(runs) > 0:
 		return "a refused booking ran"
-	case c.Upstream == "" && c.Status >= 300 && c.Status < 500 && !c.refused():
+	case c.Upstream == "" && c.Status >= 300 && c.Status < 500 && !c.refused() && !(c.Key > 0 && c.Status == http.StatusUnauthorized):
 		return "a valid request was denied"
 	}
 	return ""
@@ -326,7 +335,7 @@
 		if change.Service == "" || change.At.After(runs[0].Ended) {
 			continue
 		}
-		if c.Sent.Sub(change.At) >= configurationBound && r.History.UndisruptedFor(change.At, c.Sent, c.VM) {
+		if !c.Sent.Before(r.inForce(change.At, configurationBound)) && r.History.UndisruptedFor(change.At, c.Sent, c.VM) {
 			allowed = nil // every VM must have applied this configuration
 		}
 		allowed = append(allowed, change.Service)
--- a/soak/steps.go
+++ b/soak/steps.go
@@ -27,6 +27,9 @@
 func (s *System) Run(seed uint64, plan []Step, length time.Duration) Record {
 	s.load = newLoadGenerator(s, seed)
 	s.load.start()
+	if s.platform {
+		s.load.startWithdrawnKeys()
+	}
 	done := make(chan struct{})
 	defer close(done)
 	go s.detectStalls(done)
@@ -131,6 +134,12 @@
 		s.reload(m)
 	case Configure:
 		s.configure()
+	case ZoneEvacuate:
+		s.evacuate(step)
+	case ColdStart:
+		s.startCold(step)
+	case StoreRestore:
+		s.restoreStore(step)
 	case OddRegistration:
 		s.injectOddRegistration(step, index)
 	default:
--- a/soak/system.go
+++ b/soak/system.go
@@ -53,6 +53,12 @@
 	// oddListener accepts connections to the address of registrations that name no
 	// upstream.
 	oddListener net.Listener
+	// platform makes the upstreams that are started later cold and gives each
+	// configuration a key of its own.
+	platform bool
+	// storeWrites is held for reading by a write to the store, and for writing while the
+	// store is unavailable and restored, because such a write would not be accepted.
+	storeWrites sync.RWMutex
 
 	mu            sync.Mutex
 	upstreams     []*upstream
@@ -86,7 +92,7 @@
 // Start starts a system of a shape and waits until all VMs are ready.
 func Start(t *testing.T, binary string, shape Shape) *System {
 	t.Helper()
-	s := &System{t: t, binary: binary, dir: t.TempDir(), store: standin.NewRowStore(), directCalls: shape.DirectCalls, activeFaults: make(map[StepKind]int)}
+	s := &System{t: t, binary: binary, dir: t.TempDir(), store: standin.NewRowStore(), directCalls: shape.DirectCalls, platform: shape.Platform, activeFaults: make(map[StepKind]int)}
 	s.server = httptest.NewServer(s.store)
 	t.Cleanup(s.server.Close)
 	var err error
@@ -127,6 +133,9 @@
 			ExposureShare: 0.15, SessionIdle: 6 * time.Second, CacheLifetime: 10 * time.Second,
 		},
 	}}
+	if shape.Platform {
+		m.settings.Bounds.Evacuation, m.settings.Bounds.ColdRatio, m.settings.Bounds.ColdSlack = evacuationBound, coldRatio, coldSlack
+	}
 	if shape.FewRetries {
 		m.settings.Bounds.RetryRatio, m.settings.Bounds.RetrySlack = 0, 1
 	}
@@ -219,8 +228,14 @@
 	defer s.mu.Unlock()
 	s.configVersion++
 	service := []string{"desk", "desk2"}[s.configVersion%2]
-	s.store.Put("op", "config", standin.Configuration(s.configVersion, service))
-	s.record.Changes = append(s.record.Changes, Change{At: time.Now(), Service: service})
+	configuration := standin.Configuration(s.configVersion, service)
+	if s.platform {
+		extendConfiguration(configuration, s.configVersion)
+	}
+	s.storeWrites.RLock()
+	s.store.Put("op", "config", configuration)
+	s.storeWrites.RUnlock()
+	s.record.Changes = append(s.record.Changes, Change{At: time.Now(), Service: service, Version: s.configVersion})
 }
 
 // addUpstream starts an upstream behind a link. The caller holds s.mu.
@@ -241,7 +256,12 @@
 	})
 	s.t.Cleanup(u.Crash)
 	l := s.newLink(u.Address())
-	u.Register(l.Address())
+	if s.platform && s.load != nil {
+		s.record.ColdStarts = append(s.record.ColdStarts, ColdPeriod{Upstream: id, From: time.Now()})
+		u.RegisterCold(l.Address(), coldStart)
+	} else {
+		u.Register(l.Address())
+	}
 	s.upstreams = append(s.upstreams, &upstream{Upstream: u, link: l, activeFaults: make(map[StepKind]int), variants: make(map[StepKind]Step)})
 }
 
--- a/soak/upstreamsteps.go
+++ b/soak/upstreamsteps.go
@@ -93,7 +93,9 @@
 
 // drain makes an upstream leave, which serves for d longer than it must.
 func (s *System) drain(u *upstream, d time.Duration) {
+	s.storeWrites.RLock()
 	u.Drain()
+	s.storeWrites.RUnlock()
 	s.mu.Lock()
 	s.record.Changes = append(s.record.Changes, Change{At: time.Now(), Upstream: u.ID})
 	s.mu.Unlock()
