--- a/soak/platform.go
+++ b/soak/platform.go
@@ -133,11 +133,16 @@
 	s.store.Remove("op", "evacuate/"+zone)
 }
 
-// startCold starts an upstream during traffic.
+// startCold starts an upstream during traffic. In half of the cases, the others of its service
+// refuse all requests for the duration of the step, so that the load shifts to cold ones.
 func (s *System) startCold(step Step) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.addUpstream([]string{"model", "desk", "desk2"}[step.variant(3)])
+	u := s.upstreams[len(s.upstreams)-1]
+	s.mu.Unlock()
+	if step.Target%2 == 0 {
+		s.injectResponseFaults(step, UpstreamRefuse, s.othersOfService(u))
+	}
 }
 
 // restoreStore makes the store unavailable for a moment and restores it from a copy as old as
