--- a/soak/platform.go
+++ b/soak/platform.go
@@ -35,6 +35,8 @@
 	// minCopyAge and maxCopyAge bound the age of the copy from which the store is restored.
 	minCopyAge = 2500 * time.Millisecond
 	maxCopyAge = 6 * time.Second
+	// copyLead is the time between a copy and the evacuation that it lacks.
+	copyLead = 200 * time.Millisecond
 	// restoreOutage is the time for which the store is unavailable before it is restored.
 	restoreOutage = 300 * time.Millisecond
 	// Upstreams write their registrations again heartbeat after a restore, the operator its
@@ -75,11 +77,17 @@
 	all := []series{
 		{kinds: []StepKind{Configure, Configure, VMReload, UpstreamDrain, VMStop}, interval: 3 * meanStepInterval, low: leaveDuration, high: maxLong},
 		{kinds: []StepKind{ColdStart}, interval: 4 * meanStepInterval, low: minStepDuration, high: maxStepDuration},
-		{kinds: []StepKind{StoreRestore}, interval: 5 * meanStepInterval, low: minCopyAge, high: maxCopyAge},
+		{kinds: []StepKind{StoreRestore}, interval: 10 * meanStepInterval, low: minCopyAge, high: maxCopyAge},
 	}
 	plan := newSeries(r, s, all)
-	for at := randomDuration(r, 0, maxReturned); at < s.Length; {
+	for at := copyLead + randomDuration(r, 0, maxReturned); at < s.Length; {
 		step := Step{At: at, For: randomDuration(r, minEvacuated, maxEvacuated), Kind: ZoneEvacuate, Target: r.IntN(s.Zones)}
+		if r.IntN(4) > 0 {
+			// The copy lacks the evacuation and is restored when that must be in force.
+			restore := Step{At: at - copyLead, For: copyLead + evacuationBound + randomDuration(r, minStepDuration, time.Second), Kind: StoreRestore}
+			step.For = max(step.For, evacuationBound+maxRepeatDelay)
+			plan = append(plan, restore)
+		}
 		plan = append(plan, step)
 		at += step.For + randomDuration(r, 0, maxReturned)
 	}
