--- a/soak/platform.go
+++ b/soak/platform.go
@@ -40,8 +40,9 @@
 	// restoreOutage is the time for which the store is unavailable before it is restored.
 	restoreOutage = 300 * time.Millisecond
 	// Upstreams write their registrations again heartbeat after a restore, the operator its
-	// rows up to maxRepeatDelay after it.
+	// rows from minRepeatDelay to maxRepeatDelay after it.
 	heartbeat      = 500 * time.Millisecond
+	minRepeatDelay = time.Second
 	maxRepeatDelay = 3 * time.Second
 	// withdrawnKeyInterval is the mean interval of requests with a withdrawn key.
 	withdrawnKeyInterval = 50 * time.Millisecond
@@ -77,7 +78,6 @@
 	all := []series{
 		{kinds: []StepKind{Configure, Configure, VMReload, UpstreamDrain, VMStop}, interval: 3 * meanStepInterval, low: leaveDuration, high: maxLong},
 		{kinds: []StepKind{ColdStart}, interval: 4 * meanStepInterval, low: minStepDuration, high: maxStepDuration},
-		{kinds: []StepKind{StoreRestore}, interval: 10 * meanStepInterval, low: minCopyAge, high: maxCopyAge},
 	}
 	plan := newSeries(r, s, all)
 	for at := copyLead + randomDuration(r, 0, maxReturned); at < s.Length; {
@@ -87,6 +87,12 @@
 			restore := Step{At: at - copyLead, For: copyLead + evacuationBound + randomDuration(r, minStepDuration, time.Second), Kind: StoreRestore}
 			step.For = max(step.For, evacuationBound+maxRepeatDelay)
 			plan = append(plan, restore)
+			if r.IntN(3) == 0 { // again within the time for which VMs hold rows
+				restore.For += randomDuration(r, minStepDuration, maxStepDuration)
+				plan = append(plan, restore)
+			}
+		} else {
+			plan = append(plan, Step{At: at + randomDuration(r, 0, step.For), For: randomDuration(r, minCopyAge, maxCopyAge), Kind: StoreRestore})
 		}
 		plan = append(plan, step)
 		at += step.For + randomDuration(r, 0, maxReturned)
@@ -171,7 +177,7 @@
 		time.Sleep(heartbeat)
 		s.store.Repeat("servers")
 	})
-	time.Sleep(step.For % maxRepeatDelay)
+	time.Sleep(minRepeatDelay + step.For%(maxRepeatDelay-minRepeatDelay))
 	s.store.Repeat("op")
 	writers.Wait()
 	restore.Repeated = time.Now()
