--- a/review/_kit-2/runner.go
+++ b/review/_kit-2/runner.go
@@ -22,6 +22,8 @@
 
 	mu     sync.Mutex
 	server *http.Server
+	// born is the start of the process.
+	born int64
 }
 
 // addRunner starts and registers a runner.
@@ -39,6 +41,7 @@
 func (r *runner) listen(l net.Listener) {
 	r.mu.Lock()
 	r.server = r.s.serve(l, http.HandlerFunc(r.handle))
+	r.born = time.Now().UnixMilli()
 	r.mu.Unlock()
 	r.register("ready")
 }
@@ -46,7 +49,7 @@
 func (r *runner) register(state string) {
 	r.s.store.Put("servers", r.id, map[string]any{
 		"Service": r.service, "Address": r.address, "Zone": r.zone, "Version": r.version, "Slots": 64, "State": state, "ColdLeftMs": 0,
-		"Seq": 1, "born": time.Now().UnixMilli(),
+		"Seq": 1, "born": r.born,
 	})
 }
 
