e2e: crowds that stay, read slowly, keep connections or meet a stop

Cause: the crowds so far send and are gone when an ordinary request is asked for. Nothing was known of clients that do not take their responses, that keep connections and send one request after the other, or that are there when the VM is stopped. While the crowd stays, a booking, a stream and a probe must be served; peak memory (VmHWM) and descriptors stay below what the VM has. The same crowds meet a SIGTERM, after which the process must end by itself. The output that a test keeps of a process has a bound, because a crowd makes it log gigabytes.

--- a/e2e/clients_test.go
+++ b/e2e/clients_test.go
@@ -35,6 +35,10 @@
 	crowdBodyBytes = 4 << 20
 	// crowdLongBodies is the number of clients that send bodies of crowdBodyBytes.
 	crowdLongBodies = 60
+	// crowdPatience is the deadline of requests that stay, and crowdSlots the number of them
+	// that an engine takes.
+	crowdPatience = 5 * time.Minute
+	crowdSlots    = 4000
 	// crowdPause is made by a client before it connects again.
 	crowdPause = 100 * time.Millisecond
 )
@@ -151,47 +155,80 @@
 	return len(entries)
 }
 
-// crowdVM is a VM with little memory in front of a service that takes crowdTime.
+// crowdVM is a VM with little memory in front of an engine and of a service that takes
+// crowdTime.
 type crowdVM struct {
 	*e2e.Process
-	settings platform.Settings
-	service  *standin.Upstream
+	settings     platform.Settings
+	settingsPath string
+	metrics      string
+	service      *standin.Upstream
+	engine       *standin.Upstream
+	store        *standin.RowStore
 }
 
 func startCrowdVM(t *testing.T) *crowdVM {
+	t.Helper()
+	return startVM(t, crowdMemory, crowdDescriptors)
+}
+
+// startVM starts a VM with a number of bytes and descriptors. Its routes let requests run for
+// crowdPatience.
+func startVM(t *testing.T, memory int64, descriptors int) *crowdVM {
 	t.Helper()
 	store := standin.NewRowStore()
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
-	configuration := standin.Configuration(1, "desk")
+	configuration := standin.Configuration(1, "desk2")
+	standin.SetSlots(configuration, crowdSlots)
+	standin.SetTimeout(configuration, crowdPatience)
 	configuration["Limits"] = map[string]any{"MaxHeaderBytes": crowdHeadBytes, "MaxBodyBytes": crowdBodyBytes, "HeaderTimeoutMs": 20_000, "IdleTimeoutMs": 60_000}
 	store.Put("op", "config", configuration)
 	desk, err := standin.StartUpstream(store, "d0", "desk", "v1", "z", standin.Behaviour{ServiceTime: crowdTime})
 	assert.NilError(t, err)
 	t.Cleanup(desk.Stop)
+	// Bookings have a service of their own, which the load on desk does not slow down.
+	bookings, err := standin.StartUpstream(store, "b0", "desk2", "v1", "z", standin.Behaviour{})
+	assert.NilError(t, err)
+	t.Cleanup(bookings.Stop)
+	engine, err := standin.ListenUpstream(store, "m0", "model", "v1", "z", standin.Behaviour{Events: 3})
+	assert.NilError(t, err)
+	t.Cleanup(engine.Stop)
+	engine.Slots = crowdSlots
+	engine.Register(engine.Address())
 	s := platform.Settings{
 		VM: "vm0", AvailabilityZone: "z", Front: e2e.FreePort(t), Ready: e2e.FreePort(t), Peer: e2e.FreePort(t),
-		StoreAddress: strings.TrimPrefix(server.URL, "http://"), MemoryBytes: crowdMemory, Cores: 1, Descriptors: crowdDescriptors,
+		StoreAddress: strings.TrimPrefix(server.URL, "http://"), MemoryBytes: memory, Cores: 1, Descriptors: descriptors,
 		Bounds: platform.Bounds{Drain: 2 * time.Second, Grace: 5 * time.Second, RetryRatio: 0.9, RetryWindow: 10 * time.Second, RetrySlack: 1000, ExposureShare: 0.15, SessionIdle: 5 * time.Second, CacheLifetime: 10 * time.Second},
 	}
-	settingsFile, err := standin.SettingsFile(s)
-	assert.NilError(t, err)
-	path := filepath.Join(t.TempDir(), "settings.json")
-	assert.NilError(t, os.WriteFile(path, settingsFile, 0o600))
-	cmd := exec.Command(binaries.Daemon, "entry")
-	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+path)
-	vm := &crowdVM{Process: e2e.Start(t, cmd), settings: s, service: desk}
-	e2e.Eventually(t, "the VM is ready", func() bool {
-		resp, err := http.Get("http://" + s.Ready + platform.ReadyPath)
-		if err != nil {
-			return false
-		}
-		defer resp.Body.Close()
-		return resp.StatusCode == http.StatusOK
-	})
+	vm := &crowdVM{settings: s, settingsPath: filepath.Join(t.TempDir(), "settings.json"), metrics: e2e.FreePort(t), service: desk, engine: engine, store: store}
+	vm.writeSettings(t)
+	cmd := exec.Command(binaries.Daemon, "entry", "--metrics", vm.metrics)
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+vm.settingsPath)
+	vm.Process = e2e.Start(t, cmd)
+	e2e.Eventually(t, "the VM is ready", vm.ready)
 	return vm
 }
 
+// writeSettings writes the settings file.
+func (vm *crowdVM) writeSettings(t *testing.T) {
+	t.Helper()
+	data, err := standin.SettingsFile(vm.settings)
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(vm.settingsPath, data, 0o600))
+}
+
+// ready reports whether the VM passes a readiness probe.
+func (vm *crowdVM) ready() bool {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + vm.settings.Ready + platform.ReadyPath)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 // ask sends one request on a connection of its own and reports whether it was served.
 func (vm *crowdVM) ask(request string) bool {
 	conn, err := net.DialTimeout("tcp4", vm.settings.Front, time.Second)
--- /dev/null
+++ b/e2e/crowds_test.go
@@ -0,0 +1,284 @@
+package e2e_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/savoryshift/savoryshift/e2e"
+	"github.com/savoryshift/savoryshift/platform/standin"
+)
+
+const (
+	// slowReadBytes is what a slow reader takes every slowReadPause, and slowReadWindow the
+	// size of its receive buffer.
+	slowReadBytes  = 64
+	slowReadPause  = 100 * time.Millisecond
+	slowReadWindow = 4 << 10
+)
+
+// player is what a client does on one connection. It returns when the connection ends.
+type player func(conn net.Conn, client int)
+
+// crowd is a number of clients that do the same. Each connects again when its connection has
+// ended.
+type crowd struct {
+	name    string
+	clients int
+	// target is the listener; the default is the front.
+	target func(*crowdVM) string
+	// service and engine are the behaviours of the upstreams.
+	service, engine standin.Behaviour
+	play            player
+	// window is the receive buffer of the clients, 0 for that of the system.
+	window int
+}
+
+// start lets the crowd play at an address until the returned function is called, which returns
+// when all clients have left.
+func (c crowd) start(address string) (stop func()) {
+	end := make(chan struct{})
+	var group sync.WaitGroup
+	for client := range c.clients {
+		group.Go(func() {
+			for {
+				visit(address, c.window, end, func(conn net.Conn) { c.play(conn, client) })
+				select {
+				case <-end:
+					return
+				case <-time.After(crowdPause):
+				}
+			}
+		})
+	}
+	return sync.OnceFunc(func() {
+		close(end)
+		group.Wait()
+	})
+}
+
+// visit plays on a new connection, which is closed when end is. The connection has a receive
+// buffer of window bytes, 0 for that of the system.
+func visit(address string, window int, end <-chan struct{}, play func(net.Conn)) {
+	dialer := net.Dialer{Timeout: time.Second}
+	if window > 0 {
+		// The sender takes its segments and its buffer from the window that it learns first.
+		dialer.Control = func(_, _ string, c syscall.RawConn) error {
+			return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, window) })
+		}
+	}
+	conn, err := dialer.Dial("tcp4", address)
+	if err != nil {
+		return
+	}
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		select {
+		case <-end:
+		case <-done:
+		}
+		_ = conn.Close()
+	}()
+	play(conn)
+}
+
+// readsSlowly sends a text a number of times and takes few of the bytes that come.
+func readsSlowly(text func(client int) string, times int) player {
+	return func(conn net.Conn, client int) {
+		go func() {
+			for range times {
+				if _, err := io.WriteString(conn, text(client)); err != nil {
+					return
+				}
+			}
+		}()
+		for part := make([]byte, slowReadBytes); ; time.Sleep(slowReadPause) {
+			if _, err := conn.Read(part); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// keeps sends one request after the other on a connection, and takes the answers.
+func keeps(request func(number int64) string) player {
+	var number atomic.Int64
+	return func(conn net.Conn, _ int) {
+		for reader := bufio.NewReader(conn); ; {
+			if _, err := io.WriteString(conn, request(number.Add(1))); err != nil {
+				return
+			}
+			resp, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				return
+			}
+			if _, err = io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
+				return
+			}
+		}
+	}
+}
+
+// patientRequest returns a request whose client waits for crowdPatience.
+func patientRequest(path, id, more, body string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\n", path, standin.Host)
+	header := standin.ClientHeader(id, standin.Key, id)
+	standin.SetPatience(header, crowdPatience)
+	_ = header.Write(&b)
+	fmt.Fprintf(&b, "%sContent-Length: %d\r\n\r\n%s", more, len(body), body)
+	return b.String()
+}
+
+func small(path string) func(int) string {
+	return func(client int) string { return patientRequest(path, fmt.Sprint("c", client), "", "body") }
+}
+
+// crowds are the kinds of TestCrowds. They play at a VM of crowdMemory and crowdDescriptors.
+func crowds() []crowd {
+	notFound := fmt.Sprintf("GET /none HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: n\r\n\r\n", standin.Host)
+	metrics := func(vm *crowdVM) string { return vm.metrics }
+	text := func(s string) func(int) string { return func(int) string { return s } }
+	return []crowd{
+		{name: "answers of medium size that are read slowly", clients: crowdClients, window: slowReadWindow, service: standin.Behaviour{BodyBytes: 60 << 10}, play: readsSlowly(small("/look/x"), 20)},
+		{name: "requests in one write whose answers are read slowly", clients: crowdClients, window: slowReadWindow, play: readsSlowly(text(strings.Repeat(notFound, 200)), 500)},
+		{name: "bookings on kept connections", clients: crowdClients, play: keeps(func(n int64) string { return patientRequest("/book/x", fmt.Sprint("kept-", n), "", "body") })},
+		{name: "long identifiers of requests that are refused", clients: crowdClients, play: keeps(func(n int64) string {
+			return fmt.Sprintf("GET /none HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %d-%s\r\n\r\n", standin.Host, n, strings.Repeat("a", 12<<10))
+		})},
+		{name: "metrics that are read slowly", clients: crowdClients, window: slowReadWindow, target: metrics, play: readsSlowly(text("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n"), 1000)},
+	}
+}
+
+// watch records the descriptors of a process until it is stopped.
+type watch struct {
+	most  int
+	ended chan struct{}
+	stop  func()
+}
+
+func watchDescriptors(t *testing.T, p *e2e.Process) *watch {
+	w := &watch{ended: make(chan struct{})}
+	end := make(chan struct{})
+	w.stop = sync.OnceFunc(func() { close(end); <-w.ended })
+	go func() {
+		defer close(w.ended)
+		for p.Running() {
+			select {
+			case <-end:
+				return
+			case <-time.After(10 * time.Millisecond):
+				w.most = max(w.most, openDescriptors(t, p))
+			}
+		}
+	}()
+	t.Cleanup(w.stop)
+	return w
+}
+
+// serves waits until the VM has served an ordinary booking, an ordinary stream and a probe.
+func (vm *crowdVM) serves(t *testing.T, when string) {
+	t.Helper()
+	var n atomic.Int64
+	for _, path := range []string{"/book/x", "/stream/x"} {
+		e2e.Eventually(t, "an ordinary request to "+path+" is served "+when, func() bool {
+			return !vm.Running() || vm.begins(patientRequest(path, fmt.Sprintf("ordinary-%s-%d", strings.Fields(when)[0], n.Add(1)), "", "body"))
+		})
+	}
+	e2e.Eventually(t, "a probe is answered "+when, func() bool { return !vm.Running() || vm.ready() })
+	assert.Assert(t, vm.Running(), "%s", vm.Output())
+}
+
+// begins sends one request on a connection of its own and reports whether the first byte of the
+// body of a response with status 200 arrives.
+func (vm *crowdVM) begins(request string) bool {
+	conn, err := net.DialTimeout("tcp4", vm.settings.Front, time.Second)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	go func() { _, _ = io.WriteString(conn, request) }()
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	_, err = io.ReadFull(resp.Body, make([]byte, 1))
+	return err == nil && resp.StatusCode == http.StatusOK
+}
+
+// behave sets the behaviours of the upstreams for a crowd.
+func (vm *crowdVM) behave(c crowd) {
+	vm.service.SetBehaviour(c.service)
+	if c.engine.Events == 0 {
+		c.engine.Events = 3
+	}
+	vm.engine.SetBehaviour(c.engine)
+}
+
+// check compares the memory and the descriptors of the VM with what its machine has.
+func (vm *crowdVM) check(t *testing.T, descriptors int) {
+	t.Helper()
+	peak := peakMemory(t, vm.Process)
+	t.Logf("at most %d MB and %d descriptors", peak>>20, descriptors)
+	assert.Check(t, int64(peak) < vm.settings.MemoryBytes, "%d MB", peak>>20)
+	assert.Check(t, descriptors < vm.settings.Descriptors, "%d descriptors", descriptors)
+}
+
+// Guards against a VM that ends, uses more than its machine has, or serves no ordinary client
+// any more because of what a crowd sends or does not read. The crowd stays while ordinary
+// clients are served.
+func TestCrowds(t *testing.T) {
+	for _, c := range crowds() {
+		t.Run(c.name, func(t *testing.T) {
+			vm := startVM(t, crowdMemory, crowdDescriptors)
+			vm.behave(c)
+			address := vm.settings.Front
+			if c.target != nil {
+				address = c.target(vm)
+			}
+			w := watchDescriptors(t, vm.Process)
+			stop := c.start(address)
+			defer stop()
+			for until := time.Now().Add(crowdTime); time.Now().Before(until) && vm.Running(); time.Sleep(10 * time.Millisecond) {
+			}
+			assert.Assert(t, vm.Running(), "%s", vm.Output())
+			vm.check(t, 0)
+			vm.serves(t, "beside the crowd")
+			stop()
+			w.stop()
+			vm.check(t, w.most)
+			vm.serves(t, "after the crowd")
+		})
+	}
+}
+
+// Guards against a planned stop that hangs because clients do not read, do not send or stay.
+func TestCrowdsInAStop(t *testing.T) {
+	for _, c := range crowds() {
+		if c.target != nil {
+			continue
+		}
+		t.Run(c.name, func(t *testing.T) {
+			vm := startVM(t, crowdMemory, crowdDescriptors)
+			vm.behave(c)
+			stop := c.start(vm.settings.Front)
+			defer stop()
+			time.Sleep(time.Second)
+			vm.Signal(syscall.SIGTERM)
+			assert.Equal(t, vm.ExitCode(), 0)
+		})
+	}
+}
--- a/e2e/process.go
+++ b/e2e/process.go
@@ -32,7 +32,12 @@
 	return Binaries{Daemon: filepath.Join(dir, "savoryshift"), Tool: filepath.Join(dir, "savoryctl")}, output, err
 }
 
-// output collects the output of a process. It is safe for concurrent use.
+// maxOutputBytes bounds the output of a process that is kept. A crowd of clients can make it
+// write gigabytes.
+const maxOutputBytes = 64 << 20
+
+// output collects the output of a process, of which it keeps the end. It is safe for concurrent
+// use.
 type output struct {
 	mu   sync.Mutex
 	data bytes.Buffer
@@ -41,6 +46,9 @@
 func (o *output) Write(p []byte) (int, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.data.Len() > maxOutputBytes {
+		o.data.Next(maxOutputBytes / 2)
+	}
 	return o.data.Write(p)
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -28,18 +28,6 @@
 	seedsFile = "seeds.txt"
 )
 
-// envInt returns the value of an environment variable, or fallback if it is not set.
-func envInt(t *testing.T, variable string, fallback int) int {
-	t.Helper()
-	text := os.Getenv(variable)
-	if text == "" {
-		return fallback
-	}
-	n, err := strconv.Atoi(text)
-	assert.NilError(t, err, variable)
-	return n
-}
-
 // Guards the guarantees of the platform against faults that repeat and overlap. It
 // makes a short run for each of the first seeds and for each seed that has failed.
 func TestSoak(t *testing.T) {
@@ -49,54 +37,54 @@
 	}
 	binaries, output, err := e2e.Build(t.TempDir(), flags...)
 	assert.NilError(t, err, "%s", output)
-	shape := Shape{VMs: envInt(t, vmsVariable, 4), Zones: 2, Upstreams: 2, Length: time.Duration(envInt(t, secondsVariable, 12)) * time.Second}
-	first := envInt(t, firstVariable, 0)
+	shape := Shape{VMs: e2e.EnvInt(t, vmsVariable, 4), Zones: 2, Upstreams: 2, Length: time.Duration(e2e.EnvInt(t, secondsVariable, 12)) * time.Second}
+	first := e2e.EnvInt(t, firstVariable, 0)
 	t.Run("seeds", func(t *testing.T) {
-		for seed := range envInt(t, seedsVariable, 2) {
+		for seed := range e2e.EnvInt(t, seedsVariable, 2) {
 			runSeed(t, binaries.Daemon, uint64(first+seed), shape)
 		}
 	})
 	blind := shape
 	blind.VMs += undisruptedVMs
 	t.Run("blind seeds", func(t *testing.T) {
-		for seed := range envInt(t, seedsVariable, 1) {
+		for seed := range e2e.EnvInt(t, seedsVariable, 1) {
 			runSeed(t, binaries.Daemon, uint64(firstBlindSeed+first+seed), blind)
 		}
 	})
 	t.Run("pause seeds", func(t *testing.T) {
-		for seed := range envInt(t, seedsVariable, 0) {
+		for seed := range e2e.EnvInt(t, seedsVariable, 0) {
 			runSeed(t, binaries.Daemon, uint64(firstPauseSeed+first+seed), shape)
 		}
 	})
 	t.Run("stop seeds", func(t *testing.T) {
-		for seed := range envInt(t, seedsVariable, 0) {
+		for seed := range e2e.EnvInt(t, seedsVariable, 0) {
 			runSeed(t, binaries.Daemon, uint64(firstStopSeed+first+seed), shape)
 		}
 	})
 	t.Run("answer seeds", func(t *testing.T) {
-		for seed := range envInt(t, seedsVariable, 0) {
+		for seed := range e2e.EnvInt(t, seedsVariable, 0) {
 			runSeed(t, binaries.Daemon, uint64(firstAnswerSeed+first+seed), shape)
 		}
 	})
 	fatal := shape
 	fatal.Engines, fatal.Length = true, max(shape.Length, minFatalLength)
 	t.Run("fatal seeds", func(t *testing.T) {
-		for seed := range envInt(t, seedsVariable, 1) {
+		for seed := range e2e.EnvInt(t, seedsVariable, 1) {
 			runFatalSeed(t, binaries.Daemon, uint64(firstFatalSeed+first+seed), fatal)
 		}
 	})
 	t.Run("restart seeds", func(t *testing.T) {
-		for seed := range envInt(t, seedsVariable, 1) {
+		for seed := range e2e.EnvInt(t, seedsVariable, 1) {
 			runFatalSeed(t, binaries.Daemon, uint64(firstRestartSeed+first+seed), fatal)
 		}
 	})
 	t.Run("unsent seeds", func(t *testing.T) {
-		for seed := range envInt(t, seedsVariable, 1) {
+		for seed := range e2e.EnvInt(t, seedsVariable, 1) {
 			runSeed(t, binaries.Daemon, uint64(firstUnsentSeed+first+seed), shape)
 		}
 	})
 	t.Run("platform seeds", func(t *testing.T) {
-		for seed := range envInt(t, seedsVariable, 2) {
+		for seed := range e2e.EnvInt(t, seedsVariable, 2) {
 			runSeed(t, binaries.Daemon, uint64(firstPlatformSeed+first+seed), shape)
 		}
 	})
