placement: prompts of many parts use up the memory of a VM

Callers saw connections that ended: a VM that ran out of memory. Cause: each part of a prompt is kept for the life of an engine's cache with the upstreams that hold it. The parts are named by clients, without a bound on their number or their length, and a name kept the whole header section of its request in memory. Uses for the next report to peers had no bound either. Names are copied, and those above 64 bytes are not recorded. At most 4096 uses wait for a report. Gauge, counter and log line.

--- a/e2e/crowds_test.go
+++ b/e2e/crowds_test.go
@@ -141,6 +141,21 @@
 	return b.String()
 }
 
+// manyParts returns the header of a request whose prompt has many parts that no other has.
+func manyParts(number int64) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "POST /stream/x HTTP/1.1\r\nHost: %s\r\n", standin.Host)
+	header := standin.ClientHeader(fmt.Sprint(number), standin.Key, fmt.Sprint(number))
+	parts := make([]string, 0, 900)
+	for i := range cap(parts) {
+		parts = append(parts, fmt.Sprintf("%08x%03x:%d", number, i, 1+i%2*299))
+	}
+	header.Set("X-Prompt-Prefix", strings.Join(parts, ","))
+	header.Set("X-Model", "small")
+	_ = header.Write(&b)
+	return b.String() + "Content-Length: 0\r\n\r\n"
+}
+
 func small(path string) func(int) string {
 	return func(client int) string { return patientRequest(path, fmt.Sprint("c", client), "", "body") }
 }
@@ -154,6 +169,10 @@
 		{name: "answers of medium size that are read slowly", clients: crowdClients, window: slowReadWindow, service: standin.Behaviour{BodyBytes: 60 << 10}, play: readsSlowly(small("/look/x"), 20)},
 		{name: "requests in one write whose answers are read slowly", clients: crowdClients, window: slowReadWindow, play: readsSlowly(text(strings.Repeat(notFound, 200)), 500)},
 		{name: "bookings on kept connections", clients: crowdClients, play: keeps(func(n int64) string { return patientRequest("/book/x", fmt.Sprint("kept-", n), "", "body") })},
+		{name: "prompts of many parts", clients: crowdClients, engine: standin.Behaviour{Events: 3}, play: keeps(manyParts)},
+		{name: "long names of sessions", clients: crowdClients, engine: standin.Behaviour{Events: 3}, play: keeps(func(n int64) string {
+			return patientRequest("/stream/x", fmt.Sprintf("%d-%s", n, strings.Repeat("a", 4<<10)), "", "body")
+		})},
 		{name: "long identifiers of requests that are refused", clients: crowdClients, play: keeps(func(n int64) string {
 			return fmt.Sprintf("GET /none HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %d-%s\r\n\r\n", standin.Host, n, strings.Repeat("a", 12<<10))
 		})},
--- a/entry/control.go
+++ b/entry/control.go
@@ -65,6 +65,7 @@
 				e.pool.Sweep()
 				e.balancer.Sweep(now)
 				e.logCold(now)
+				e.logEvictedParts()
 				e.listEngines(now)
 				e.quarantine.Sweep(now)
 				e.rollouts.Sweep(now)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -132,6 +132,9 @@
 	stopping     atomic.Bool
 	// cold holds the upstreams that were logged as cold. Only the periodic tasks use it.
 	cold map[placement.Instance]bool
+	// evictedParts is the number of prompt parts that were forgotten, as it was logged last.
+	// Only the periodic tasks use it.
+	evictedParts uint64
 	// heard is set once this VM has heard from a peer, or no longer waits for one.
 	heard atomic.Bool
 }
@@ -143,7 +146,7 @@
 		opts: opts, log: opts.Log, started: time.Now(), metrics: gateway.NewMetrics(), pool: exchange.NewPool(),
 		balancer: placement.NewBalancer(placement.Options{
 			AvailabilityZone: s.AvailabilityZone, CacheLifetime: s.Bounds.CacheLifetime,
-			LapseGrace: lapseGrace(s.Bounds),
+			LapseGrace: lapseGrace(s.Bounds), MaxHeld: maxHeld(s.MemoryBytes),
 		}),
 		budget: newRetryBudget(s.Bounds), drained: drainedUpstreams{},
 	}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -55,6 +55,14 @@
 		ends, _ := e.quarantine.Size()
 		return float64(ends)
 	})
+	gauge("savoryshift_prompt_part_uses", func() float64 {
+		uses, _ := e.balancer.Held()
+		return float64(uses)
+	})
+	gauge("savoryshift_prompt_parts_evicted_total", func() float64 {
+		_, evicted := e.balancer.Held()
+		return float64(evicted)
+	})
 	gauge("savoryshift_cold_upstreams", func() float64 { return float64(len(e.balancer.Cold(time.Now()))) })
 	gauge("savoryshift_roster_vms", func() float64 { return float64(len(e.fleet.Roster(time.Now()))) })
 	gauge("savoryshift_evacuated_zones", func() float64 { return float64(e.balancer.Evacuated()) })
--- a/placement/book.go
+++ b/placement/book.go
@@ -120,8 +120,14 @@
 	// an outage of the store return within two seconds. Default:
 	// DefaultLapseGrace.
 	LapseGrace time.Duration
+	// MaxHeld bounds the uses of prompt parts that are known, one for each part and upstream,
+	// because clients choose the parts. Default: DefaultMaxHeld.
+	MaxHeld int
 }
 
+// DefaultMaxHeld is the default of Options.MaxHeld.
+const DefaultMaxHeld = 1 << 17
+
 // DefaultLapseGrace is less than the two seconds after deregistration within
 // which an upstream may still be sent calls.
 const DefaultLapseGrace = 1500 * time.Millisecond
@@ -143,6 +149,10 @@
 	// holders maps prompt parts to the upstreams that are believed to hold them. query counts
 	// the queries, and touched holds the upstreams that hold a part of the current one.
 	holders map[cacheKey][]holder
+	// held is the number of entries of the lists in holders, evicted that of the parts that were
+	// forgotten because of MaxHeld.
+	held    int
+	evicted uint64
 	query   uint64
 	touched []*upstreamState
 	// memory holds what is known of the memory of engines by service.
@@ -175,6 +185,9 @@
 	if options.LapseGrace == 0 {
 		options.LapseGrace = DefaultLapseGrace
 	}
+	if options.MaxHeld == 0 {
+		options.MaxHeld = DefaultMaxHeld
+	}
 	return &Balancer{
 		options: options, upstreams: map[string]*upstreamState{}, service: map[string][]*upstreamState{},
 		notices: map[Instance]*notices{}, peers: map[string]peerState{}, zones: map[string]*zone{}, pauses: map[string]servicePauses{},
--- a/placement/held.go
+++ b/placement/held.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,6 +17,13 @@
 	// rereportShare is the share of CacheLifetime that lies between the writing of a request
 	// and its first event if the latter is reported too.
 	rereportShare = 0.1
+	// maxNameBytes bounds the names of models and of parts whose uses are recorded.
+	maxNameBytes = 64
+	// maxRecentUses bounds the uses that are kept for the next report to peers.
+	maxRecentUses = 4096
+	// evictionSample is the number of parts of which the least recently used one is evicted
+	// when there is no room for another. A sample needs no order of all parts.
+	evictionSample = 8
 )
 
 // homeChances are the chances, by rendezvous rank, with which an upstream is taken to hold a
@@ -26,6 +34,12 @@
 // cacheKey identifies a prompt part in the cache of upstreams, which is separate by model.
 type cacheKey struct{ model, part string }
 
+// tooLong reports whether uses of the part are not recorded, because clients choose the names.
+func (k cacheKey) tooLong() bool { return len(k.model) > maxNameBytes || len(k.part) > maxNameBytes }
+
+// clone returns a copy that does not keep the header of the request in memory.
+func (k cacheKey) clone() cacheKey { return cacheKey{strings.Clone(k.model), strings.Clone(k.part)} }
+
 // holder is an upstream that is believed to hold a part since its last use at a time.
 type holder struct {
 	upstream *upstreamState
@@ -87,6 +101,9 @@
 // setHeld records that an upstream has used a part at a time, unless a later use is known. It
 // returns the time of the use that was known before.
 func (b *Balancer) setHeld(e *upstreamState, key cacheKey, at time.Time) time.Time {
+	if key.tooLong() {
+		return time.Time{}
+	}
 	list := b.holders[key]
 	for i := range list {
 		if h := &list[i]; h.upstream == e {
@@ -97,10 +114,51 @@
 			return before
 		}
 	}
+	if b.held >= b.options.MaxHeld {
+		b.evictHeld()
+		list = b.holders[key]
+	}
+	if list == nil {
+		key = key.clone()
+	}
 	b.holders[key] = append(list, holder{e, at})
+	b.held++
 	return time.Time{}
 }
 
+// evictHeld forgets the least recently used one of a few parts. Maps are iterated in random
+// order.
+func (b *Balancer) evictHeld() {
+	var oldest cacheKey
+	var oldestAt time.Time
+	n := 0
+	for key, list := range b.holders {
+		at := list[0].at
+		for _, h := range list[1:] {
+			if h.at.After(at) {
+				at = h.at
+			}
+		}
+		if n == 0 || at.Before(oldestAt) {
+			oldest, oldestAt = key, at
+		}
+		if n++; n == evictionSample {
+			break
+		}
+	}
+	b.held -= len(b.holders[oldest])
+	delete(b.holders, oldest)
+	b.evicted++
+}
+
+// Held returns the number of uses of prompt parts that are known, one for each part and
+// upstream, and the number of parts that were forgotten for others since the start.
+func (b *Balancer) Held() (uses int, evicted uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.held, b.evicted
+}
+
 // expireHeld drops uses that no longer count, and those of upstreams that are gone.
 func (b *Balancer) expireHeld(now time.Time) {
 	for key, list := range b.holders {
@@ -110,6 +168,7 @@
 				kept = append(kept, h)
 			}
 		}
+		b.held -= len(list) - len(kept)
 		clear(list[len(kept):])
 		if len(kept) == 0 {
 			delete(b.holders, key)
@@ -157,12 +216,21 @@
 			continue
 		}
 		if longest || now.Sub(before) >= time.Duration(leadingReportShare*float64(lifetime)) {
-			c.b.recentUses = append(c.b.recentUses, cacheEvent{CacheUse{Upstream: c.upstream.ID, Model: c.model, Part: p.ID}, now})
+			c.b.reportUse(c.upstream, cacheKey{c.model, p.ID}, now)
 		}
 		longest = false
 	}
 }
 
+// reportUse keeps a use for the next report to peers, as long as there is room.
+func (b *Balancer) reportUse(e *upstreamState, key cacheKey, now time.Time) {
+	if len(b.recentUses) >= maxRecentUses || key.tooLong() {
+		return
+	}
+	key = key.clone()
+	b.recentUses = append(b.recentUses, cacheEvent{CacheUse{Upstream: e.ID, Model: key.model, Part: key.part}, now})
+}
+
 // forgetUnread drops what the call has recorded if it ends before its prompt is known to have
 // been read.
 func (c *Call) forgetUnread() {
--- a/placement/held_test.go
+++ b/placement/held_test.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -162,3 +164,32 @@
 	b.Sweep(q.Now)
 	assert.Equal(t, len(b.holders[cacheKey{"m", "s"}]), 1)
 }
+
+// Guards against clients that use up the memory of a VM with prompts of parts that no other
+// prompt has.
+func TestClientsChooseManyParts(t *testing.T) {
+	b := NewBalancer(Options{AvailabilityZone: "z", MaxHeld: 100})
+	b.SetUpstreams([]Upstream{{ID: "e0", Service: "s", Address: "a", AvailabilityZone: "z", Release: "v1", Slots: 4}}, now, now)
+	for i := range 50 {
+		at := after(time.Duration(i) * time.Millisecond)
+		var parts []Part
+		for n := range 200 {
+			parts = append(parts, Part{fmt.Sprint(i, "-", n), 300})
+		}
+		parts = append(parts, Part{strings.Repeat("a", 4<<10), 300})
+		q := query(12000, parts...)
+		q.Now = at
+		call, _ := place(t, b, q)
+		call.Admit(at)
+	}
+	uses, evicted := b.Held()
+	assert.Equal(t, uses, 100)
+	assert.Assert(t, evicted >= 50*200-100)
+	assert.Assert(t, len(b.recentUses) <= maxRecentUses)
+	for key := range b.holders {
+		assert.Assert(t, !key.tooLong())
+	}
+	b.Sweep(after(time.Hour))
+	uses, _ = b.Held()
+	assert.Equal(t, uses, 0)
+}
