clientlimit: responses that clients do not take use up the memory of a VM

Callers saw connections that ended: a VM that ran out of memory. Cause: the memory for a response counts while it is read from its upstream. Then it is held until the client has taken it, for which there was neither a bound nor a time. Change: a response above 8 KiB takes memory of its client before that for reading is given back; an event of a stream takes three times its size. A client that has not taken a part of 32 KiB for 2 s gives way when memory or a descriptor is missing, after slow senders and idle connections; after 60 s it loses its connection in any case. Lists in header values count 48 bytes an item beyond their bytes, because they are decoded.

--- a/e2e/crowds_test.go
+++ b/e2e/crowds_test.go
@@ -166,6 +166,7 @@
 	metrics := func(vm *crowdVM) string { return vm.metrics }
 	text := func(s string) func(int) string { return func(int) string { return s } }
 	return []crowd{
+		{name: "long answers that are read slowly", clients: crowdClients, window: slowReadWindow, service: standin.Behaviour{BodyBytes: 1 << 20}, play: readsSlowly(small("/look/x"), 1)},
 		{name: "answers of medium size that are read slowly", clients: crowdClients, window: slowReadWindow, service: standin.Behaviour{BodyBytes: 60 << 10}, play: readsSlowly(small("/look/x"), 20)},
 		{name: "requests in one write whose answers are read slowly", clients: crowdClients, window: slowReadWindow, play: readsSlowly(text(strings.Repeat(notFound, 200)), 500)},
 		{name: "bookings on kept connections", clients: crowdClients, play: keeps(func(n int64) string { return patientRequest("/book/x", fmt.Sprint("kept-", n), "", "body") })},
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"mime"
 	"net/http"
 	"time"
@@ -340,6 +341,9 @@
 		t.handleContextEnd()
 		return true
 	}
+	if errors.Is(cause, errNoRoomForEvent) {
+		t.abortStream(placement.Neutral, string(errkind.NoCapacity))
+	}
 	t.examined = c.examined.Load()
 	c.end(placement.Failed)
 	c.observeRelease(true, 0)
--- a/gateway/streamcall.go
+++ b/gateway/streamcall.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/savoryshift/savoryshift/internal/clientlimit"
 	"github.com/savoryshift/savoryshift/placement"
 )
 
@@ -18,11 +19,17 @@
 	errOutOfSequence = errors.New("the event does not follow the last one")
 	// errPanicked is the cause of the end of a stream whose call has panicked.
 	errPanicked = errors.New("the call panicked")
+	// errNoRoomForEvent is the cause of the end of a stream for whose client there is no memory.
+	errNoRoomForEvent = errors.New(noRoom)
 	// errNoWholeEvent is the cause of the end of a response without a length and without
 	// chunks before its first event.
 	errNoWholeEvent = errors.New("the connection ended before the first event of a body without a length")
 )
 
+// eventCopies is the number of events of a stream that are in memory at a time: the one that is
+// read, the one that waits, and the one that the client takes.
+const eventCopies = 3
+
 // streamEvent is one event of a response, or the end of the response.
 type streamEvent struct {
 	data []byte
@@ -137,7 +144,7 @@
 	memory := c.exec.srv.buffers.Share()
 	defer memory.Release()
 	reader := newEventReader(c.response, memory)
-	waited := time.Duration(0)
+	waited, held := time.Duration(0), freeResponseBytes
 	for begun := false; ; {
 		waits := time.Now()
 		data, id, err := reader.next()
@@ -154,6 +161,12 @@
 		if err != nil && err != io.EOF {
 			c.reportBreak()
 		}
+		if n := eventCopies * len(data); err == nil && n > held {
+			if clientlimit.HoldResponse(c.exec.ctx, n-held) != nil {
+				err = errNoRoomForEvent
+			}
+			held = n
+		}
 		event := streamEvent{data: bytes.Clone(data), id: id, at: time.Now(), more: reader.buffered()}
 		switch {
 		case err == io.EOF && c.response.Complete():
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/savoryshift/savoryshift/exchange"
+	"github.com/savoryshift/savoryshift/internal/clientlimit"
 	"github.com/savoryshift/savoryshift/internal/cutoff"
 	"github.com/savoryshift/savoryshift/placement"
 )
@@ -18,6 +19,11 @@
 	// maxBufferedResponse is the maximum size, in bytes, of a response that is
 	// buffered and checked for completeness before it is sent to the client.
 	maxBufferedResponse = 4 << 20
+	// freeResponseBytes is the size up to which what a client has not taken yet counts as a part
+	// of its request.
+	freeResponseBytes = 8 << 10
+	// noRoom is logged for a response for which its client has no memory left.
+	noRoom = "no room for the response"
 	// hedgeDelayShare is the hedging delay as a fraction of the route's latency
 	// objective. After it an idempotent request is sent to a second upstream.
 	hedgeDelayShare = 0.8
@@ -154,7 +160,15 @@
 // readBody reads the response body to its end, sets the body of result, and finishes the
 // call. It returns the class of a response whose header has the given class.
 func (a *attempt) readBody(result *callResult, class resultClass) resultClass {
-	body, err := a.exec.srv.buffers.ReadAll(a.response, maxBufferedResponse)
+	memory := a.exec.srv.buffers.Share()
+	defer memory.Release()
+	body, err := memory.ReadAll(a.response, 0, maxBufferedResponse)
+	// The client may take the body more slowly than the upstream has sent it.
+	if err == nil && cap(body) > freeResponseBytes && clientlimit.HoldResponse(a.exec.ctx, cap(body)) != nil {
+		a.finish(placement.Neutral)
+		a.logEvent(noRoom, zap.Int("bytes", len(body)))
+		return failed
+	}
 	switch {
 	case err != nil || !a.response.Complete():
 		a.reportBreak()
--- a/internal/clientlimit/choose.go
+++ b/internal/clientlimit/choose.go
@@ -34,6 +34,9 @@
 	// slowestRate is the rate, in bytes per second, below which a sender falls behind although
 	// it does not stop.
 	slowestRate = 256 << 10
+	// stalledAfter is how long a client must not have taken a part of its response before it can
+	// lose it. A path that fails for a moment delays a response for less.
+	stalledAfter = 2 * time.Second
 )
 
 // view is what the choice knows of a connection.
@@ -43,11 +46,58 @@
 	// bytes their number.
 	since, last time.Time
 	bytes       int64
-	// memory and descriptors are what the connection holds.
+	// writingSince is the begin of the write of the current part of a response, zero if none is
+	// being written.
+	writingSince time.Time
+	usage
+}
+
+// usage is what connections hold, or ask for.
+type usage struct {
 	memory      int64
 	descriptors int
 }
 
+func (u *usage) add(o usage) {
+	u.memory += o.memory
+	u.descriptors += o.descriptors
+}
+
+// needed returns what is above zero.
+func (u usage) needed() usage { return usage{max(0, u.memory), max(0, u.descriptors)} }
+
+// class orders the connections that can be closed for others.
+type class int
+
+const (
+	sending class = iota
+	waiting
+	stalled
+	kept
+)
+
+// class returns the class of a connection. A request that is served is kept, unless its client
+// does not take the response.
+func (v *view) class(now time.Time) class {
+	switch {
+	case v.phase == idle:
+		return waiting
+	case v.phase != running && v.behind(now) >= slowAfter:
+		return sending
+	case v.phase == running && !v.writingSince.IsZero() && now.Sub(v.writingSince) >= stalledAfter:
+		return stalled
+	}
+	return kept
+}
+
+// doing says what a connection that is closed was doing.
+func (v *view) doing() string {
+	if v.phase == running {
+		return "response"
+	}
+	return v.phase.String()
+}
+
 // behind returns by how much a sender is late: the time without a byte, or the time beyond
 // that in which the slowest permitted sender would have sent as much.
 func (v *view) behind(now time.Time) time.Duration {
@@ -55,35 +105,37 @@
 	return max(now.Sub(v.last), rate)
 }
 
-// choose returns the indexes of the connections that are closed so that memory and
-// descriptors become free, in the order in which they are closed. It handles clients that
-// together ask for more than the process has: senders of header sections and bodies that are
-// behind go first, the slowest of them before the others, then idle connections, the one that
-// has been idle longest first. It returns nil if these do not free enough.
-func choose(list []view, memory int64, descriptors int, now time.Time) []int {
+// choose returns the indexes of the connections that are closed so that what is needed becomes
+// free, in the order in which they are closed. It handles clients that together ask for more
+// than the process has: senders of header sections and bodies that are behind go first, the
+// slowest of them before the others, then idle connections, the one that has been idle longest
+// first, then clients that do not take their responses. It returns nil if these do not free
+// enough.
+func choose(list []view, needed usage, now time.Time) []int {
 	var candidates []int
+	classes := make([]class, len(list))
 	for i := range list {
-		v := &list[i]
-		if v.phase == idle || v.phase != running && v.behind(now) >= slowAfter {
+		if classes[i] = list[i].class(now); classes[i] != kept {
 			candidates = append(candidates, i)
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b int) int {
 		x, y := &list[a], &list[b]
-		switch {
-		case x.phase == idle && y.phase == idle:
+		if classes[a] != classes[b] {
+			return cmp.Compare(classes[a], classes[b])
+		}
+		switch classes[a] {
+		case waiting:
 			return x.since.Compare(y.since)
-		case x.phase == idle:
-			return 1
-		case y.phase == idle:
-			return -1
+		case stalled:
+			return x.writingSince.Compare(y.writingSince)
 		}
 		return cmp.Compare(y.behind(now), x.behind(now))
 	})
 	for n, i := range candidates {
-		memory -= list[i].memory
-		descriptors -= list[i].descriptors
-		if memory <= 0 && descriptors <= 0 {
+		needed.memory -= list[i].memory
+		needed.descriptors -= list[i].descriptors
+		if needed.memory <= 0 && needed.descriptors <= 0 {
 			return candidates[:n+1]
 		}
 	}
--- a/internal/clientlimit/choose_test.go
+++ b/internal/clientlimit/choose_test.go
@@ -8,11 +8,12 @@
 )
 
 // Guards against a request in progress, or a client that sends at an ordinary speed, that loses
-// its place, and against an idle connection that is closed before one that has stopped.
+// its place, against an idle connection that is closed before one that has stopped, and against
+// a client that takes its response and loses it.
 func TestChoose(t *testing.T) {
 	now := time.Now()
 	at := func(p phase, begun, last time.Duration, bytes int64) view {
-		return view{phase: p, since: now.Add(-begun), last: now.Add(-last), bytes: bytes, memory: 10, descriptors: 1}
+		return view{phase: p, since: now.Add(-begun), last: now.Add(-last), bytes: bytes, usage: usage{10, 1}}
 	}
 	list := []view{
 		at(running, time.Hour, time.Hour, 0),
@@ -23,7 +24,10 @@
 		at(inBody, 2*time.Second, 2*time.Second, 1<<20),      // silent for 2 s
 		at(inBody, time.Second, 100*time.Millisecond, 1<<20), // on time
 		at(inHead, 100*time.Millisecond, 100*time.Millisecond, 0),
+		at(running, time.Minute, time.Minute, 0), // its client has not taken a part for 3 s
+		at(running, time.Minute, time.Minute, 0), // the same for a moment
 	}
+	list[8].writingSince, list[9].writingSince = now.Add(-3*time.Second), now.Add(-time.Second)
 	for _, c := range []struct {
 		memory      int64
 		descriptors int
@@ -33,9 +37,10 @@
 		{memory: 30, want: []int{5, 3, 4}},
 		{descriptors: 4, want: []int{5, 3, 4, 2}},
 		{memory: 50, descriptors: 1, want: []int{5, 3, 4, 2, 1}},
-		{memory: 51, want: nil},
-		{descriptors: 6, want: nil},
+		{memory: 60, want: []int{5, 3, 4, 2, 1, 8}},
+		{memory: 61, want: nil},
+		{descriptors: 7, want: nil},
 	} {
-		assert.DeepEqual(t, choose(list, c.memory, c.descriptors, now), c.want)
+		assert.DeepEqual(t, choose(list, usage{c.memory, c.descriptors}, now), c.want)
 	}
 }
--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/savoryshift/savoryshift/internal/bodybudget"
@@ -28,6 +29,10 @@
 	// readerBytes is the size of the buffer from which net/http reads requests. As many bytes
 	// of the next request may be read before it begins.
 	readerBytes = 4 << 10
+	// writePartBytes is the size of the parts in which a response is written, and writeTimeout
+	// how long, at least half of it, the client may take for one.
+	writePartBytes = 32 << 10
+	writeTimeout   = time.Minute
 	// refusalWriteTime bounds the write of a refusal. It fits into an empty socket buffer.
 	refusalWriteTime = 10 * time.Millisecond
 	// leastRetry is the least Retry-After of refusals. Retry-After has whole seconds.
@@ -50,7 +55,7 @@
 		}
 		now := time.Now()
 		c := &conn{Conn: accepted, limiter: l.limiter, secured: l.secured, view: view{since: now, last: now}, closeIdle: func() bool { return false }}
-		if l.limiter.reserve(c, connectionBytes, 1) != nil {
+		if l.limiter.reserve(c, usage{connectionBytes, 1}) != nil {
 			_ = accepted.Close()
 			continue
 		}
@@ -71,8 +76,11 @@
 
 	view
 	// evicted is set when the connection has been closed for another one. No request of it
-	// runs any more.
+	// runs any more, or its response is not taken.
 	evicted, gone bool
+	// writeDeadline is that of the handler. renewWriteAt is when the deadline of the connection
+	// is set again, which each write of a long response needs.
+	writeDeadline, renewWriteAt time.Time
 	// closeIdle closes the connection unless bytes of a request have arrived.
 	closeIdle func() bool
 	// aheadLines and aheadBytes describe what was read after the end of the last header
@@ -124,13 +132,58 @@
 	cost := c.note(b[:n])
 	heading := c.phase == inHead
 	l.mu.Unlock()
-	if heading && l.reserve(c, cost, 0) != nil {
+	if heading && l.reserve(c, usage{memory: cost}) != nil {
 		l.refuseHead(c)
 		return 0, os.ErrDeadlineExceeded
 	}
 	return n, err
 }
 
+// Write implements net.Conn. It writes in parts, so that it is known whether the client takes
+// them.
+func (c *conn) Write(b []byte) (n int, err error) {
+	defer c.endWrite()
+	for {
+		c.beginWrite()
+		written, err := c.Conn.Write(b[n:min(len(b), n+writePartBytes)])
+		if n += written; err != nil || n >= len(b) {
+			return n, err
+		}
+	}
+}
+
+// beginWrite records that a part of a response is being written. A client that takes nothing for
+// long loses its connection, also while there is room.
+func (c *conn) beginWrite() {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	now := time.Now()
+	c.writingSince = now
+	if now.Before(c.renewWriteAt) {
+		return
+	}
+	c.renewWriteAt = now.Add(writeTimeout / 2)
+	until := now.Add(writeTimeout)
+	if !c.writeDeadline.IsZero() && c.writeDeadline.Before(until) {
+		until = c.writeDeadline
+	}
+	_ = c.Conn.SetWriteDeadline(until)
+}
+
+func (c *conn) endWrite() {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.writingSince = time.Time{}
+}
+
+// SetWriteDeadline implements net.Conn. A deadline that has passed ends a write in progress.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.writeDeadline, c.renewWriteAt = t, time.Time{}
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // note records bytes that were read and returns what they cost as a part of a header section.
 // The caller must hold the mutex.
 func (c *conn) note(b []byte) int64 {
@@ -180,7 +233,7 @@
 // setMemory replaces what the connection holds by less. The caller must hold the mutex.
 func (c *conn) setMemory(memory int64) {
 	if memory < c.memory {
-		c.limiter.take(c, memory-c.memory, 0)
+		c.limiter.take(c, usage{memory: memory - c.memory})
 	}
 }
 
@@ -259,7 +312,7 @@
 		return
 	}
 	c.gone = true
-	l.take(c, -c.memory, -c.descriptors)
+	l.take(c, usage{-c.memory, -c.descriptors})
 	delete(l.conns, c)
 }
 
@@ -288,9 +341,11 @@
 func (c *conn) begin(r *http.Request) error {
 	l := c.limiter
 	l.mu.Lock()
-	c.setMemory(connectionBytes + c.ahead() + headCost(r))
+	cost := connectionBytes + c.ahead() + headCost(r)
+	c.setMemory(cost)
+	more := usage{requestBytes + cost - c.memory, 1}
 	l.mu.Unlock()
-	return l.reserve(c, requestBytes, 1)
+	return l.reserve(c, more)
 }
 
 // end gives back what begin took.
@@ -298,7 +353,7 @@
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
 	if !c.gone {
-		c.limiter.take(c, -requestBytes, -1)
+		c.limiter.take(c, usage{-requestBytes, -1})
 	}
 }
 
@@ -308,7 +363,7 @@
 	for name, values := range r.Header {
 		cost += int64(len(name)) * byteFactor
 		for _, v := range values {
-			cost += int64(len(v))*byteFactor + lineBytes
+			cost += int64(len(v))*byteFactor + lineBytes + int64(strings.Count(v, ","))*itemBytes
 		}
 	}
 	return cost
@@ -359,15 +414,32 @@
 	return nil
 }
 
+// HoldResponse takes memory, until the request of a context has ended, for a part of its
+// response that the client has not taken yet. It returns bodybudget.ErrFull if there is none, or
+// if the request has ended.
+func HoldResponse(ctx context.Context, bytes int) error {
+	c := fromContext(ctx)
+	if c == nil {
+		return nil
+	}
+	c.limiter.mu.Lock()
+	ended := c.phase != running
+	c.limiter.mu.Unlock()
+	if ended {
+		return bodybudget.ErrFull
+	}
+	return c.Take(int64(bytes))
+}
+
 // Take implements bodybudget.Source.
-func (c *conn) Take(bytes int64) error { return c.limiter.reserve(c, bytes, 0) }
+func (c *conn) Take(bytes int64) error { return c.limiter.reserve(c, usage{memory: bytes}) }
 
 // Return implements bodybudget.Source.
 func (c *conn) Return(bytes int64) {
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
 	if !c.gone {
-		c.limiter.take(c, -bytes, 0)
+		c.limiter.take(c, usage{memory: -bytes})
 	}
 }
 
--- a/internal/clientlimit/limiter.go
+++ b/internal/clientlimit/limiter.go
@@ -29,6 +29,9 @@
 	// byteFactor is the number of bytes of memory for each byte of a header section: the
 	// strings, and the buffer of a line that doubles.
 	byteFactor = 3
+	// itemBytes is an item of a list in a header value, such as a part of a prompt, once it is
+	// decoded.
+	itemBytes = 48
 )
 
 const (
@@ -63,14 +66,12 @@
 type Limiter struct {
 	opts Options
 
-	mu          sync.Mutex
-	conns       map[*conn]struct{}
-	memory      int64
-	descriptors int
-	// leavingMemory and leavingDescriptors are held by connections that are being closed.
-	leavingMemory      int64
-	leavingDescriptors int
-	header, idle       time.Duration
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	used  usage
+	// leaving is held by connections that are being closed.
+	leaving      usage
+	header, idle time.Duration
 	// closed counts the connections that were closed or refused since the last log line.
 	closed     map[string]int
 	nextReport time.Time
@@ -97,7 +98,7 @@
 func (l *Limiter) Usage() Usage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Usage{len(l.conns), l.descriptors, l.memory}
+	return Usage{len(l.conns), l.used.descriptors, l.used.memory}
 }
 
 // SetTimeouts replaces the time for the header section of a request and the time for which a
@@ -155,27 +156,20 @@
 	})
 }
 
-// reserve takes memory and descriptors for a connection. If they do not fit, it closes
-// connections as choose says and waits until they have given back what they hold.
-func (l *Limiter) reserve(c *conn, memory int64, descriptors int) error {
+// reserve takes what a connection asks for. If it does not fit, reserve closes connections as
+// choose says and waits until they have given back what they hold.
+func (l *Limiter) reserve(c *conn, want usage) error {
 	var until time.Time
 	for {
 		now := time.Now()
 		l.mu.Lock()
-		if c.evicted {
+		if c.evicted || c.gone {
 			l.mu.Unlock()
 			return bodybudget.ErrFull
 		}
-		shortMemory := l.memory + memory - l.opts.Memory
-		shortDescriptors := l.descriptors + descriptors - l.opts.Descriptors
-		if memory == 0 {
-			shortMemory = 0
-		}
-		if descriptors == 0 {
-			shortDescriptors = 0
-		}
-		if shortMemory <= 0 && shortDescriptors <= 0 {
-			l.take(c, memory, descriptors)
+		short := l.missing(want)
+		if short == (usage{}) {
+			l.take(c, want)
 			l.mu.Unlock()
 			return nil
 		}
@@ -184,9 +178,9 @@
 			until = now.Add(roomTime)
 		}
 		var victims []*conn
-		shortMemory, shortDescriptors = shortMemory-l.leavingMemory, shortDescriptors-l.leavingDescriptors
-		if !ended && (shortMemory > 0 || shortDescriptors > 0) {
-			victims = l.evict(c, shortMemory, shortDescriptors, now)
+		short.add(usage{-l.leaving.memory, -l.leaving.descriptors})
+		if short = short.needed(); !ended && short != (usage{}) {
+			victims = l.evict(c, short, now)
 			ended = victims == nil
 		}
 		if ended {
@@ -203,9 +197,20 @@
 	}
 }
 
-// evict chooses the connections that are closed for c and marks those that send. The caller
-// must hold l.mu, and call drop for each of them without it.
-func (l *Limiter) evict(c *conn, memory int64, descriptors int, now time.Time) []*conn {
+// missing returns what must become free for what is wanted. The caller must hold l.mu.
+func (l *Limiter) missing(want usage) (short usage) {
+	if want.memory > 0 {
+		short.memory = l.used.memory + want.memory - l.opts.Memory
+	}
+	if want.descriptors > 0 {
+		short.descriptors = l.used.descriptors + want.descriptors - l.opts.Descriptors
+	}
+	return short.needed()
+}
+
+// evict chooses the connections that are closed for c and marks those that are not idle. The
+// caller must hold l.mu, and call drop for each of them without it.
+func (l *Limiter) evict(c *conn, needed usage, now time.Time) []*conn {
 	conns, views := make([]*conn, 0, len(l.conns)), make([]view, 0, len(l.conns))
 	for other := range l.conns {
 		if other != c && !other.evicted {
@@ -213,12 +218,12 @@
 		}
 	}
 	var victims []*conn
-	for _, i := range choose(views, memory, descriptors, now) {
+	for _, i := range choose(views, needed, now) {
 		v := conns[i]
 		victims = append(victims, v)
 		if v.phase != idle {
 			l.mark(v)
-			l.report(v.phase.String(), now)
+			l.report(v.doing(), now)
 		}
 	}
 	return victims
@@ -227,19 +232,15 @@
 // mark marks a connection as evicted. The caller must hold l.mu.
 func (l *Limiter) mark(c *conn) {
 	c.evicted = true
-	l.leavingMemory += c.memory
-	l.leavingDescriptors += c.descriptors
+	l.leaving.add(c.usage)
 }
 
 // take adds to what a connection holds. The caller must hold l.mu.
-func (l *Limiter) take(c *conn, memory int64, descriptors int) {
-	l.memory += memory
-	c.memory += memory
-	l.descriptors += descriptors
-	c.descriptors += descriptors
+func (l *Limiter) take(c *conn, more usage) {
+	l.used.add(more)
+	c.usage.add(more)
 	if c.evicted {
-		l.leavingMemory += memory
-		l.leavingDescriptors += descriptors
+		l.leaving.add(more)
 	}
 }
 
@@ -252,7 +253,7 @@
 	}
 	l.nextReport = now.Add(logInterval)
 	l.opts.Log.Warn("no room for clients", zap.Any("closed", l.closed), zap.Int("connections", len(l.conns)),
-		zap.Int("descriptors", l.descriptors), zap.Int("most_descriptors", l.opts.Descriptors),
-		zap.Int64("memory", l.memory), zap.Int64("most_memory", l.opts.Memory))
+		zap.Int("descriptors", l.used.descriptors), zap.Int("most_descriptors", l.opts.Descriptors),
+		zap.Int64("memory", l.used.memory), zap.Int64("most_memory", l.opts.Memory))
 	l.closed = map[string]int{}
 }
