entry: memory and descriptors of a changed settings file are not applied

A VM whose settings file states less memory or fewer descriptors went on with the limits of its start, and could exceed its machine. Cause: the parts for clients, probes, peers, responses and prompt parts were computed once; a reload applied the limit of the Go runtime alone. Evidence: settings of 512 MB and 4,000 descriptors that become 64 MB and 500, then 1,200 streams with bodies of 60 KiB: 169 MB and 2,420 descriptors on. Change: one function divides what the settings state, at the start and at each reload.

--- a/e2e/crowds_test.go
+++ b/e2e/crowds_test.go
@@ -269,7 +269,7 @@
 	if err != nil {
 		return false
 	}
-	defer resp.Body.Close()
+	// Closing the body would read a stream to its end.
 	_, err = io.ReadFull(resp.Body, make([]byte, 1))
 	return err == nil && resp.StatusCode == http.StatusOK
 }
@@ -408,3 +408,23 @@
 		})
 	}
 }
+
+// Guards against limits that stay as they were at the start when the settings file states less
+// memory or fewer descriptors.
+func TestSettingsThatShrinkBeforeACrowd(t *testing.T) {
+	vm := startVM(t, 8*crowdMemory, 8*crowdDescriptors)
+	vm.settings.MemoryBytes, vm.settings.Descriptors = crowdMemory, crowdDescriptors
+	vm.writeSettings(t)
+	vm.Signal(syscall.SIGHUP)
+	e2e.Eventually(t, "the settings are reloaded", func() bool { return strings.Contains(vm.Output(), "settings reloaded") })
+	c := crowd{clients: 2 * crowdClients, engine: longStream, play: reads(sized("/stream/x", 60<<10))}
+	vm.behave(c)
+	w := watchDescriptors(t, vm.Process)
+	stop := c.start(vm.settings.Front)
+	defer stop()
+	time.Sleep(crowdTime)
+	vm.serves(t, "beside the crowd")
+	stop()
+	w.stop()
+	vm.check(t, w.most)
+}
--- a/entry/clients.go
+++ b/entry/clients.go
@@ -37,11 +37,39 @@
 // that clients do not make the VM look dead.
 type clients struct{ front, probes *clientlimit.Limiter }
 
-func (e *Entry) newClients() *clients {
-	memory, descriptors := float64(e.opts.Settings.MemoryBytes), float64(clientlimit.SocketDescriptors(e.opts.Settings.Descriptors))
-	limiter := func(listener string, memory, descriptors float64) *clientlimit.Limiter {
+// resources are the parts of what a VM has.
+type resources struct {
+	clientMemory, probeMemory, responses, messages int64
+	clientDescriptors, probeDescriptors, peers     int
+	promptParts                                    int
+}
+
+// resourcesOf divides what the settings state.
+func resourcesOf(s platform.Settings) resources {
+	memory, descriptors := float64(s.MemoryBytes), float64(clientlimit.SocketDescriptors(s.Descriptors))
+	return resources{
+		clientMemory: int64(clientShare * memory), probeMemory: int64(probeShare * memory), responses: int64(bufferedShare * memory), messages: int64(receivedShare * memory),
+		clientDescriptors: int(clientDescriptorShare * descriptors), probeDescriptors: int(probeDescriptorShare * descriptors), peers: int(peerDescriptorShare * descriptors),
+		promptParts: max(1, int(heldShare*memory/heldBytes)),
+	}
+}
+
+// setResources applies settings that state other resources.
+func (e *Entry) setResources(r resources) {
+	e.clients.front.SetLimits(r.clientMemory, r.clientDescriptors)
+	e.clients.probes.SetLimits(r.probeMemory, r.probeDescriptors)
+	if l := e.peerListener.Load(); l != nil {
+		l.SetMost(r.peers)
+	}
+	e.gateway.SetMaxBuffered(r.responses)
+	e.fleet.SetMaxReceived(r.messages)
+	e.balancer.SetMaxHeld(r.promptParts)
+}
+
+func (e *Entry) newClients(r resources) *clients {
+	limiter := func(listener string, memory int64, descriptors int) *clientlimit.Limiter {
 		return clientlimit.New(clientlimit.Options{
-			Memory: int64(memory), Descriptors: int(descriptors), HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+			Memory: memory, Descriptors: descriptors, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
 			Log: e.log.With(zap.String("listener", listener)),
 			Count: func(doing string) {
 				e.metrics.Set().GetOrCreateCounter(`savoryshift_clients_without_room_total{listener="` + listener + `",doing="` + doing + `"}`).Inc()
@@ -49,8 +77,8 @@
 		})
 	}
 	return &clients{
-		front:  limiter("front", clientShare*memory, clientDescriptorShare*descriptors),
-		probes: limiter("probes", probeShare*memory, probeDescriptorShare*descriptors),
+		front:  limiter("front", r.clientMemory, r.clientDescriptors),
+		probes: limiter("probes", r.probeMemory, r.probeDescriptors),
 	}
 }
 
--- a/entry/control.go
+++ b/entry/control.go
@@ -36,7 +36,9 @@
 	if err != nil {
 		return oops.Wrapf(err, "listening at %s", e.opts.Settings.Peer)
 	}
-	listener = clientlimit.PeerListener(listener, int(peerDescriptorShare*float64(clientlimit.SocketDescriptors(e.opts.Settings.Descriptors))))
+	peers := clientlimit.NewPeerListener(listener, resourcesOf(e.opts.Settings).peers)
+	e.peerListener.Store(peers)
+	listener = peers
 	g.Add(func() error {
 		if err := e.fleet.Serve(listener); !errors.Is(err, net.ErrClosed) {
 			return oops.Wrapf(err, "serving peers")
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/savoryshift/savoryshift/exchange"
 	"github.com/savoryshift/savoryshift/fleet"
 	"github.com/savoryshift/savoryshift/gateway"
+	"github.com/savoryshift/savoryshift/internal/clientlimit"
 	"github.com/savoryshift/savoryshift/internal/cutoff"
 	"github.com/savoryshift/savoryshift/internal/idleconn"
 	"github.com/savoryshift/savoryshift/mirror"
@@ -100,6 +101,8 @@
 	idle     *idleconn.Closer
 	clients  *clients
 	started  time.Time
+	// peerListener is nil until Run starts the actors.
+	peerListener atomic.Pointer[clientlimit.PeerListener]
 
 	orders, upstreams, status, findings *mirror.Mirror
 	tables                              map[string]*table
@@ -141,28 +144,28 @@
 
 // New returns an Entry that does not run yet; Run starts it.
 func New(opts Options) *Entry {
-	s := opts.Settings
+	s, r := opts.Settings, resourcesOf(opts.Settings)
 	e := &Entry{
 		opts: opts, log: opts.Log, started: time.Now(), metrics: gateway.NewMetrics(), pool: exchange.NewPool(),
 		balancer: placement.NewBalancer(placement.Options{
 			AvailabilityZone: s.AvailabilityZone, CacheLifetime: s.Bounds.CacheLifetime,
-			LapseGrace: lapseGrace(s.Bounds), MaxHeld: maxHeld(s.MemoryBytes),
+			LapseGrace: lapseGrace(s.Bounds), MaxHeld: r.promptParts,
 		}),
 		budget: newRetryBudget(s.Bounds), drained: drainedUpstreams{},
 	}
-	e.clients = e.newClients()
+	e.clients = e.newClients(r)
 	e.store = platform.NewStore(s.StoreAddress, e.recordStoreCall)
 	e.rollouts = rollout.New(rollout.Options{SessionIdle: s.Bounds.SessionIdle, Exposure: s.Bounds.ExposureShare, Log: opts.Log})
 	e.fleet = fleet.New(fleet.Options{
 		Self:        fleet.Member{VM: s.VM, AvailabilityZone: s.AvailabilityZone, Address: s.Peer, Capacity: s.Cores},
-		Incarnation: e.started.UnixNano(), Seeds: s.Seeds, Node: e, Log: opts.Log, MaxReceived: int64(receivedShare * float64(s.MemoryBytes)),
+		Incarnation: e.started.UnixNano(), Seeds: s.Seeds, Node: e, Log: opts.Log, MaxReceived: r.messages,
 	})
 	e.updateRoster(e.started)
 	e.quarantine = e.newQuarantine()
 	e.fairness = admission.NewFairness()
 	e.gateway = gateway.New(gateway.Options{
 		Codec: platform.Codec{}, Balancer: e.balancer, Pool: e.pool, Splitter: e.rollouts, RetryBudget: e.budget, Log: opts.Log, Metrics: e.metrics, Quarantine: e.quarantine, Fairness: e.fairness, Announce: e.fleet.Announce, Outdated: e.ordersOutdated,
-		MaxBuffered: int64(bufferedShare * float64(s.MemoryBytes)),
+		MaxBuffered: r.responses,
 	})
 	e.tables = map[string]*table{}
 	ages := copyAgesFor(s.Bounds)
--- a/entry/memory.go
+++ b/entry/memory.go
@@ -15,9 +15,6 @@
 	heldBytes = 256
 )
 
-// maxHeld returns the number of uses of prompt parts for which a VM has room.
-func maxHeld(memory int64) int { return max(1, int(heldShare*float64(memory)/heldBytes)) }
-
 // logEvictedParts logs that prompt parts were forgotten since the last call.
 func (e *Entry) logEvictedParts() {
 	uses, evicted := e.balancer.Held()
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -56,9 +56,9 @@
 	return info.ModTime()
 }
 
-// reload loads the settings file and applies the seeds, the bounds on retries and
-// the memory limit. Other changes take effect at the next start. An invalid file
-// leaves the previous settings in force.
+// reload loads the settings file and applies the seeds, the bounds on retries, the
+// memory and the descriptors. Other changes take effect at the next start. An invalid
+// file leaves the previous settings in force.
 func (e *Entry) reload() {
 	s, err := platform.LoadSettings(e.opts.SettingsPath)
 	if err != nil {
@@ -69,6 +69,7 @@
 	e.fleet.AddSeeds(s.Seeds)
 	e.budget.setBounds(s.Bounds)
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
+	e.setResources(resourcesOf(s))
 	restart := s.Front != old.Front || s.Ready != old.Ready || s.Peer != old.Peer || s.StoreAddress != old.StoreAddress
-	e.log.Info("settings reloaded", zap.Strings("seeds", s.Seeds), zap.Int64("memory", s.MemoryBytes), zap.Bool("restart_needed", restart))
+	e.log.Info("settings reloaded", zap.Strings("seeds", s.Seeds), zap.Int64("memory", s.MemoryBytes), zap.Int("descriptors", s.Descriptors), zap.Bool("restart_needed", restart))
 }
--- a/fleet/bounded.go
+++ b/fleet/bounded.go
@@ -29,8 +29,7 @@
 	net.Conn
 	// received counts the bytes of long messages that are being received on all
 	// connections, up to limit.
-	received *atomic.Int64
-	limit    int64
+	received, limit *atomic.Int64
 
 	// left is the number of bytes until the end of the message, reserved its part of
 	// received. While its length is read, sizeLeft is the number of bytes of the length
@@ -43,9 +42,12 @@
 
 // bound returns a connection whose messages are bounded.
 func (f *Fleet) bound(conn net.Conn) *boundedConn {
-	return &boundedConn{Conn: conn, received: &f.received, limit: f.opts.MaxReceived}
+	return &boundedConn{Conn: conn, received: &f.received, limit: &f.maxReceived}
 }
 
+// SetMaxReceived replaces Options.MaxReceived.
+func (f *Fleet) SetMaxReceived(bytes int64) { f.maxReceived.Store(bytes) }
+
 // Read reads from the connection. Only one goroutine may call it at a time.
 func (c *boundedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
@@ -114,7 +116,7 @@
 		return nil
 	}
 	c.reserved.Store(int64(size))
-	if c.received.Add(int64(size)) > c.limit {
+	if c.received.Add(int64(size)) > c.limit.Load() {
 		c.release()
 		return errReceiveBufferFull
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -133,8 +133,9 @@
 	reportStore *reportStore
 	// own holds the last reports of this VM, without and with evidence.
 	own [2]cachedReport
-	// received counts the bytes of long messages that are being received.
-	received atomic.Int64
+	// received counts the bytes of long messages that are being received, of which there are at
+	// most maxReceived.
+	received, maxReceived atomic.Int64
 	// wake signals that exchanges are due before the next tick.
 	wake chan struct{}
 	// members are the VMs that were alive at membersComputedAt, including this one.
@@ -162,6 +163,7 @@
 		opts.MaxReceived = defaultMaxReceived
 	}
 	f := &Fleet{opts: opts, peers: map[string]*peer{}, conns: map[net.Conn]bool{}, reportStore: newReportStore(), wake: make(chan struct{}, 1)}
+	f.SetMaxReceived(opts.MaxReceived)
 	now := time.Now()
 	for _, seed := range opts.Seeds {
 		f.ensurePeer(seed, now)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -158,6 +158,9 @@
 // while they are read.
 func (srv *Server) BufferedBytes() int64 { return srv.buffers.Used() }
 
+// SetMaxBuffered replaces Options.MaxBuffered.
+func (srv *Server) SetMaxBuffered(bytes int64) { srv.buffers.SetLimit(bytes) }
+
 // RequestBodyBytes returns the memory, in bytes, that long bodies of requests use.
 func (srv *Server) RequestBodyBytes() int64 { return srv.bodies.Used() }
 
--- a/internal/bodybudget/budget.go
+++ b/internal/bodybudget/budget.go
@@ -21,12 +21,18 @@
 
 // Budget is the memory for the bodies that are being read. It is safe for concurrent use.
 type Budget struct {
-	limit int64
-	used  atomic.Int64
+	limit, used atomic.Int64
 }
 
 // New returns a budget of a number of bytes.
-func New(limit int64) *Budget { return &Budget{limit: limit} }
+func New(limit int64) *Budget {
+	b := &Budget{}
+	b.SetLimit(limit)
+	return b
+}
+
+// SetLimit replaces the number of bytes. What is in use stays so.
+func (b *Budget) SetLimit(limit int64) { b.limit.Store(limit) }
 
 // Used returns the number of bytes that are in use.
 func (b *Budget) Used() int64 { return b.used.Load() }
@@ -48,7 +54,7 @@
 
 // Take implements Source.
 func (b *Budget) Take(bytes int64) error {
-	if b.used.Add(bytes) > b.limit {
+	if b.used.Add(bytes) > b.limit.Load() {
 		b.used.Add(-bytes)
 		return ErrFull
 	}
--- a/internal/clientlimit/limiter.go
+++ b/internal/clientlimit/limiter.go
@@ -104,6 +104,14 @@
 	return Usage{len(l.conns), l.used.descriptors, l.used.memory}
 }
 
+// SetLimits replaces the memory and the descriptors. Connections that use more are closed, as
+// choose says, when others ask for room.
+func (l *Limiter) SetLimits(memory int64, descriptors int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.opts.Memory, l.opts.Descriptors = memory, descriptors
+}
+
 // SetTimeouts replaces the time for the header section of a request and the time for which a
 // connection is kept without one. Connections that are idle get the new time.
 func (l *Limiter) SetTimeouts(header, idleTime time.Duration) {
--- a/internal/clientlimit/peers.go
+++ b/internal/clientlimit/peers.go
@@ -6,24 +6,25 @@
 	"time"
 )
 
-// PeerListener returns a listener that keeps at most a number of connections, whatever their
+// NewPeerListener returns a listener that keeps at most a number of connections, whatever their
 // protocol. A further one closes the one that has been silent longest: a peer connects again
 // with its next message, while a connection that nothing uses stays silent.
-func PeerListener(of net.Listener, most int) net.Listener {
-	return &peerListener{Listener: of, most: max(1, most), conns: map[*peerConn]time.Time{}}
+func NewPeerListener(of net.Listener, most int) *PeerListener {
+	return &PeerListener{Listener: of, most: max(1, most), conns: map[*peerConn]time.Time{}}
 }
 
-type peerListener struct {
+// PeerListener is a listener for peers.
+type PeerListener struct {
 	net.Listener
-	most int
 
-	mu sync.Mutex
+	mu   sync.Mutex
+	most int
 	// conns holds the time of the last bytes of each connection.
 	conns map[*peerConn]time.Time
 }
 
 // Accept implements net.Listener.
-func (l *peerListener) Accept() (net.Conn, error) {
+func (l *PeerListener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -31,7 +32,7 @@
 	c := &peerConn{Conn: accepted, listener: l}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.conns) >= l.most {
+	for len(l.conns) >= l.most {
 		silent := l.silent()
 		delete(l.conns, silent)
 		_ = silent.Conn.Close()
@@ -40,8 +41,15 @@
 	return c, nil
 }
 
+// SetMost replaces the number of connections.
+func (l *PeerListener) SetMost(most int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.most = max(1, most)
+}
+
 // silent returns the connection that has been silent longest. The caller must hold l.mu.
-func (l *peerListener) silent() (found *peerConn) {
+func (l *PeerListener) silent() (found *peerConn) {
 	for c, last := range l.conns {
 		if found == nil || last.Before(l.conns[found]) {
 			found = c
@@ -50,10 +58,10 @@
 	return found
 }
 
-// peerConn is a connection of a peerListener.
+// peerConn is a connection of a PeerListener.
 type peerConn struct {
 	net.Conn
-	listener *peerListener
+	listener *PeerListener
 }
 
 // Read implements net.Conn.
--- a/internal/clientlimit/peers_test.go
+++ b/internal/clientlimit/peers_test.go
@@ -14,7 +14,7 @@
 func TestSilentConnectionsOfPeersLeave(t *testing.T) {
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	l := PeerListener(inner, 2)
+	l := NewPeerListener(inner, 2)
 	t.Cleanup(func() { _ = l.Close() })
 	connect := func() (ours, theirs net.Conn) {
 		ours, err := net.Dial("tcp4", inner.Addr().String())
--- a/placement/held.go
+++ b/placement/held.go
@@ -126,6 +126,15 @@
 	return time.Time{}
 }
 
+// SetMaxHeld replaces Options.MaxHeld.
+func (b *Balancer) SetMaxHeld(uses int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for b.options.MaxHeld = uses; b.held > uses; {
+		b.evictHeld()
+	}
+}
+
 // evictHeld forgets the least recently used one of a few parts. Maps are iterated in random
 // order.
 func (b *Balancer) evictHeld() {
--- a/placement/held_test.go
+++ b/placement/held_test.go
@@ -186,6 +186,9 @@
 	assert.Equal(t, uses, 100)
 	assert.Assert(t, evicted >= 50*200-100)
 	assert.Assert(t, len(b.recentUses) <= maxRecentUses)
+	b.SetMaxHeld(10)
+	uses, _ = b.Held()
+	assert.Equal(t, uses, 10)
 	for key := range b.holders {
 		assert.Assert(t, !key.tooLong())
 	}
