--- a/e2e/crowds_test.go
+++ b/e2e/crowds_test.go
@@ -213,6 +213,7 @@
 		{name: "streams without a body that stay", clients: crowdClients, engine: longStream, play: reads(small("/stream/x"))},
 		{name: "streams of one organisation that stay", clients: crowdClients, engine: longStream, key: otherKey, play: reads(small("/stream/x"))},
 		{name: "metrics that are read slowly", clients: crowdClients, window: slowReadWindow, target: metrics, play: readsSlowly(text("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n"), 1000)},
+		{name: "bodies at the address for probes", clients: crowdClients, target: func(vm *crowdVM) string { return vm.settings.Ready }, play: reads(sized("/", crowdBodyBytes))},
 	}
 }
 
--- a/entry/clients.go
+++ b/entry/clients.go
@@ -67,9 +67,9 @@
 }
 
 func (e *Entry) newClients(r resources) *clients {
-	limiter := func(listener string, memory int64, descriptors int) *clientlimit.Limiter {
+	limiter := func(listener string, memory int64, descriptors int, local bool) *clientlimit.Limiter {
 		return clientlimit.New(clientlimit.Options{
-			Memory: memory, Descriptors: descriptors, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+			Memory: memory, Descriptors: descriptors, Local: local, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
 			Log: e.log.With(zap.String("listener", listener)),
 			Count: func(doing string) {
 				e.metrics.Set().GetOrCreateCounter(`savoryshift_clients_without_room_total{listener="` + listener + `",doing="` + doing + `"}`).Inc()
@@ -77,8 +77,8 @@
 		})
 	}
 	return &clients{
-		front:  limiter("front", r.clientMemory, r.clientDescriptors),
-		probes: limiter("probes", r.probeMemory, r.probeDescriptors),
+		front:  limiter("front", r.clientMemory, r.clientDescriptors, false),
+		probes: limiter("probes", r.probeMemory, r.probeDescriptors, true),
 	}
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"net"
 	"net/http"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/oklog/run"
 	"github.com/samber/oops"
 
+	"github.com/savoryshift/savoryshift/internal/clientlimit"
 	"github.com/savoryshift/savoryshift/internal/idleconn"
 )
 
@@ -28,9 +30,15 @@
 	return nil
 }
 
-func (e *Entry) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+func (e *Entry) serveMetrics(w http.ResponseWriter, r *http.Request) {
+	var text bytes.Buffer
+	e.metrics.Write(&text)
+	if clientlimit.HoldResponse(r.Context(), text.Cap()) != nil {
+		refuseClient(w, r)
+		return
+	}
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	e.metrics.Write(w)
+	_, _ = w.Write(text.Bytes()) // An error means that the reader has left.
 }
 
 func (e *Entry) registerGauges(set *metrics.Set) {
--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -341,13 +341,22 @@
 	}
 }
 
+// perRequest returns what a request that runs holds for its call to an upstream.
+func (l *Limiter) perRequest() usage {
+	if l.opts.Local {
+		return usage{}
+	}
+	return usage{memory: requestBytes, descriptors: 1}
+}
+
 // begin takes the memory and the descriptor of a request whose header section is complete.
 func (c *conn) begin(r *http.Request) error {
 	l := c.limiter
 	l.mu.Lock()
 	cost := connectionBytes + c.ahead() + headCost(r)
 	c.setMemory(cost)
-	more := usage{requestBytes + cost - c.memory, 1}
+	more := usage{memory: cost - c.memory}
+	more.add(l.perRequest())
 	l.mu.Unlock()
 	return l.reserve(c, claim{usage: more})
 }
@@ -357,7 +366,8 @@
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
 	if !c.gone {
-		c.limiter.take(c, usage{-requestBytes, -1})
+		u := c.limiter.perRequest()
+		c.limiter.take(c, usage{-u.memory, -u.descriptors})
 	}
 }
 
--- a/internal/clientlimit/limiter.go
+++ b/internal/clientlimit/limiter.go
@@ -52,6 +52,9 @@
 	// requests.
 	Memory      int64
 	Descriptors int
+	// Local is set if requests make no calls, for which a request would hold a descriptor and
+	// memory.
+	Local bool
 	// HeaderTimeout and IdleTimeout are in force until SetTimeouts. An IdleTimeout of 0 is
 	// none.
 	HeaderTimeout, IdleTimeout time.Duration
