clientlimit: newcomers rarely find a place beside a crowd

Ordinary callers waited for a minute and more beside a crowd, although places became free all the time. Cause: a connection that is never idle when another one asks keeps its place; a connection was accepted although its request had no room; each accept waited for the close of one connection; a client that stalls kept its place for 2 s. Change: for 1 s after something found no room responses close their connections; a connection needs room for its first request too; of senders and idle connections 1/32 of the limits is freed beyond the need; stalled clients give way after 1 s. The tests check that requests are served, not when.

--- a/internal/clientlimit/choose.go
+++ b/internal/clientlimit/choose.go
@@ -36,7 +36,7 @@
 	slowestRate = 256 << 10
 	// stalledAfter is how long a client must not have taken a part of its response before it can
 	// lose it. A path that fails for a moment delays a response for less.
-	stalledAfter = 2 * time.Second
+	stalledAfter = time.Second
 )
 
 // view is what the choice knows of a connection.
@@ -109,9 +109,10 @@
 // free, in the order in which they are closed. It handles clients that together ask for more
 // than the process has: senders of header sections and bodies that are behind go first, the
 // slowest of them before the others, then idle connections, the one that has been idle longest
-// first, then clients that do not take their responses. It returns nil if these do not free
-// enough.
-func choose(list []view, needed usage, now time.Time) []int {
+// first, then clients that do not take their responses. Of the first two kinds it closes more
+// if that is wanted, so that a crowd of newcomers does not wait for one close after the other.
+// It returns nil if these do not free enough.
+func choose(list []view, needed, more usage, now time.Time) []int {
 	var candidates []int
 	classes := make([]class, len(list))
 	for i := range list {
@@ -132,12 +133,19 @@
 		}
 		return cmp.Compare(y.behind(now), x.behind(now))
 	})
+	var chosen []int
 	for n, i := range candidates {
-		needed.memory -= list[i].memory
-		needed.descriptors -= list[i].descriptors
-		if needed.memory <= 0 && needed.descriptors <= 0 {
-			return candidates[:n+1]
+		if needed.needed() == (usage{}) {
+			left := usage{needed.memory + more.memory, needed.descriptors + more.descriptors}
+			if classes[i] == stalled || left.needed() == (usage{}) {
+				break
+			}
 		}
+		needed.add(usage{-list[i].memory, -list[i].descriptors})
+		chosen = candidates[:n+1]
 	}
-	return nil
+	if needed.needed() != (usage{}) {
+		return nil
+	}
+	return chosen
 }
--- a/internal/clientlimit/choose_test.go
+++ b/internal/clientlimit/choose_test.go
@@ -27,10 +27,11 @@
 		at(running, time.Minute, time.Minute, 0), // its client has not taken a part for 3 s
 		at(running, time.Minute, time.Minute, 0), // the same for a moment
 	}
-	list[8].writingSince, list[9].writingSince = now.Add(-3*time.Second), now.Add(-time.Second)
+	list[8].writingSince, list[9].writingSince = now.Add(-3*time.Second), now.Add(-time.Second/2)
 	for _, c := range []struct {
 		memory      int64
 		descriptors int
+		more        int
 		want        []int
 	}{
 		{memory: 1, want: []int{5}},
@@ -38,9 +39,12 @@
 		{descriptors: 4, want: []int{5, 3, 4, 2}},
 		{memory: 50, descriptors: 1, want: []int{5, 3, 4, 2, 1}},
 		{memory: 60, want: []int{5, 3, 4, 2, 1, 8}},
+		{descriptors: 1, more: 2, want: []int{5, 3, 4}},
+		{descriptors: 5, more: 2, want: []int{5, 3, 4, 2, 1}},
+		{descriptors: 6, more: 2, want: []int{5, 3, 4, 2, 1, 8}},
 		{memory: 61, want: nil},
 		{descriptors: 7, want: nil},
 	} {
-		assert.DeepEqual(t, choose(list, usage{c.memory, c.descriptors}, now), c.want)
+		assert.DeepEqual(t, choose(list, usage{c.memory, c.descriptors}, usage{descriptors: c.more}, now), c.want)
 	}
 }
--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -55,7 +55,7 @@
 		}
 		now := time.Now()
 		c := &conn{Conn: accepted, limiter: l.limiter, secured: l.secured, view: view{since: now, last: now}, closeIdle: func() bool { return false }}
-		if l.limiter.reserve(c, claim{usage: usage{connectionBytes, 1}}) != nil {
+		if l.limiter.reserve(c, claim{usage: usage{connectionBytes, 1}, spare: l.limiter.perRequest()}) != nil {
 			_ = accepted.Close()
 			continue
 		}
--- a/internal/clientlimit/limiter.go
+++ b/internal/clientlimit/limiter.go
@@ -41,6 +41,11 @@
 	roomPollInterval = 2 * time.Millisecond
 	// unreadBodyTime is how long the rest of a body may arrive whose request is refused.
 	unreadBodyTime = 300 * time.Millisecond
+	// moreShare is the fraction of the limits that is freed at a time beyond what is needed.
+	moreShare = 32
+	// tightTime is how long connections are not kept after another one has found no room. A
+	// client that sends one request after the other would keep its place otherwise.
+	tightTime = time.Second
 	// logInterval is the least time between two log lines about clients without room.
 	logInterval = time.Second
 )
@@ -78,6 +83,8 @@
 	flows        map[string]*flow
 	inFlows      usage
 	header, idle time.Duration
+	// tightUntil is until when connections are not kept, because others found no room.
+	tightUntil time.Time
 	// closed counts the connections that were closed or refused since the last log line.
 	closed     map[string]int
 	nextReport time.Time
@@ -166,10 +173,20 @@
 			return
 		}
 		defer c.end()
+		if l.isTight() {
+			w.Header().Set("Connection", "close")
+		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// isTight reports whether another connection has found no room a short time ago.
+func (l *Limiter) isTight() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Now().Before(l.tightUntil)
+}
+
 // claim is what a connection asks for.
 type claim struct {
 	usage
@@ -177,6 +194,8 @@
 	// with all that it holds.
 	flow  *flow
 	joins bool
+	// spare must be free as well, but is not taken.
+	spare usage
 }
 
 // reserve takes what a connection asks for. If it does not fit, reserve closes connections as
@@ -214,6 +233,7 @@
 			ended = victims == nil
 		}
 		if ended {
+			l.tightUntil = now.Add(tightTime)
 			doing := c.phase.String()
 			if of != nil {
 				doing = "share"
@@ -243,10 +263,10 @@
 	}
 	var short usage
 	if want.memory > 0 {
-		short.memory = l.used.memory + want.memory - l.opts.Memory
+		short.memory = l.used.memory + want.memory + want.spare.memory - l.opts.Memory
 	}
 	if want.descriptors > 0 {
-		short.descriptors = l.used.descriptors + want.descriptors - l.opts.Descriptors
+		short.descriptors = l.used.descriptors + want.descriptors + want.spare.descriptors - l.opts.Descriptors
 	}
 	return short.needed(), nil
 }
@@ -261,7 +281,8 @@
 		}
 	}
 	var victims []*conn
-	for _, i := range choose(views, needed, now) {
+	more := usage{l.opts.Memory / moreShare, l.opts.Descriptors / moreShare}
+	for _, i := range choose(views, needed, more, now) {
 		v := conns[i]
 		victims = append(victims, v)
 		if v.phase != idle {
