daemon: answers that callers do not take use up the memory of a machine

Callers got no answers beside others that do not take theirs, and the daemon exceeded its machine. Cause: an answer counted only while it was read, against 24 MiB on a machine of any size; then it was held twice, through billing and until the caller had taken it, without a bound. Change: an answer above 8 KiB takes memory of its caller as soon as it is there; without room the request fails and says that it ran. Answers that are read have 0.12 of the machine's memory, at most 24 MiB.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -118,7 +118,7 @@
 // updates, and the exchange of learned data with other daemons.
 func (d *Daemon) buildControl() {
 	s := d.opts.Settings
-	d.upstream = upstream.New(upstream.Options{Dial: d.opts.Dial, StreamIdle: s.Bounds.StreamIdleTimeoutMs.Duration()})
+	d.upstream = upstream.New(upstream.Options{Dial: d.opts.Dial, StreamIdle: s.Bounds.StreamIdleTimeoutMs.Duration(), MaxBuffered: d.responseMemory()})
 	d.guards = newGuards(d.haltCandidate)
 	d.routing = newRouting(s.AvailabilityZone, d.guards)
 	d.control = &control{
--- a/e2e/daemon_crowds_test.go
+++ b/e2e/daemon_crowds_test.go
@@ -45,6 +45,7 @@
 	kinds := []daemonCrowd{
 		{crowd: crowd{name: "streams that stay", play: reads(text(chatOf("Savoryshift-Deadline-Ms: 300000\r\n", messages(4000, true, strings.Repeat("a", 60<<10)))))}, listener: callers, tokensPerSecond: 10},
 		{crowd: crowd{name: "streams that are read slowly", window: slowReadWindow, play: readsSlowly(text(chatOf("Savoryshift-Deadline-Ms: 300000\r\n", messages(100_000, true, "a"))), 1)}, listener: callers},
+		{crowd: crowd{name: "answers that are read slowly", window: slowReadWindow, play: readsSlowly(text(chatOf("", messages(100_000, false, "a"))), 20)}, listener: callers},
 		{crowd: crowd{name: "requests in one write whose answers are read slowly", window: slowReadWindow, play: readsSlowly(text(strings.Repeat(notFound, 200)), 500)}, listener: callers},
 		{crowd: crowd{name: "counters that are read slowly", window: slowReadWindow, play: readsSlowly(text(fmt.Sprintf("GET /debug/vars HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n\r\n", e2e.OperatorToken)), 1000)}, listener: operators},
 		{crowd: crowd{name: "bytes without end at the address for peers", play: reads(text(strings.Repeat("a", crowdBodyBytes)))}, listener: peers},
--- a/proxy/dispatch.go
+++ b/proxy/dispatch.go
@@ -24,10 +24,15 @@
 	s.options.Router.Started(m.route, target)
 	prompt := s.startPrompt(m, target, 0)
 	resp.result, err = s.options.Upstream.Complete(ctx, call)
-	resp.text = string(resp.result.Body)
 	s.recordCall(ctx, m, target, prompt, err)
 	s.reportFinished(ctx, m, target, resp.result, err)
 	s.cancelAbandoned(ctx, call, err)
+	if err == nil {
+		err = holdResponse(m.request.Context(), resp.result.Body)
+	}
+	if err == nil {
+		resp.text = string(resp.result.Body)
+	}
 	return resp, err
 }
 
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -10,6 +10,7 @@
 
 	"github.com/savoryshift/savoryshift/errkind"
 	"github.com/savoryshift/savoryshift/internal/bodybudget"
+	"github.com/savoryshift/savoryshift/internal/clientlimit"
 	"github.com/savoryshift/savoryshift/internal/cutoff"
 )
 
@@ -30,6 +31,24 @@
 	unframed bool
 }
 
+const (
+	// freeResponseBytes is the size up to which what a caller has not taken yet counts as a part
+	// of its request.
+	freeResponseBytes = 8 << 10
+	// responseCopies is the number of times that a response is in memory until the caller has
+	// taken it: its body, and the text that is examined.
+	responseCopies = 2
+)
+
+// holdResponse takes the memory for a response until the request has ended, because the caller
+// may take it more slowly than the upstream has sent it.
+func holdResponse(ctx context.Context, body []byte) error {
+	if len(body) <= freeResponseBytes || clientlimit.HoldResponse(ctx, responseCopies*len(body)) == nil {
+		return nil
+	}
+	return errkind.WithRan(errkind.New(errkind.UpstreamFailed, "this daemon has no memory for the answer of %d bytes", len(body)), errkind.RanYes)
+}
+
 // extent is the part of a response up to some point.
 type extent struct {
 	header bool
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -104,7 +104,7 @@
 		result, err := s.options.Upstream.Forward(ctx, q.serviceCall(target, true, nil))
 		s.options.Router.ServiceFinished(target, err)
 		if err == nil {
-			return result, nil
+			return result, holdResponse(q.Context(), result.Body)
 		}
 		mayHaveRun = mayHaveRun || errkind.RanOf(err) != errkind.RanNo
 		tried = append(tried, target.Upstream)
@@ -196,7 +196,7 @@
 		if err == nil {
 			outcome := newStoredOutcome(result, s.options.Bounds.OutcomeBytes)
 			claim.Complete(outcome)
-			return result, outcome.At, nil
+			return result, outcome.At, holdResponse(q.Context(), result.Body)
 		}
 		if dispatched {
 			// The call may have run. The claim is not released, so that a repeat
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -146,7 +146,8 @@
 	// BodyBytes limits the body of a request and of a stored or rated answer.
 	BodyBytes int64 `json:"body_bytes" default:"4194304" min:"1024" max:"67108864" unit:"bytes"`
 	// MachineMemoryBytes is the memory that the process may use. Of it, 0.35 are for callers:
-	// connections, headers and bodies; 0.05 are for operators and probes. Default: the memory
+	// connections, headers, bodies and responses that they have not taken; 0.12, at most
+	// 24 MiB, for responses that are read; 0.05 for operators and probes. Default: the memory
 	// of the machine.
 	MachineMemoryBytes int64 `json:"machine_memory_bytes" default:"0" min:"0" max:"1099511627776" unit:"bytes"`
 	// Descriptors is the number of descriptors that the process may have open. Without 200 for
