proxy: chats of many small members use up the memory of a machine

Cause: a chat counted three times its bytes. Decoded, an empty message of three bytes takes 40 bytes in a slice that doubles, and a member of eight bytes over 100 in a map; the messages were then copied once more, although 256 of them are examined. Evidence: 600 callers with bodies of 240 to 270 KB at a daemon of 96 MB: peak 209 MB (messages) and 124 MB (members) on. Change: 256 bytes for each member or element count before the body is decoded; commas in texts do not count. Without room the chat is refused with 503.

--- a/e2e/daemon_crowds_test.go
+++ b/e2e/daemon_crowds_test.go
@@ -41,8 +41,18 @@
 	operators := func(l settings.Listen) string { return l.Operators }
 	peers := func(l settings.Listen) string { return l.Peers }
 	text := func(s string) func(int) string { return func(int) string { return s } }
+	emptyMessages := `{"model":"small","messages":[` + strings.Repeat(`{},`, 80<<10) + `{"role":"user","content":"a"}]}`
+	members := `{"model":"none"` + func() string {
+		var b strings.Builder
+		for i := range 30 << 10 {
+			fmt.Fprintf(&b, `,"%x":0`, i)
+		}
+		return b.String()
+	}() + `}`
 	notFound := fmt.Sprintf("GET /none HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n\r\n", e2e.CallerKey(0))
 	kinds := []daemonCrowd{
+		{crowd: crowd{name: "chats of many empty messages", play: reads(text(chatOf("", emptyMessages)))}, listener: callers},
+		{crowd: crowd{name: "chats of many members", play: reads(text(chatOf("", members)))}, listener: callers},
 		{crowd: crowd{name: "streams that stay", play: reads(text(chatOf("Savoryshift-Deadline-Ms: 300000\r\n", messages(4000, true, strings.Repeat("a", 60<<10)))))}, listener: callers, tokensPerSecond: 10},
 		{crowd: crowd{name: "streams that are read slowly", window: slowReadWindow, play: readsSlowly(text(chatOf("Savoryshift-Deadline-Ms: 300000\r\n", messages(100_000, true, "a"))), 1)}, listener: callers},
 		{crowd: crowd{name: "answers that are read slowly", window: slowReadWindow, play: readsSlowly(text(chatOf("", messages(100_000, false, "a"))), 20)}, listener: callers},
--- a/internal/check/decode.go
+++ b/internal/check/decode.go
@@ -85,6 +85,24 @@
 	return colons, deepest
 }
 
+// CountItems returns an upper bound of the number of members and elements of a JSON document,
+// before it is decoded.
+func CountItems(data []byte) int {
+	items, quoted := 1, false
+	for i := 0; i < len(data); i++ {
+		switch c := data[i]; {
+		case quoted && c == '\\':
+			i++
+		case c == '"':
+			quoted = !quoted
+		case quoted:
+		case c == ',', c == '{', c == '[':
+			items++
+		}
+	}
+	return items
+}
+
 // countKeys returns the number of object keys in value and all values below it.
 func countKeys(value any) int {
 	n := 0
--- a/proxy/chat.go
+++ b/proxy/chat.go
@@ -12,6 +12,7 @@
 
 	"github.com/savoryshift/savoryshift/errkind"
 	"github.com/savoryshift/savoryshift/internal/bodybudget"
+	"github.com/savoryshift/savoryshift/internal/check"
 	"github.com/savoryshift/savoryshift/internal/clientlimit"
 	"github.com/savoryshift/savoryshift/quarantine"
 )
@@ -61,6 +62,18 @@
 // body, its fields, and the text of its messages.
 const bodyCopies = 3
 
+// itemBytes is the memory for a member or an element of a JSON document beyond its bytes: its
+// entry in a map or in a slice that doubles, with the garbage of the smaller ones.
+const itemBytes = 256
+
+// holdItems takes the memory for a JSON body once it is decoded.
+func holdItems(w *callerResponse, data []byte) error {
+	if err := w.body.Hold(bodyCopies*len(data) + itemBytes*check.CountItems(data)); err != nil {
+		return errkind.New(errkind.NoCapacity, "this daemon has no memory for the members of the body")
+	}
+	return nil
+}
+
 // readBody reads the request body within the limit on its size and that of
 // limitBodyTime. A body for which there is no memory is refused.
 func readBody(w *callerResponse, r *http.Request, limit int64) ([]byte, error) {
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -82,6 +82,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := holdItems(w, data); err != nil {
+		return nil, err
+	}
 	chat, err := parseChat(data)
 	if err != nil {
 		return nil, err
--- a/proxy/quarantine.go
+++ b/proxy/quarantine.go
@@ -25,6 +25,8 @@
 // promptParts identifies the messages of a prompt. All of them count: a caller that
 // repeats a prompt repeats its last message too.
 func promptParts(messages []chatMessage) []quarantine.Part {
+	// One more than are tracked shows that there are more.
+	messages = messages[:min(len(messages), quarantine.MaxParts+1)]
 	ids := make([]string, 0, len(messages)+1)
 	for _, m := range messages {
 		ids = append(ids, m.Role+"\x00"+string(json.RawMessage(m.Content)))
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -15,9 +15,9 @@
 type Request uint64
 
 const (
-	// maxParts bounds the parts of a prompt that are tracked.
-	maxParts = 256
-	// manyParts stands for the parts of a prompt beyond maxParts.
+	// MaxParts bounds the parts of a prompt that are tracked.
+	MaxParts = 256
+	// manyParts stands for the parts of a prompt beyond MaxParts.
 	manyParts = Part(1)
 )
 
@@ -28,11 +28,11 @@
 		return nil
 	}
 	ids = ids[:len(ids)-1]
-	parts := make([]Part, 0, min(len(ids), maxParts+1))
-	for _, id := range ids[:min(len(ids), maxParts)] {
+	parts := make([]Part, 0, min(len(ids), MaxParts+1))
+	for _, id := range ids[:min(len(ids), MaxParts)] {
 		parts = append(parts, HashPart(id))
 	}
-	if len(ids) > maxParts {
+	if len(ids) > MaxParts {
 		parts = append(parts, manyParts)
 	}
 	slices.Sort(parts)
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -182,7 +182,7 @@
 // distinct returns at most as many different parts as a prompt has that are tracked. A report
 // of a peer may repeat them.
 func distinct(parts []Part) []Part {
-	list := slices.Clone(parts[:min(len(parts), maxParts+1)])
+	list := slices.Clone(parts[:min(len(parts), MaxParts+1)])
 	slices.Sort(list)
 	return slices.Compact(list)
 }
