operator: bodies at the address for operators have no common bound

A daemon exceeded its machine, and probes of the load balancer were not answered, while clients sent bodies to the address for operators. Cause: a body of up to 4 MiB was read and decoded into values of many times its size without taking memory of the listener, and a sender that stopped in its body kept its place for good. Change: the body takes memory as it is read, and 96 bytes for each member or element before it is decoded; a sender in its body gives way; requests hold no place for a call; one patch is applied at a time.

--- a/e2e/daemon_crowds_test.go
+++ b/e2e/daemon_crowds_test.go
@@ -41,6 +41,9 @@
 	operators := func(l settings.Listen) string { return l.Operators }
 	peers := func(l settings.Listen) string { return l.Peers }
 	text := func(s string) func(int) string { return func(int) string { return s } }
+	edit := func(body string) string {
+		return fmt.Sprintf("POST /v1/changes HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", e2e.OperatorToken, crowdBodyBytes, body)
+	}
 	emptyMessages := `{"model":"small","messages":[` + strings.Repeat(`{},`, 80<<10) + `{"role":"user","content":"a"}]}`
 	members := `{"model":"none"` + func() string {
 		var b strings.Builder
@@ -57,6 +60,8 @@
 		{crowd: crowd{name: "streams that are read slowly", window: slowReadWindow, play: readsSlowly(text(chatOf("Savoryshift-Deadline-Ms: 300000\r\n", messages(100_000, true, "a"))), 1)}, listener: callers},
 		{crowd: crowd{name: "answers that are read slowly", window: slowReadWindow, play: readsSlowly(text(chatOf("", messages(100_000, false, "a"))), 20)}, listener: callers},
 		{crowd: crowd{name: "requests in one write whose answers are read slowly", window: slowReadWindow, play: readsSlowly(text(strings.Repeat(notFound, 200)), 500)}, listener: callers},
+		{crowd: crowd{name: "bodies that stop at the address for operators", play: reads(text(edit(strings.Repeat("a", crowdBodyBytes-1))))}, listener: operators},
+		{crowd: crowd{name: "edits at the address for operators", play: reads(text(edit(`{"patch":[` + strings.Repeat("{},", crowdBodyBytes/3-20) + `{}]` + strings.Repeat(" ", 49) + `}`)))}, listener: operators},
 		{crowd: crowd{name: "counters that are read slowly", window: slowReadWindow, play: readsSlowly(text(fmt.Sprintf("GET /debug/vars HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n\r\n", e2e.OperatorToken)), 1000)}, listener: operators},
 		{crowd: crowd{name: "bytes without end at the address for peers", play: reads(text(strings.Repeat("a", crowdBodyBytes)))}, listener: peers},
 	}
--- a/operator/actions.go
+++ b/operator/actions.go
@@ -83,7 +83,7 @@
 // log, so that it works while the platform is unreachable.
 func (s *Server) postHalt(r *http.Request, author string) (any, error) {
 	var h HaltRequest
-	if err := readBody(r, &h); err != nil {
+	if err := s.readBody(r, &h); err != nil {
 		return nil, err
 	}
 	if h.Version == "" || h.Reason == "" || len(h.Reason) > maxReasonBytes {
--- a/operator/answer.go
+++ b/operator/answer.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 
 	"github.com/samber/oops"
@@ -11,7 +10,9 @@
 	"github.com/savoryshift/savoryshift/coord/changelog"
 	"github.com/savoryshift/savoryshift/coord/store"
 	"github.com/savoryshift/savoryshift/errkind"
+	"github.com/savoryshift/savoryshift/internal/bodybudget"
 	"github.com/savoryshift/savoryshift/internal/check"
+	"github.com/savoryshift/savoryshift/internal/clientlimit"
 	"github.com/savoryshift/savoryshift/tree"
 )
 
@@ -65,10 +66,26 @@
 	return err
 }
 
+// itemBytes is the memory for a member or an element of a JSON document beyond its bytes.
+const itemBytes = 96
+
 // readBody decodes the body as JSON into out. It refuses unknown and duplicate
 // keys.
-func readBody(r *http.Request, out any) error {
-	data, err := io.ReadAll(r.Body)
+func (s *Server) readBody(r *http.Request, out any) error {
+	// The memory is held until the request ends, because its body is used as long.
+	done := clientlimit.ReadingBody(r.Context())
+	most := s.options.MaxBodyBytes
+	memory := clientlimit.Share(r.Context())
+	data, err := memory.ReadAll(r.Body, int(max(0, min(r.ContentLength, most))), int(most)+1)
+	if err == nil {
+		err = memory.Hold(len(data) + itemBytes*check.CountItems(data))
+	}
+	if lost := done(); lost != nil {
+		err = lost
+	}
+	if errors.Is(err, bodybudget.ErrFull) {
+		return errkind.New(errkind.NoCapacity, "this daemon has no memory for the body of the request")
+	}
 	if _, tooLarge := errors.AsType[*http.MaxBytesError](err); tooLarge {
 		return errkind.Wrap(errkind.PayloadTooLarge, err)
 	}
--- a/operator/edit.go
+++ b/operator/edit.go
@@ -26,7 +26,7 @@
 
 func (s *Server) postChange(r *http.Request, author string) (any, error) {
 	var e Edit
-	if err := readBody(r, &e); err != nil {
+	if err := s.readBody(r, &e); err != nil {
 		return nil, err
 	}
 	if e.Base < 0 {
@@ -65,7 +65,9 @@
 	if len(e.Patch) > maxPatchBytes {
 		return EditResult{}, errkind.New(errkind.PayloadTooLarge, "the patch is longer than %d bytes", maxPatchBytes)
 	}
+	s.patching.Lock()
 	data, err := applyPatch(base.data, e.Patch)
+	s.patching.Unlock()
 	if err != nil {
 		return EditResult{}, err
 	}
@@ -119,7 +121,7 @@
 func (s *Server) action(plan planner) func(r *http.Request, author string) (any, error) {
 	return func(r *http.Request, author string) (any, error) {
 		var a Action
-		if err := readBody(r, &a); err != nil {
+		if err := s.readBody(r, &a); err != nil {
 			return nil, err
 		}
 		if a.ID == "" {
--- a/operator/server.go
+++ b/operator/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"expvar"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -91,7 +92,9 @@
 	options   Options
 	tokens    map[[sha256.Size]byte]settings.OperatorToken
 	treeCache *treeCache
-	mux       *http.ServeMux
+	// patching lets one patch be applied at a time: a decoded one takes many times its bytes.
+	patching sync.Mutex
+	mux      *http.ServeMux
 }
 
 // New returns a server.
