peer: connections without a byte use up the descriptors of a daemon

Cause: a daemon took up to 1,024 connections of other daemons, however many descriptors it has, also before they are authenticated. On the users' platform the number was bounded, but a crowd closed the connections of peers, which are silent between their messages. Change: the listener of package clientlimit for both; 1/8 of the descriptors in a daemon. Connections that are not confirmed are closed before others: an entry VM confirms one with its first answer, a daemon when it is authenticated. Counters and a log line.

--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -18,9 +18,11 @@
 	callerShare   = 0.35
 	operatorShare = 0.05
 	// callerDescriptorShare and operatorDescriptorShare are the fractions of the descriptors
-	// for sockets; the rest is for peers, the platform and idle connections to upstreams.
+	// for sockets, and peerDescriptorShare that for connections of other daemons; the rest is for
+	// calls to these, the platform and idle connections to upstreams.
 	callerDescriptorShare   = 0.75
 	operatorDescriptorShare = 0.0625
+	peerDescriptorShare     = 0.125
 	// responseShare is the fraction of the machine's memory for responses of upstreams that are
 	// being read.
 	responseShare = 0.12
@@ -31,6 +33,9 @@
 	return float64(clientlimit.SocketDescriptors(int(d.opts.Settings.Bounds.Descriptors)))
 }
 
+// peerDescriptors returns the number of connections of other daemons that are kept.
+func (d *Daemon) peerDescriptors() int { return int(peerDescriptorShare * d.socketDescriptors()) }
+
 // machineMemory returns the memory of the machine.
 func (d *Daemon) machineMemory() float64 {
 	return float64(clientlimit.MachineMemory(d.opts.Settings.Bounds.MachineMemoryBytes))
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -68,6 +68,8 @@
 	callerConns, operatorConns *idleconn.Closer
 	// callerLimit and operatorLimit bound what they use.
 	callerLimit, operatorLimit *clientlimit.Limiter
+	// peerConns bounds the connections of other daemons.
+	peerConns *clientlimit.PeerListener
 	// draining is set when a planned stop begins.
 	draining atomic.Bool
 	// stopBy is when a planned stop ends the requests that still run. It is set and
--- a/daemon/listeners.go
+++ b/daemon/listeners.go
@@ -6,6 +6,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/savoryshift/savoryshift/internal/clientlimit"
 	"github.com/savoryshift/savoryshift/settings"
 )
 
@@ -39,6 +40,9 @@
 			*l.target = d.callerLimit.Listener(*l.target, d.callerConns, config != nil)
 		case &d.opts.Operators:
 			*l.target = d.operatorLimit.Listener(*l.target, d.operatorConns, config != nil)
+		case &d.opts.Peers:
+			d.peerConns = clientlimit.NewPeerListener(*l.target, d.peerDescriptors(), d.logger)
+			*l.target = d.peerConns
 		}
 		if config != nil {
 			*l.target = tls.NewListener(*l.target, config)
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -126,6 +126,7 @@
 	m.Set("ledger", expvar.Func(func() any { return d.ledger.Stats() }))
 	m.Set("callers", expvar.Func(func() any { return d.callerLimit.Usage() }))
 	m.Set("operators", expvar.Func(func() any { return d.operatorLimit.Usage() }))
+	m.Set("peers", expvar.Func(func() any { return d.peerConns.Usage() }))
 	m.Set("shares", expvar.Func(func() any { return d.shares.Stats() }))
 	m.Set("peer_client", d.peerClient.Counters.Var())
 	m.Set("peer_server", d.peerServer.Counters.Var())
--- a/e2e/crowds_test.go
+++ b/e2e/crowds_test.go
@@ -196,6 +196,7 @@
 	notFound := fmt.Sprintf("GET /none HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: n\r\n\r\n", standin.Host)
 	metrics := func(vm *crowdVM) string { return vm.metrics }
 	text := func(s string) func(int) string { return func(int) string { return s } }
+	peers := func(vm *crowdVM) string { return vm.settings.Peer }
 	return []crowd{
 		{name: "streams of large events that are read slowly", clients: crowdClients, window: slowReadWindow, engine: standin.Behaviour{Events: 10_000, EventBytes: 60 << 10}, play: readsSlowly(small("/stream/x"), 1)},
 		{name: "long answers that are read slowly", clients: crowdClients, window: slowReadWindow, service: standin.Behaviour{BodyBytes: 1 << 20}, play: readsSlowly(small("/look/x"), 1)},
@@ -214,6 +215,9 @@
 		{name: "streams of one organisation that stay", clients: crowdClients, engine: longStream, key: otherKey, play: reads(small("/stream/x"))},
 		{name: "metrics that are read slowly", clients: crowdClients, window: slowReadWindow, target: metrics, play: readsSlowly(text("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n"), 1000)},
 		{name: "bodies at the address for probes", clients: crowdClients, target: func(vm *crowdVM) string { return vm.settings.Ready }, play: reads(sized("/", crowdBodyBytes))},
+		{name: "messages without end at the address for peers", clients: crowdClients, target: peers, play: reads(func(int) string {
+			return "\xfc\x00\x7f\xff\xff" + strings.Repeat("\x01", crowdBodyBytes)
+		})},
 	}
 }
 
--- a/e2e/daemon_crowds_test.go
+++ b/e2e/daemon_crowds_test.go
@@ -63,6 +63,7 @@
 		{crowd: crowd{name: "bodies that stop at the address for operators", play: reads(text(edit(strings.Repeat("a", crowdBodyBytes-1))))}, listener: operators},
 		{crowd: crowd{name: "edits at the address for operators", play: reads(text(edit(`{"patch":[` + strings.Repeat("{},", crowdBodyBytes/3-20) + `{}]` + strings.Repeat(" ", 49) + `}`)))}, listener: operators},
 		{crowd: crowd{name: "counters that are read slowly", window: slowReadWindow, play: readsSlowly(text(fmt.Sprintf("GET /debug/vars HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n\r\n", e2e.OperatorToken)), 1000)}, listener: operators},
+		{crowd: crowd{name: "connections without a byte at the address for peers", play: reads(text(""))}, listener: peers},
 		{crowd: crowd{name: "bytes without end at the address for peers", play: reads(text(strings.Repeat("a", crowdBodyBytes)))}, listener: peers},
 	}
 	for i := range kinds {
--- a/entry/control.go
+++ b/entry/control.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return oops.Wrapf(err, "listening at %s", e.opts.Settings.Peer)
 	}
-	peers := clientlimit.NewPeerListener(listener, resourcesOf(e.opts.Settings).peers)
+	peers := clientlimit.NewPeerListener(listener, resourcesOf(e.opts.Settings).peers, e.log)
 	e.peerListener.Store(peers)
 	listener = peers
 	g.Add(func() error {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -48,6 +48,14 @@
 	gauge("savoryshift_client_memory_bytes", func() float64 { return float64(e.clients.front.Usage().Memory) })
 	gauge("savoryshift_client_connections", func() float64 { return float64(e.clients.front.Usage().Connections) })
 	gauge("savoryshift_client_descriptors", func() float64 { return float64(e.clients.front.Usage().Descriptors) })
+	peers := func() (u clientlimit.PeerUsage) {
+		if l := e.peerListener.Load(); l != nil {
+			u = l.Usage()
+		}
+		return u
+	}
+	gauge("savoryshift_peer_connections", func() float64 { return float64(peers().Connections) })
+	gauge("savoryshift_peer_connections_closed_total", func() float64 { return float64(peers().Closed) })
 	gauge("savoryshift_log_lines_dropped_total", func() float64 {
 		if e.opts.DroppedLogLines == nil {
 			return 0
--- a/fleet/bounded.go
+++ b/fleet/bounded.go
@@ -4,6 +4,8 @@
 	"errors"
 	"net"
 	"sync/atomic"
+
+	"github.com/savoryshift/savoryshift/internal/clientlimit"
 )
 
 const (
@@ -60,6 +62,12 @@
 	return n, err
 }
 
+// Write writes to the connection. A connection to this VM is that of a peer once it is answered.
+func (c *boundedConn) Write(b []byte) (int, error) {
+	clientlimit.ConfirmPeer(c.Conn)
+	return c.Conn.Write(b)
+}
+
 // Close closes the connection.
 func (c *boundedConn) Close() error {
 	defer c.release()
--- a/internal/clientlimit/peers_test.go
+++ b/internal/clientlimit/peers_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 )
 
@@ -14,7 +15,7 @@
 func TestSilentConnectionsOfPeersLeave(t *testing.T) {
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	l := NewPeerListener(inner, 2)
+	l := NewPeerListener(inner, 2, zap.NewNop())
 	t.Cleanup(func() { _ = l.Close() })
 	connect := func() (ours, theirs net.Conn) {
 		ours, err := net.Dial("tcp4", inner.Addr().String())
@@ -41,3 +42,30 @@
 		use(peer, accepted)
 	}
 }
+
+// Guards against connections to the address for peers that close those of peers, which are
+// silent between their messages.
+func TestStrangersLeaveBeforePeers(t *testing.T) {
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := NewPeerListener(inner, 2, zap.NewNop())
+	t.Cleanup(func() { _ = l.Close() })
+	connect := func() (ours, theirs net.Conn) {
+		ours, err := net.Dial("tcp4", inner.Addr().String())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = ours.Close() })
+		theirs, err = l.Accept()
+		assert.NilError(t, err)
+		return ours, theirs
+	}
+	peer, accepted := connect()
+	ConfirmPeer(accepted)
+	for range 3 {
+		connect()
+	}
+	assert.DeepEqual(t, l.Usage(), PeerUsage{Connections: 2, Closed: 2})
+	_, err = accepted.Write([]byte("a"))
+	assert.NilError(t, err)
+	_, err = io.ReadFull(peer, make([]byte, 1))
+	assert.NilError(t, err)
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/savoryshift/savoryshift/coord/spread"
+	"github.com/savoryshift/savoryshift/internal/clientlimit"
 )
 
 // acceptRetryDelay is the delay after a failed accept, for example when file
@@ -166,6 +167,7 @@
 		s.Counters.Unauthenticated.Add(1)
 		return
 	}
+	clientlimit.ConfirmPeer(conn)
 	s.Counters.Accepted.Add(1)
 	s.rpc.ServeCodec(&serverCodec{
 		framed:   newFramed(secured, s.opts.MaxMessageBytes),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -151,8 +151,8 @@
 	// of the machine.
 	MachineMemoryBytes int64 `json:"machine_memory_bytes" default:"0" min:"0" max:"1099511627776" unit:"bytes"`
 	// Descriptors is the number of descriptors that the process may have open. Without 200 for
-	// files, 3/4 of them are for callers with the calls of their requests, and 1/16 for
-	// operators and probes. Default: the limit of the process.
+	// files, 3/4 of them are for callers with the calls of their requests, 1/16 for operators
+	// and probes, and 1/8 for connections of other daemons. Default: the limit of the process.
 	Descriptors int64 `json:"descriptors" default:"0" min:"0" max:"1048576" unit:"descriptors"`
 	// HeaderBytes limits the headers of a request.
 	HeaderBytes int64 `json:"header_bytes" default:"65536" min:"4096" max:"1048576" unit:"bytes"`
