logging: long lines use up the memory of a VM while its output is not read

Cause: 4,096 lines could wait for the output, of any length, and clients choose the identifiers in them. Change: 4 MiB of lines wait at most; further ones are dropped and counted, as before.

--- a/e2e/crowds_test.go
+++ b/e2e/crowds_test.go
@@ -332,6 +332,24 @@
 	}
 }
 
+// Guards against log lines that use up the memory of a VM while its output is not read: clients
+// choose the identifiers that they hold.
+func TestLogOfACrowdIsNotRead(t *testing.T) {
+	vm := startVM(t, crowdMemory, crowdDescriptors)
+	read := vm.LeaveOutput()
+	// The process can only be waited for when its output is read.
+	t.Cleanup(read)
+	c := crowd{clients: crowdClients, play: keeps(func(n int64) string {
+		return fmt.Sprintf("GET /none HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %d-%s\r\n\r\n", standin.Host, n, strings.Repeat("a", 12<<10))
+	})}
+	stop := c.start(vm.settings.Front)
+	defer stop()
+	time.Sleep(crowdTime)
+	vm.serves(t, "beside the crowd")
+	stop()
+	vm.check(t, 0)
+}
+
 // Guards against ordinary callers that are refused for as long as a crowd of requests stays
 // that each are small.
 func TestStreamsThatStayKeepOthersOut(t *testing.T) {
--- a/e2e/process.go
+++ b/e2e/process.go
@@ -39,11 +39,15 @@
 // output collects the output of a process, of which it keeps the end. It is safe for concurrent
 // use.
 type output struct {
-	mu   sync.Mutex
-	data bytes.Buffer
+	// unread is held while the output is not read.
+	unread sync.Mutex
+	mu     sync.Mutex
+	data   bytes.Buffer
 }
 
 func (o *output) Write(p []byte) (int, error) {
+	o.unread.Lock()
+	defer o.unread.Unlock()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.data.Len() > maxOutputBytes {
@@ -149,6 +153,12 @@
 	return p.cmd.ProcessState.ExitCode()
 }
 
+// LeaveOutput stops reading what the process prints, until the returned function is called.
+func (p *Process) LeaveOutput() (read func()) {
+	p.output.unread.Lock()
+	return sync.OnceFunc(p.output.unread.Unlock)
+}
+
 // Output returns what the process has printed.
 func (p *Process) Output() string { return p.output.String() }
 
--- a/logging/sink.go
+++ b/logging/sink.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// maxQueuedLines bounds the queue of lines; a full queue takes about 1 MB at the
-	// usual length of a line.
+	// maxQueuedLines and maxQueuedBytes bound the queue of lines; a full queue takes about
+	// 1 MB at the usual length of a line, and clients choose the identifiers in some.
 	maxQueuedLines = 4096
+	maxQueuedBytes = 4 << 20
 	// batchBytes is the size from which a batch is written without further delay.
 	batchBytes = 32 << 10
 	// batchDelay is the time for which lines are collected in a batch before it is
@@ -26,6 +27,7 @@
 type Sink struct {
 	out     io.Writer
 	lines   chan []byte
+	queued  atomic.Int64 // bytes in lines
 	dropped atomic.Uint64
 	stop    chan struct{}
 	done    chan struct{}
@@ -41,14 +43,31 @@
 // Write queues a copy of one line, or drops the line if the queue is full. It never
 // blocks and never fails.
 func (s *Sink) Write(line []byte) (int, error) {
+	size := int64(len(line))
+	if s.queued.Add(size) > maxQueuedBytes {
+		s.drop(size)
+		return len(line), nil
+	}
 	select {
 	case s.lines <- append([]byte(nil), line...):
 	default:
-		s.dropped.Add(1)
+		s.drop(size)
 	}
 	return len(line), nil
 }
 
+// drop counts a line that was not queued.
+func (s *Sink) drop(size int64) {
+	s.queued.Add(-size)
+	s.dropped.Add(1)
+}
+
+// took records that a line has left the queue and returns it.
+func (s *Sink) took(line []byte) []byte {
+	s.queued.Add(-int64(len(line)))
+	return line
+}
+
 // Sync does nothing, because lines are written after batchDelay at the latest unless
 // the output blocks.
 func (s *Sink) Sync() error { return nil }
@@ -76,13 +95,13 @@
 	for {
 		select {
 		case line := <-s.lines:
-			batch = s.collect(append(batch[:0], line...))
+			batch = s.collect(append(batch[:0], s.took(line)...))
 			s.write(batch)
 		case <-s.stop:
 			for {
 				select {
 				case line := <-s.lines:
-					s.write(line)
+					s.write(s.took(line))
 				default:
 					return
 				}
@@ -99,7 +118,7 @@
 	for len(batch) < batchBytes {
 		select {
 		case line := <-s.lines:
-			batch = append(batch, line...)
+			batch = append(batch, s.took(line)...)
 		case <-timer.C:
 			return batch
 		case <-s.stop:
--- a/logging/sink_test.go
+++ b/logging/sink_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -29,6 +30,28 @@
 	log.Info("after the end")
 }
 
+// Guards against lines that use up the memory because they are long, and against an ordinary
+// line that is dropped after the reader of the output has taken them.
+func TestLongLinesAreBounded(t *testing.T) {
+	r, w := io.Pipe()
+	defer r.Close()
+	sink := NewSink(w)
+	log := New(sink)
+	long := strings.Repeat("a", 64<<10)
+	for range maxQueuedLines {
+		log.Info("line", zap.String("request", long))
+		assert.Assert(t, sink.queued.Load() <= maxQueuedBytes)
+	}
+	assert.Assert(t, sink.Dropped() > maxQueuedLines/2)
+	go func() { _, _ = io.Copy(io.Discard, r) }()
+	for begun := time.Now(); sink.queued.Load() > 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Since(begun) < 10*time.Second)
+	}
+	dropped := sink.Dropped()
+	log.Info("line", zap.String("request", "r1"))
+	assert.Equal(t, sink.Dropped(), dropped)
+}
+
 // Guards against queued lines that are lost, split or reordered, in particular those
 // that are still queued at Close.
 func TestLinesAreWrittenWhole(t *testing.T) {
