fleet: digests of empty entries use up the memory of a VM

Cause: an entry of a list that is empty takes one byte on the wire and 56 bytes or more once it is decoded; the bound on messages counted bytes alone, and gave them back before the message was decoded. Change: 128 bytes for each zero byte of a message count beyond 1,024, until the next read, which follows the decoding: a zero is an empty entry or ends one. Refused messages are counted and logged.

--- a/e2e/crowds_test.go
+++ b/e2e/crowds_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"cmp"
+	"encoding/gob"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/rpc"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,7 +20,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/savoryshift/savoryshift/e2e"
+	"github.com/savoryshift/savoryshift/fleet"
 	"github.com/savoryshift/savoryshift/internal/knownred"
+	"github.com/savoryshift/savoryshift/placement"
 	"github.com/savoryshift/savoryshift/platform/standin"
 )
 
@@ -26,6 +31,10 @@
 	stayMemory      = 88 << 20
 	stayDescriptors = 4100
 	stayClients     = 1500
+	// digestClients is the number of clients at the address for peers that send digests with two
+	// lists of emptyEntries empty entries, which take one byte each.
+	digestClients = 100
+	emptyEntries  = 500_000
 	// slowReadBytes is what a slow reader takes every slowReadPause, and slowReadWindow the
 	// size of its receive buffer.
 	slowReadBytes  = 64
@@ -451,3 +460,29 @@
 	w.stop()
 	vm.check(t, w.most)
 }
+
+// emptyDigest returns the bytes of a call of a peer with many entries that are empty.
+func emptyDigest(t *testing.T) []byte {
+	t.Helper()
+	var message bytes.Buffer
+	encoder := gob.NewEncoder(&message)
+	assert.NilError(t, encoder.Encode(rpc.Request{ServiceMethod: "Fleet.Exchange", Seq: 1}))
+	assert.NilError(t, encoder.Encode(fleet.Digest{
+		From:   fleet.Member{VM: "stranger", AvailabilityZone: "z", Address: "127.0.0.1:1"},
+		Report: fleet.Report{Uses: make([]placement.CacheUse, emptyEntries), Loads: make([]fleet.LoadReport, emptyEntries)},
+	}))
+	return message.Bytes()
+}
+
+// Guards against messages of peers that take many times their size once they are decoded.
+func TestDigestsOfEmptyEntries(t *testing.T) {
+	vm := startVM(t, crowdMemory, crowdDescriptors)
+	message := string(emptyDigest(t))
+	c := crowd{clients: digestClients, play: reads(func(int) string { return message })}
+	stop := c.start(vm.settings.Peer)
+	defer stop()
+	time.Sleep(crowdTime)
+	vm.serves(t, "beside the crowd")
+	stop()
+	vm.check(t, 0)
+}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -56,6 +56,7 @@
 	}
 	gauge("savoryshift_peer_connections", func() float64 { return float64(peers().Connections) })
 	gauge("savoryshift_peer_connections_closed_total", func() float64 { return float64(peers().Closed) })
+	gauge("savoryshift_peer_messages_refused_total", func() float64 { return float64(e.fleet.Refused()) })
 	gauge("savoryshift_log_lines_dropped_total", func() float64 {
 		if e.opts.DroppedLogLines == nil {
 			return 0
--- a/fleet/bounded_test.go
+++ b/fleet/bounded_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"runtime"
@@ -71,6 +72,33 @@
 	assert.Assert(t, after.TotalAlloc-before.TotalAlloc < 32<<20, "%d bytes were allocated", after.TotalAlloc-before.TotalAlloc)
 }
 
+// Guards against messages that take many times their size once they are decoded, and against
+// memory that stays reserved after the message.
+func TestEmptyEntriesCount(t *testing.T) {
+	f := New(Options{Node: &node{}, Log: zap.NewNop(), MaxReceived: 1 << 20})
+	message := func(zeros int) []byte {
+		size := 60 << 10
+		body := append(make([]byte, zeros), bytes.Repeat([]byte{1}, size-zeros)...)
+		return append([]byte{0xfd, byte(size >> 16), byte(size >> 8), byte(size)}, body...)
+	}
+	read := func(messages ...[]byte) error {
+		far, near := net.Pipe()
+		c := f.bound(near)
+		go func() {
+			for _, m := range messages {
+				_, _ = far.Write(m)
+			}
+			_ = far.Close()
+		}()
+		_, err := io.ReadAll(c)
+		return err
+	}
+	assert.NilError(t, read(message(8<<10), message(8<<10), message(8<<10)))
+	assert.Equal(t, f.received.Load(), int64(0))
+	assert.ErrorIs(t, read(message(10<<10)), errReceiveBufferFull)
+	assert.Equal(t, f.received.Load(), int64(0))
+}
+
 // Guards against long messages that together exceed the memory for them, and against
 // memory that stays reserved when their connections end.
 func TestLongMessagesShareTheMemory(t *testing.T) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -136,6 +136,10 @@
 	// received counts the bytes of long messages that are being received, of which there are at
 	// most maxReceived.
 	received, maxReceived atomic.Int64
+	// refused counts the messages that were refused, refusedLoggedAt is the time of the last log
+	// line about them in nanoseconds.
+	refused         atomic.Uint64
+	refusedLoggedAt atomic.Int64
 	// wake signals that exchanges are due before the next tick.
 	wake chan struct{}
 	// members are the VMs that were alive at membersComputedAt, including this one.
