--- a/daemon/callers_test.go
+++ b/daemon/callers_test.go
@@ -21,6 +21,7 @@
 	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
+	"github.com/savoryshift/savoryshift/e2e"
 	"github.com/savoryshift/savoryshift/internal/faultlink"
 	"github.com/savoryshift/savoryshift/settings"
 	"github.com/savoryshift/savoryshift/tree"
@@ -139,7 +140,7 @@
 // Guards against a stopping daemon that closes a connection from which a part of a
 // request was read, and against one that waits for idle connections.
 func TestHalfReadRequestAtTheEndOfTheReadinessDelay(t *testing.T) {
-	for name, files := range map[string]settings.TLSFiles{"plain": {}, "TLS": writeCertificate(t)} {
+	for name, files := range map[string]settings.TLSFiles{"plain": {}, "TLS": e2e.WriteCertificate(t)} {
 		for _, used := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s, used before: %t", name, used), func(t *testing.T) {
 				t.Parallel()
--- a/daemon/listeners_test.go
+++ b/daemon/listeners_test.go
@@ -2,60 +2,25 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/base64"
-	"encoding/pem"
-	"math/big"
-	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/savoryshift/savoryshift/e2e"
 	"github.com/savoryshift/savoryshift/settings"
 )
 
-// writeCertificate writes a self-signed CA certificate for 127.0.0.1 and its key,
-// and returns the names of the files.
-func writeCertificate(t *testing.T) settings.TLSFiles {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	assert.NilError(t, err)
-	template := &x509.Certificate{
-		SerialNumber:          big.NewInt(1),
-		NotAfter:              time.Now().Add(time.Hour),
-		IPAddresses:           []net.IP{net.IPv4(127, 0, 0, 1)},
-		IsCA:                  true,
-		BasicConstraintsValid: true,
-	}
-	certificate, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
-	assert.NilError(t, err)
-	private, err := x509.MarshalPKCS8PrivateKey(key)
-	assert.NilError(t, err)
-	files := settings.TLSFiles{
-		CertFile: filepath.Join(t.TempDir(), "cert.pem"),
-		KeyFile:  filepath.Join(t.TempDir(), "key.pem"),
-	}
-	for name, block := range map[string]*pem.Block{
-		files.CertFile: {Type: "CERTIFICATE", Bytes: certificate},
-		files.KeyFile:  {Type: "PRIVATE KEY", Bytes: private},
-	} {
-		assert.NilError(t, os.WriteFile(name, pem.EncodeToMemory(block), 0o600))
-	}
-	return files
-}
-
 // Guards against listeners that ignore their TLS settings. A client without TLS
 // must be rejected, one that trusts the CA must be served and, with ca_file, only
 // one that has a certificate.
 func TestListenersUseTLS(t *testing.T) {
-	server, mutual := writeCertificate(t), writeCertificate(t)
+	server, mutual := e2e.WriteCertificate(t), e2e.WriteCertificate(t)
 	mutual.CAFile = mutual.CertFile
 	s := settings.Defaults()
 	s.VM, s.AvailabilityZone, s.PlatformURL, s.ClusterToken = "vm0", "a", "http://127.0.0.1:1", "a token of the cluster"
--- a/e2e/clients_test.go
+++ b/e2e/clients_test.go
@@ -157,16 +157,48 @@
 	return len(entries)
 }
 
-// crowdVM is a VM with little memory in front of an engine and of a service that takes
-// crowdTime.
+// crowdSite is a store with a configuration, and upstreams: an engine, a service that takes
+// crowdTime, and a service for bookings, which the load on the other one does not slow down.
+type crowdSite struct {
+	store                     *standin.RowStore
+	storeAddress              string
+	service, bookings, engine *standin.Upstream
+}
+
+// startSite starts a store and upstreams. Routes let requests run for crowdPatience.
+func startSite(t *testing.T) *crowdSite {
+	t.Helper()
+	site := &crowdSite{store: standin.NewRowStore()}
+	server := httptest.NewServer(site.store)
+	t.Cleanup(server.Close)
+	site.storeAddress = strings.TrimPrefix(server.URL, "http://")
+	configuration := standin.Configuration(1, "desk2")
+	standin.SetSlots(configuration, crowdSlots)
+	standin.SetTimeout(configuration, crowdPatience)
+	standin.AddOrganisation(configuration, "other", otherKey)
+	configuration["Limits"] = map[string]any{"MaxHeaderBytes": crowdHeadBytes, "MaxBodyBytes": crowdBodyBytes, "HeaderTimeoutMs": 20_000, "IdleTimeoutMs": 60_000}
+	site.store.Put("op", "config", configuration)
+	upstream := func(id, service string, b standin.Behaviour) *standin.Upstream {
+		u, err := standin.ListenUpstream(site.store, id, service, "v1", "z", b)
+		assert.NilError(t, err)
+		t.Cleanup(u.Stop)
+		u.Slots = crowdSlots
+		u.Register(u.Address())
+		return u
+	}
+	site.service = upstream("d0", "desk", standin.Behaviour{ServiceTime: crowdTime})
+	site.bookings = upstream("b0", "desk2", standin.Behaviour{})
+	site.engine = upstream("m0", "model", standin.Behaviour{Events: 3})
+	return site
+}
+
+// crowdVM is a VM with little memory.
 type crowdVM struct {
 	*e2e.Process
+	*crowdSite
 	settings     platform.Settings
 	settingsPath string
 	metrics      string
-	service      *standin.Upstream
-	engine       *standin.Upstream
-	store        *standin.RowStore
 	// key is that of ordinary clients.
 	key string
 }
@@ -176,43 +208,33 @@
 	return startVM(t, crowdMemory, crowdDescriptors)
 }
 
-// startVM starts a VM with a number of bytes and descriptors. Its routes let requests run for
-// crowdPatience.
+// startVM starts a VM with a number of bytes and descriptors, and its site.
 func startVM(t *testing.T, memory int64, descriptors int) *crowdVM {
 	t.Helper()
-	store := standin.NewRowStore()
-	server := httptest.NewServer(store)
-	t.Cleanup(server.Close)
-	configuration := standin.Configuration(1, "desk2")
-	standin.SetSlots(configuration, crowdSlots)
-	standin.SetTimeout(configuration, crowdPatience)
-	standin.AddOrganisation(configuration, "other", otherKey)
-	configuration["Limits"] = map[string]any{"MaxHeaderBytes": crowdHeadBytes, "MaxBodyBytes": crowdBodyBytes, "HeaderTimeoutMs": 20_000, "IdleTimeoutMs": 60_000}
-	store.Put("op", "config", configuration)
-	desk, err := standin.StartUpstream(store, "d0", "desk", "v1", "z", standin.Behaviour{ServiceTime: crowdTime})
-	assert.NilError(t, err)
-	t.Cleanup(desk.Stop)
-	// Bookings have a service of their own, which the load on desk does not slow down.
-	bookings, err := standin.StartUpstream(store, "b0", "desk2", "v1", "z", standin.Behaviour{})
-	assert.NilError(t, err)
-	t.Cleanup(bookings.Stop)
-	engine, err := standin.ListenUpstream(store, "m0", "model", "v1", "z", standin.Behaviour{Events: 3})
-	assert.NilError(t, err)
-	t.Cleanup(engine.Stop)
-	engine.Slots = crowdSlots
-	engine.Register(engine.Address())
+	vm := startSite(t).newVM(t, "vm0", memory, descriptors)
+	vm.start(t)
+	e2e.Eventually(t, "the VM is ready", vm.ready)
+	return vm
+}
+
+// newVM returns a VM that does not run yet.
+func (site *crowdSite) newVM(t *testing.T, name string, memory int64, descriptors int) *crowdVM {
+	t.Helper()
 	s := platform.Settings{
-		VM: "vm0", AvailabilityZone: "z", Front: e2e.FreePort(t), Ready: e2e.FreePort(t), Peer: e2e.FreePort(t),
-		StoreAddress: strings.TrimPrefix(server.URL, "http://"), MemoryBytes: memory, Cores: 1, Descriptors: descriptors,
+		VM: name, AvailabilityZone: "z", Front: e2e.FreePort(t), Ready: e2e.FreePort(t), Peer: e2e.FreePort(t),
+		StoreAddress: site.storeAddress, MemoryBytes: memory, Cores: 1, Descriptors: descriptors,
 		Bounds: platform.Bounds{Drain: 2 * time.Second, Grace: 5 * time.Second, RetryRatio: 0.9, RetryWindow: 10 * time.Second, RetrySlack: 1000, ExposureShare: 0.15, SessionIdle: 5 * time.Second, CacheLifetime: 10 * time.Second},
 	}
-	vm := &crowdVM{settings: s, settingsPath: filepath.Join(t.TempDir(), "settings.json"), metrics: e2e.FreePort(t), service: desk, engine: engine, store: store, key: standin.Key}
+	return &crowdVM{crowdSite: site, settings: s, settingsPath: filepath.Join(t.TempDir(), "settings.json"), metrics: e2e.FreePort(t), key: standin.Key}
+}
+
+// start starts the process of the VM.
+func (vm *crowdVM) start(t *testing.T) {
+	t.Helper()
 	vm.writeSettings(t)
 	cmd := exec.Command(binaries.Daemon, "entry", "--metrics", vm.metrics)
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+vm.settingsPath)
 	vm.Process = e2e.Start(t, cmd)
-	e2e.Eventually(t, "the VM is ready", vm.ready)
-	return vm
 }
 
 // writeSettings writes the settings file.
--- a/e2e/daemon_crowds_test.go
+++ b/e2e/daemon_crowds_test.go
@@ -1,7 +1,9 @@
 package e2e_test
 
 import (
+	"crypto/tls"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -148,3 +150,65 @@
 		})
 	}
 }
+
+// overTLS plays over TLS.
+func overTLS(play player) player {
+	return func(conn net.Conn, client int) {
+		secured := tls.Client(conn, &tls.Config{InsecureSkipVerify: true})
+		if secured.Handshake() == nil {
+			play(secured, client)
+		}
+	}
+}
+
+// The same as TestCrowdsAtADaemon for callers that use TLS, where the lines of a header section
+// are not visible to the listener.
+func TestTLSCrowdsAtADaemon(t *testing.T) {
+	hello := "\x16\x03\x01\x40\x00\x01\x00\x3f\xfc" + strings.Repeat("a", 15<<10)
+	stopped := chatOf("", strings.Repeat("a", 250<<10))
+	for _, c := range []crowd{
+		{name: "handshakes that stop", play: reads(func(int) string { return hello })},
+		{name: "connections without a request", play: overTLS(reads(func(int) string { return "" }))},
+		{name: "many short lines", play: overTLS(reads(func(int) string { return chatOf(shortLines(2400), "a") }))},
+		{name: "heads that stop", play: overTLS(reads(func(int) string { return "GET / HTTP/1.1\r\nX-Long: " + strings.Repeat("a", 60<<10) }))},
+		{name: "bodies that stop", play: overTLS(reads(func(int) string { return stopped[:len(stopped)-1] }))},
+		{name: "answers that are read slowly", window: slowReadWindow, play: overTLS(readsSlowly(func(int) string { return chatOf("", messages(100_000, false, "a")) }, 20))},
+	} {
+		c.clients = crowdClients
+		t.Run(c.name, func(t *testing.T) {
+			var listen settings.Listen
+			files := e2e.WriteCertificate(t)
+			s := e2e.Launch(t, e2e.Options{Binaries: binaries, Zones: []string{"zone-a"}, EngineSlots: crowdSlots, EditSettings: func(f *settings.Settings) {
+				f.Bounds.MachineMemoryBytes, f.Bounds.Descriptors = daemonMemory, crowdDescriptors
+				f.TLS.Callers, listen = files, f.Listen
+			}})
+			d := s.Daemons[0]
+			w := watchDescriptors(t, d.Process)
+			stop := c.start(listen.Callers)
+			defer stop()
+			for until := time.Now().Add(crowdTime); time.Now().Before(until) && d.Running(); time.Sleep(10 * time.Millisecond) {
+			}
+			client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}}
+			for _, when := range []string{"beside the crowd", "after the crowd"} {
+				e2e.Eventually(t, "an ordinary chat is answered "+when, func() bool {
+					req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "https://"+listen.Callers+"/v1/chat/completions", strings.NewReader(messages(10, false, "a")))
+					assert.NilError(t, err)
+					req.Header.Set("Authorization", "Bearer "+e2e.CallerKey(0))
+					resp, err := client.Do(req)
+					if err != nil {
+						return !d.Running()
+					}
+					defer resp.Body.Close()
+					return resp.StatusCode == http.StatusOK
+				})
+				stop()
+			}
+			w.stop()
+			assert.Assert(t, d.Running(), "%s", d.Output())
+			peak := peakMemory(t, d.Process)
+			t.Logf("at most %d MB and %d descriptors", peak>>20, w.most)
+			assert.Check(t, peak < daemonMemory, "%d MB", peak>>20)
+			assert.Check(t, w.most < crowdDescriptors, "%d descriptors", w.most)
+		})
+	}
+}
