exchange: a long body takes its memory twice while it is written

Cause: the buffer of the header section was grown by the length of the body, also for bodies that are written on their own. That memory counts nowhere. Change: only bodies that are written together with the header section count.

--- a/exchange/send.go
+++ b/exchange/send.go
@@ -21,6 +21,9 @@
 // may respond without having read it.
 const inlineBodyBytes = 8 << 10
 
+// headBytes is enough for most header sections.
+const headBytes = 512
+
 // maxHeadBytes limits the headers of a response, with those of its interim responses.
 const maxHeadBytes = 64 << 10
 
@@ -114,7 +117,11 @@
 // goroutine; the returned channel, nil otherwise, receives the result.
 func (c *connection) write(req Request) (chan error, error) {
 	var head bytes.Buffer
-	head.Grow(512 + len(req.Body))
+	inline, size := len(req.Body) <= inlineBodyBytes, headBytes
+	if inline {
+		size += len(req.Body)
+	}
+	head.Grow(size)
 	head.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
 	if err := req.Header.Write(&head); err != nil {
 		return nil, errors.Join(ErrNotSent, err)
@@ -123,7 +130,7 @@
 		head.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
 	}
 	head.WriteString("\r\n")
-	if len(req.Body) <= inlineBodyBytes {
+	if inline {
 		head.Write(req.Body)
 		return nil, c.writeAll(head.Bytes())
 	}
