clientlimit: refusals of one flow close the kept connections of others

Cause: connections were not kept for 1 s after any refusal, also after one that concerns the share of a single flow, when others have room. While there was no room, each newcomer also made a list of all connections anew. Change: only a lack of room for all counts; the lists are reused.

--- a/internal/clientlimit/choose.go
+++ b/internal/clientlimit/choose.go
@@ -113,19 +113,18 @@
 // if that is wanted, so that a crowd of newcomers does not wait for one close after the other.
 // It returns nil if these do not free enough.
 func choose(list []view, needed, more usage, now time.Time) []int {
-	var candidates []int
-	classes := make([]class, len(list))
+	var candidates []candidate
 	for i := range list {
-		if classes[i] = list[i].class(now); classes[i] != kept {
-			candidates = append(candidates, i)
+		if class := list[i].class(now); class != kept {
+			candidates = append(candidates, candidate{i, class})
 		}
 	}
-	slices.SortStableFunc(candidates, func(a, b int) int {
-		x, y := &list[a], &list[b]
-		if classes[a] != classes[b] {
-			return cmp.Compare(classes[a], classes[b])
+	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		x, y := &list[a.index], &list[b.index]
+		if a.class != b.class {
+			return cmp.Compare(a.class, b.class)
 		}
-		switch classes[a] {
+		switch a.class {
 		case waiting:
 			return x.since.Compare(y.since)
 		case stalled:
@@ -134,18 +133,24 @@
 		return cmp.Compare(y.behind(now), x.behind(now))
 	})
 	var chosen []int
-	for n, i := range candidates {
+	for _, c := range candidates {
 		if needed.needed() == (usage{}) {
 			left := usage{needed.memory + more.memory, needed.descriptors + more.descriptors}
-			if classes[i] == stalled || left.needed() == (usage{}) {
+			if c.class == stalled || left.needed() == (usage{}) {
 				break
 			}
 		}
-		needed.add(usage{-list[i].memory, -list[i].descriptors})
-		chosen = candidates[:n+1]
+		needed.add(usage{-list[c.index].memory, -list[c.index].descriptors})
+		chosen = append(chosen, c.index)
 	}
 	if needed.needed() != (usage{}) {
 		return nil
 	}
 	return chosen
 }
+
+// candidate is a connection that can be closed.
+type candidate struct {
+	index int
+	class class
+}
--- a/internal/clientlimit/limiter.go
+++ b/internal/clientlimit/limiter.go
@@ -85,6 +85,10 @@
 	header, idle time.Duration
 	// tightUntil is until when connections are not kept, because others found no room.
 	tightUntil time.Time
+	// evictable and views are reused by evict, which runs for each newcomer while there is no
+	// room.
+	evictable []*conn
+	views     []view
 	// closed counts the connections that were closed or refused since the last log line.
 	closed     map[string]int
 	nextReport time.Time
@@ -233,10 +237,10 @@
 			ended = victims == nil
 		}
 		if ended {
-			l.tightUntil = now.Add(tightTime)
-			doing := c.phase.String()
-			if of != nil {
-				doing = "share"
+			doing := "share"
+			if of == nil {
+				doing = c.phase.String()
+				l.tightUntil = now.Add(tightTime)
 			}
 			l.report(doing, now)
 		}
@@ -274,12 +278,14 @@
 // evict chooses the connections, of a flow if it is not nil, that are closed for c and marks
 // those that are not idle. The caller must hold l.mu, and call drop for each of them without it.
 func (l *Limiter) evict(c *conn, of *flow, needed usage, now time.Time) []*conn {
-	conns, views := make([]*conn, 0, len(l.conns)), make([]view, 0, len(l.conns))
+	conns, views := l.evictable[:0], l.views[:0]
 	for other := range l.conns {
 		if other != c && !other.evicted && (of == nil || other.flow == of) {
 			conns, views = append(conns, other), append(views, other.view)
 		}
 	}
+	l.evictable, l.views = conns, views
+	defer clear(conns)
 	var victims []*conn
 	more := usage{l.opts.Memory / moreShare, l.opts.Descriptors / moreShare}
 	for _, i := range choose(views, needed, more, now) {
