--- a/e2e/crowds_test.go
+++ b/e2e/crowds_test.go
@@ -181,16 +181,23 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "POST /stream/x HTTP/1.1\r\nHost: %s\r\n", standin.Host)
 	header := standin.ClientHeader(fmt.Sprint(number), standin.Key, fmt.Sprint(number))
-	parts := make([]string, 0, 900)
-	for i := range cap(parts) {
-		parts = append(parts, fmt.Sprintf("%08x%03x:%d", number, i, 1+i%2*299))
-	}
-	header.Set("X-Prompt-Prefix", strings.Join(parts, ","))
+	standin.SetManyParts(header, fmt.Sprintf("%08x", number), 900)
 	header.Set("X-Model", "small")
 	_ = header.Write(&b)
 	return b.String() + "Content-Length: 0\r\n\r\n"
 }
 
+// unroutedRequest returns a request that has an identifier and no route.
+func unroutedRequest(id string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "GET /none HTTP/1.1\r\nHost: %s\r\n", standin.Host)
+	_ = standin.IDHeader(id).Write(&b)
+	return b.String() + "\r\n"
+}
+
+// longID returns an identifier of a request of 12 KiB.
+func longID(number int64) string { return fmt.Sprintf("%d-%s", number, strings.Repeat("a", 12<<10)) }
+
 func small(path string) func(int) string {
 	return func(client int) string { return patientRequest(path, fmt.Sprint("c", client), "body") }
 }
@@ -202,7 +209,7 @@
 
 // crowds are the kinds of TestCrowds. They play at a VM of crowdMemory and crowdDescriptors.
 func crowds() []crowd {
-	notFound := fmt.Sprintf("GET /none HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: n\r\n\r\n", standin.Host)
+	notFound := unroutedRequest("n")
 	metrics := func(vm *crowdVM) string { return vm.metrics }
 	text := func(s string) func(int) string { return func(int) string { return s } }
 	peers := func(vm *crowdVM) string { return vm.settings.Peer }
@@ -217,7 +224,7 @@
 			return patientRequest("/stream/x", fmt.Sprintf("%d-%s", n, strings.Repeat("a", 4<<10)), "body")
 		})},
 		{name: "long identifiers of requests that are refused", clients: crowdClients, play: keeps(func(n int64) string {
-			return fmt.Sprintf("GET /none HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %d-%s\r\n\r\n", standin.Host, n, strings.Repeat("a", 12<<10))
+			return unroutedRequest(longID(n))
 		})},
 		{name: "slow calls that are made twice", clients: crowdClients, desks: 1, service: standin.Behaviour{ServiceTime: crowdPatience}, play: reads(small("/look/x"))},
 		{name: "streams without a body that stay", clients: crowdClients, engine: longStream, play: reads(small("/stream/x"))},
@@ -349,7 +356,7 @@
 	// The process can only be waited for when its output is read.
 	t.Cleanup(read)
 	c := crowd{clients: crowdClients, play: keeps(func(n int64) string {
-		return fmt.Sprintf("GET /none HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %d-%s\r\n\r\n", standin.Host, n, strings.Repeat("a", 12<<10))
+		return unroutedRequest(longID(n))
 	})}
 	stop := c.start(vm.settings.Front)
 	defer stop()
