e2e: the soak of crowds copies settings that it changes

Cause: crowds read the settings of a VM while its plan changed them, a data race in the test. Some names of the test were figurative. Change: the addresses are copied before; plainer names.

--- a/e2e/crowdsoak_test.go
+++ b/e2e/crowdsoak_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/savoryshift/savoryshift/e2e"
+	"github.com/savoryshift/savoryshift/platform"
 	"github.com/savoryshift/savoryshift/platform/standin"
 )
 
@@ -44,8 +45,8 @@
 	}
 }
 
-// soaked is a VM of a soak. Its actor alone changes it.
-type soaked struct {
+// soakVM is a VM of a soak. Only the goroutine that disrupts it changes it.
+type soakVM struct {
 	*crowdVM
 	// most is the largest memory that the settings of the current process have stated, and
 	// mostDescriptors that of the descriptors.
@@ -54,14 +55,14 @@
 	w               *watch
 }
 
-func (s *soaked) run(t *testing.T) {
+func (s *soakVM) run(t *testing.T) {
 	s.start(t)
 	s.most, s.mostDescriptors = s.settings.MemoryBytes, s.settings.Descriptors
 	s.w = watchDescriptors(t, s.Process)
 }
 
 // endOfProcess checks a process that is about to be ended.
-func (s *soaked) endOfProcess(t *testing.T) {
+func (s *soakVM) endOfProcess(t *testing.T) {
 	t.Helper()
 	s.w.stop()
 	if !assert.Check(t, s.Running(), "%s", s.Output()) {
@@ -76,10 +77,10 @@
 func soakCrowds(t *testing.T, seed uint64, vms int, length time.Duration) {
 	random := rand.New(rand.NewPCG(seed, 52))
 	site := startSite(t)
-	var list []*soaked
+	var list []*soakVM
 	var seeds []string
 	for i := range vms {
-		vm := &soaked{crowdVM: site.newVM(t, fmt.Sprint("vm", i), crowdMemory, crowdDescriptors)}
+		vm := &soakVM{crowdVM: site.newVM(t, fmt.Sprint("vm", i), crowdMemory, crowdDescriptors)}
 		seeds = append(seeds, vm.settings.Peer)
 		list = append(list, vm)
 	}
@@ -92,18 +93,20 @@
 	}
 	end := make(chan struct{})
 	var group sync.WaitGroup
-	b := &booker{site: site}
+	b := &bookingClient{site: site}
 	for _, vm := range list {
-		group.Go(func() { b.book(vm.settings.Front, end) })
+		// The settings change while the crowds play.
+		addresses := vm.settings
+		group.Go(func() { b.book(addresses.Front, end) })
 		plan := rand.New(rand.NewPCG(random.Uint64(), 1))
-		group.Go(func() { vm.suffer(t, plan, end) })
+		group.Go(func() { vm.disrupt(t, plan, end) })
 		for range 2 {
 			plan := rand.New(rand.NewPCG(random.Uint64(), 2))
-			group.Go(func() { vm.press(plan, end) })
+			group.Go(func() { vm.sendCrowds(plan, addresses, end) })
 		}
 	}
 	plan := rand.New(rand.NewPCG(random.Uint64(), 3))
-	group.Go(func() { site.vary(plan, end) })
+	group.Go(func() { site.changeUpstreams(plan, end) })
 	time.Sleep(length)
 	close(end)
 	group.Wait()
@@ -144,23 +147,23 @@
 	}
 }
 
-// press lets crowds play at the VM, one after the other.
-func (s *soaked) press(random *rand.Rand, end <-chan struct{}) {
+// sendCrowds lets crowds play at the VM, one after the other.
+func (s *soakVM) sendCrowds(random *rand.Rand, addresses platform.Settings, end <-chan struct{}) {
 	kinds := crowds()
 	for _, l := range crowdLoads() {
-		kinds = append(kinds, crowd{name: l.name, target: func(vm *crowdVM) string {
+		kinds = append(kinds, crowd{name: l.name, target: func(*crowdVM) string {
 			if l.target != nil {
-				return l.target(vm.settings)
+				return l.target(addresses)
 			}
-			return vm.settings.Front
+			return addresses.Front
 		}, play: l.play})
 	}
 	for !pause(random, time.Second, end) {
 		c := kinds[random.IntN(len(kinds))]
 		c.clients = 20 + random.IntN(200)
-		address := s.settings.Front
+		address := addresses.Front
 		if c.target != nil {
-			address = c.target(s.crowdVM)
+			address = c.target(&crowdVM{settings: addresses, metrics: s.metrics})
 		}
 		stop := c.start(address)
 		pause(random, 4*time.Second, end)
@@ -168,8 +171,8 @@
 	}
 }
 
-// suffer changes the settings of the VM, and stops, kills and pauses it.
-func (s *soaked) suffer(t *testing.T, random *rand.Rand, end <-chan struct{}) {
+// disrupt changes the settings of the VM, and stops, kills and pauses it.
+func (s *soakVM) disrupt(t *testing.T, random *rand.Rand, end <-chan struct{}) {
 	for !pause(random, 3*time.Second, end) {
 		switch random.IntN(5) {
 		case 0, 1:
@@ -200,20 +203,20 @@
 	}
 }
 
-// vary changes how the upstreams behave.
-func (site *crowdSite) vary(random *rand.Rand, end <-chan struct{}) {
+// changeUpstreams changes how the upstreams behave.
+func (site *crowdSite) changeUpstreams(random *rand.Rand, end <-chan struct{}) {
 	for !pause(random, 2*time.Second, end) {
 		site.service.SetBehaviour(standin.Behaviour{ServiceTime: time.Duration(random.IntN(1000)) * time.Millisecond, BodyBytes: random.IntN(2) * random.IntN(1<<20)})
 		site.engine.SetBehaviour(standin.Behaviour{Events: 1 + random.IntN(200), EventEvery: time.Duration(random.IntN(100)) * time.Millisecond, EventBytes: random.IntN(40 << 10)})
 	}
 }
 
-// bookingPrefix begins the identifiers of the bookings of a booker. Crowds use others again.
+// bookingPrefix begins the identifiers of the bookings of a bookingClient. Crowds use others again.
 const bookingPrefix = "soaked-"
 
-// booker is an ordinary client that makes bookings, each on a connection that it keeps while it
+// bookingClient is an ordinary client that makes bookings, each on a connection that it keeps while it
 // can.
-type booker struct {
+type bookingClient struct {
 	site   *crowdSite
 	number atomic.Int64
 	// refused and served hold the identifiers of the bookings by their outcome.
@@ -221,7 +224,7 @@
 }
 
 // book makes bookings at an address until end is closed.
-func (b *booker) book(address string, end <-chan struct{}) {
+func (b *bookingClient) book(address string, end <-chan struct{}) {
 	for {
 		visit(address, 0, end, func(conn net.Conn) {
 			for reader := bufio.NewReader(conn); ; {
@@ -256,7 +259,7 @@
 }
 
 // check compares what the client was told with what the service ran.
-func (b *booker) check(t *testing.T) {
+func (b *bookingClient) check(t *testing.T) {
 	t.Helper()
 	runs, served, refused := b.site.bookings.Runs(), 0, 0
 	for id, n := range runs {
